Name the module woodrouter and share the settings parser

The settings object is the same on the simulator's wire and in a call agent's configuration, so its parser moves to internal/settings; the adapter keeps its error texts.

--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -7,7 +7,7 @@
 	"os"
 	"runtime/debug"
 
-	"dahliayoke/internal/wire"
+	"woodrouter/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,15 +1,17 @@
-package wire
+// Package settings reads the settings object that an instance gets at its start,
+// the same on the simulator's wire and in a call agent's configuration.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
 	"time"
 
-	"dahliayoke/policy"
+	"woodrouter/policy"
 )
 
-// info is the part of the settings object that the module needs; other keys are skipped.
-type info struct {
+// Info is the part of the settings object that the program needs; other keys are skipped.
+type Info struct {
 	Senders    int                       `json:"nInstances"`
 	Rank       int                       `json:"rank"`
 	Profiles   []profile                 `json:"profiles"`
@@ -22,13 +24,15 @@
 		How    string   `json:"how"`
 	} `json:"stats"`
 	Limits struct {
-		MaxAttempts   int   `json:"maxAttempts"`
-		MaxRetryAfter int64 `json:"maxRetryAfter"`
-		RetryAfter    bool  `json:"retryAfter"`
-		Probes        bool  `json:"probes"`
-		Cancel        bool  `json:"cancel"`
+		MaxAttempts    int   `json:"maxAttempts"`
+		MaxRetryAfter  int64 `json:"maxRetryAfter"`
+		RetryAfter     bool  `json:"retryAfter"`
+		Probes         bool  `json:"probes"`
+		Cancel         bool  `json:"cancel"`
+		ConnectTimeout int64 `json:"connectTimeout"`
 	} `json:"limits"`
 	Guarantees struct {
+		AnswerSlack  int64   `json:"answerSlack"`
 		Cold         int64   `json:"cold"`
 		ColdFrom     float64 `json:"coldFrom"`
 		FallMultiple float64 `json:"fallMultiple"`
@@ -57,35 +61,36 @@
 	AllowancePerS float64 `json:"allowancePerS"`
 }
 
-// micros turns a number of microseconds into a duration.
-func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+// Micros turns a number of microseconds into a duration.
+func Micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
-func parseInfo(text string) (info, error) {
-	var in info
-	if err := json.Unmarshal([]byte(text), &in); err != nil {
-		return in, fmt.Errorf("field info: %w", err)
+// Parse reads the object's JSON text.
+func Parse(text []byte) (Info, error) {
+	var in Info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return in, fmt.Errorf("settings: %w", err)
 	}
 	return in, nil
 }
 
-// settings words the settings object in the module's terms.
-func (in info) settings() policy.Settings {
+// Policy words the settings object in the module's terms.
+func (in Info) Policy() policy.Settings {
 	s := policy.Settings{
 		Rank: in.Rank, Senders: in.Senders,
 		OverUse: in.OverShare,
-		Repeat:  micros(in.Domain.Repeat),
-		Tick:    micros(in.Resolution),
+		Repeat:  Micros(in.Domain.Repeat),
+		Tick:    Micros(in.Resolution),
 		Marked:  in.Callers.MarksRetry, TellWait: in.Domain.GivesWait,
 		Limits: policy.Limits{Attempts: in.Limits.MaxAttempts, Probes: in.Limits.Probes,
 			Cancel: in.Limits.Cancel},
 		Rules: policy.Rules{
-			ClearWait: micros(in.Domain.ClearWait),
-			Cold:      micros(in.Guarantees.Cold), ColdFrom: in.Guarantees.ColdFrom,
-			FallMultiple: in.Guarantees.FallMultiple, TipAfter: micros(in.Guarantees.TipAfter),
+			ClearWait: Micros(in.Domain.ClearWait),
+			Cold:      Micros(in.Guarantees.Cold), ColdFrom: in.Guarantees.ColdFrom,
+			FallMultiple: in.Guarantees.FallMultiple, TipAfter: Micros(in.Guarantees.TipAfter),
 		},
 	}
 	if in.Limits.RetryAfter {
-		s.Limits.CoolDown = micros(in.Limits.MaxRetryAfter)
+		s.Limits.CoolDown = Micros(in.Limits.MaxRetryAfter)
 	}
 	switch in.Stats.How {
 	case "piggyback":
@@ -94,10 +99,10 @@
 		s.Reports = policy.WhenProbed
 	}
 	for i, p := range in.Profiles {
-		c := policy.Class{Name: p.Name, Aim: micros(p.GoalTime), Deadline: micros(p.Deadline),
+		c := policy.Class{Name: p.Name, Aim: Micros(p.GoalTime), Deadline: Micros(p.Deadline),
 			Worth: p.Worth, LateShare: p.LateShare}
 		if i < len(in.Domain.ClassHold) {
-			c.Hold = micros(in.Domain.ClassHold[i])
+			c.Hold = Micros(in.Domain.ClassHold[i])
 		}
 		if i < len(in.Domain.PoolsByClass) {
 			c.Pools = in.Domain.PoolsByClass[i]
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -10,7 +10,8 @@
 	"strings"
 	"time"
 
-	"dahliayoke/policy"
+	"woodrouter/internal/settings"
+	"woodrouter/policy"
 )
 
 // fields walks over the values of one line and keeps the first error.
@@ -101,7 +102,7 @@
 const maxMicros = math.MaxInt64 / int64(time.Microsecond) / 2
 
 func (f *fields) micros(field string) time.Duration {
-	return micros(f.optional(field, 0, maxMicros, 0))
+	return settings.Micros(f.optional(field, 0, maxMicros, 0))
 }
 
 func (f *fields) float(field, v string) float64 {
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -8,7 +8,8 @@
 	"math"
 	"strings"
 
-	"dahliayoke/policy"
+	"woodrouter/internal/settings"
+	"woodrouter/policy"
 )
 
 // maxList is the highest number of a server list.
@@ -81,7 +82,7 @@
 		if h.inBatch {
 			return errors.New("clock: inside a batch")
 		}
-		now := micros(f.int("clock", 0, maxMicros))
+		now := settings.Micros(f.int("clock", 0, maxMicros))
 		if err := f.end(); err != nil {
 			return fmt.Errorf("clock: %w", err)
 		}
@@ -200,11 +201,11 @@
 	if err := f.end(); err != nil {
 		return err
 	}
-	in, err := parseInfo(text)
+	in, err := settings.Parse([]byte(text))
 	if err != nil {
-		return err
+		return fmt.Errorf("field info: %w", err)
 	}
-	ctrl, err := policy.New(in.settings(), n)
+	ctrl, err := policy.New(in.Policy(), n)
 	if err != nil {
 		return fmt.Errorf("field info: %w", err)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,8 @@
 	"testing"
 	"time"
 
-	"dahliayoke/policy"
+	"woodrouter/internal/settings"
+	"woodrouter/policy"
 )
 
 // testInfo is the settings object of these tests, with keys that nobody knows.
@@ -105,7 +106,7 @@
 	names := []string{"spare", "total", "util", "queue"}
 	for n := range 2000 {
 		s := policy.Standing{ID: id(n), Server: fmt.Sprintf("10.0.0.%d:1", n%200), Attempt: rng.IntN(6),
-			Delay: micros(rng.Int64N(1e9))}
+			Delay: settings.Micros(rng.Int64N(1e9))}
 		_, f := split(fmt.Sprintf("first %s %s %d %d", s.ID, s.Server, s.Delay.Microseconds(), s.Attempt))
 		if got := f.standing(); f.end() != nil || got != s {
 			t.Fatalf("got %+v (%v), want %+v", got, f.err, s)
@@ -120,7 +121,7 @@
 		if got := f.ended(names); f.end() != nil || got != e {
 			t.Fatalf("got %+v (%v), want %+v", got, f.err, e)
 		}
-		a := policy.Arrival{ID: id(n), Class: "look", Tenant: "north", Left: micros(rng.Int64N(1e7)),
+		a := policy.Arrival{ID: id(n), Class: "look", Tenant: "north", Left: settings.Micros(rng.Int64N(1e7)),
 			Pool: rng.IntN(9), Number: fmt.Sprintf("%016x", rng.Uint64()), Again: rng.IntN(2) == 0}
 		_, f = split(fmt.Sprintf("ingress %s %s %s %s %d - %d 1 -1 %d", a.ID, a.Class, a.Tenant, a.Number,
 			a.Left.Microseconds(), a.Pool, 2*map[bool]int{true: 1}[a.Again]))
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"dahliayoke/policy"
+	"woodrouter/policy"
 )
 
 // A gateway hands each event to its controller, with the time, and carries out
