--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,373 @@
+package agent
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"woodrouter/internal/mailbox"
+	"woodrouter/policy"
+)
+
+// What a front may hear instead of an outcome.
+var (
+	ErrDuplicate = errors.New("a call of this id is open")
+	ErrClass     = errors.New("unknown class")
+	ErrOverdue   = errors.New("no outcome by the caller's deadline")
+	ErrPanic     = errors.New("fault inside the agent")
+)
+
+// Config is what an agent needs beside its backend.
+type Config struct {
+	Settings policy.Settings
+	Seed     uint64
+	Slack    time.Duration // a final answer counts so long after the deadline
+	Mailbox  int           // most events that wait; 0: 8192
+	Log      *slog.Logger
+}
+
+// Agent is the actor that owns the decision module, the call table and the timers.
+type Agent struct {
+	cfg     Config
+	ctrl    *policy.Controller
+	backend Backend
+	box     *mailbox.Box[event]
+	calls   map[string]*call
+	classes map[string]bool
+	start   time.Time
+	origin  policy.Time
+	idle    []func() // told when no set-up is open
+	open    int      // calls without a final answer
+}
+
+// event is work for the actor; id names the call it is about, if any.
+type event struct {
+	id string
+	do func()
+}
+
+// call is an entry of the call table. It leaves once resolved with no attempt out.
+type call struct {
+	Call
+	front    Front
+	resolved bool // has its final answer, or needs none
+	stands   bool
+	left     bool // the caller has left or released it
+	attempts int
+	server   string
+	out      bool // an attempt is unanswered or stands
+	givenUp  bool
+	sentAt   policy.Time
+	expiry   *time.Timer // of the attempt
+	guard    *time.Timer // of the call: the core's own last word
+}
+
+// New returns an agent, or tells why the settings can't be used. The backend may be
+// set later with Attach, but before Run.
+func New(cfg Config) (*Agent, error) {
+	ctrl, err := policy.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{cfg: cfg, ctrl: ctrl, box: mailbox.New[event](cmp.Or(cfg.Mailbox, 8192)),
+		calls: map[string]*call{}, classes: map[string]bool{}, start: time.Now()}
+	// The module compares its time with the Unix milliseconds of a server's start, and
+	// must never see it run backwards: the wall clock once, then the monotonic one.
+	a.origin = policy.Time(a.start.UnixNano())
+	for _, c := range cfg.Settings.Classes {
+		a.classes[c.Name] = true
+	}
+	if a.cfg.Log == nil {
+		a.cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return a, nil
+}
+
+// Attach names the backend.
+func (a *Agent) Attach(b Backend) { a.backend = b }
+
+// Run handles events until Stop, then what has come in before it.
+func (a *Agent) Run() {
+	for {
+		e, ok := a.box.Take()
+		if !ok {
+			return
+		}
+		a.handle(e)
+	}
+}
+
+// Stop lets no further events in.
+func (a *Agent) Stop() { a.box.Close() }
+
+// handle runs one event; a panic ends the call it was about and nothing else.
+func (a *Agent) handle(e event) {
+	defer func() {
+		if r := recover(); r != nil {
+			a.cfg.Log.Error("panic in the core", "call", e.id, "reason", r, "stack", string(debug.Stack()))
+			if c := a.calls[e.id]; c != nil {
+				a.abandon(c, fmt.Errorf("%w: %v", ErrPanic, r))
+			}
+		}
+	}()
+	e.do()
+}
+
+func (a *Agent) post(id string, do func()) { a.box.Post(event{id, do}) }
+
+func (a *Agent) now() policy.Time { return a.origin + time.Since(a.start) }
+
+// Offer hands a call in. It reports false when the agent is too busy to take it; the
+// front then refuses the call itself.
+func (a *Agent) Offer(f Front, c Call) bool {
+	return a.box.Offer(event{c.ID, func() { a.offer(f, c) }})
+}
+
+// Withdraw tells that the caller has left: it gave the set-up up, released the call that
+// stands, or can't be reached with the answer. Nothing more is owed for the call.
+func (a *Agent) Withdraw(f Front, id string) { a.post(id, func() { a.withdraw(f, id) }) }
+
+// Servers brings news of the server list.
+func (a *Agent) Servers(list []Server, whole bool) {
+	a.post("", func() { a.servers(list, whole) })
+}
+
+// Stands tells that an attempt was answered.
+func (a *Agent) Stands(id string, n int, description []byte) {
+	a.post(id, func() { a.stood(id, n, description) })
+}
+
+// Ended tells how an attempt ended, or the call that stood on it; err is nil where the
+// call came to its end, and a *Failure otherwise.
+func (a *Agent) Ended(id string, n int, err *Failure, r policy.Report) {
+	a.post(id, func() { a.ended(id, n, err, r) })
+}
+
+// Reported brings a report that came outside an answer, or the outcome of a probe.
+func (a *Agent) Reported(p policy.Probed) { a.post("", func() { a.act(a.ctrl.Handle(a.now(), p)) }) }
+
+// Idle calls done once no call waits for its final answer.
+func (a *Agent) Idle(done func()) {
+	a.post("", func() {
+		a.idle = append(a.idle, done)
+		a.settle()
+	})
+}
+
+// RefuseAll gives every unresolved call its final answer now. For a shutdown that can
+// wait no longer.
+func (a *Agent) RefuseAll(stayAway time.Duration) {
+	a.post("", func() {
+		for _, c := range a.calls {
+			if !c.resolved {
+				a.resolve(c)
+				c.front.Refused(c.Call, stayAway)
+				a.depart(c)
+			}
+		}
+	})
+}
+
+func (a *Agent) offer(f Front, in Call) {
+	if a.calls[in.ID] != nil {
+		f.Rejected(in, ErrDuplicate)
+		return
+	}
+	if !a.classes[in.Class] {
+		f.Rejected(in, ErrClass)
+		return
+	}
+	c := &call{Call: in, front: f}
+	a.calls[in.ID] = c
+	a.open++
+	left := max(time.Until(in.Deadline), 0)
+	// The module answers every call in time. Should it ever not, the caller still hears.
+	c.guard = time.AfterFunc(left+a.cfg.Slack/2, func() {
+		a.post(in.ID, func() {
+			if a.calls[in.ID] == c && !c.resolved {
+				a.cfg.Log.Warn("call overdue", "call", in.ID, "out", c.out, "server", c.server)
+				a.abandon(c, ErrOverdue)
+			}
+		})
+	})
+	a.act(a.ctrl.Handle(a.now(), policy.Arrival{ID: in.ID, Class: in.Class, Tenant: in.Tenant,
+		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again}))
+}
+
+func (a *Agent) withdraw(f Front, id string) {
+	c := a.calls[id]
+	if c == nil || c.front != f || c.left { // a release may cross the call's end
+		return
+	}
+	c.left = true
+	if !c.resolved {
+		a.resolve(c)
+	}
+	a.depart(c)
+}
+
+// abandon is the core's own final answer, whatever the module thinks.
+func (a *Agent) abandon(c *call, err error) {
+	if !c.resolved {
+		a.resolve(c)
+		c.front.Failed(c.Call, err)
+	}
+	a.depart(c)
+}
+
+// depart ends what a resolved call still has at a setup server, and tells the module.
+func (a *Agent) depart(c *call) {
+	if c.out {
+		a.giveUp(c, policy.Cancelled)
+	}
+	a.drop(c)
+	if !c.stands {
+		a.act(a.ctrl.Handle(a.now(), policy.Departed{ID: c.ID}))
+	}
+}
+
+func (a *Agent) giveUp(c *call, why policy.Result) {
+	if c.out && !c.givenUp {
+		c.givenUp = true
+		a.backend.GiveUp(c.server, c.ID, c.attempts-1, why)
+	}
+}
+
+// resolve marks that a call has its final answer: the one place where that is set.
+func (a *Agent) resolve(c *call) {
+	c.resolved = true
+	c.guard.Stop()
+	a.open--
+	a.settle()
+}
+
+func (a *Agent) settle() {
+	if a.open > 0 {
+		return
+	}
+	for _, done := range a.idle {
+		done()
+	}
+	a.idle = nil
+}
+
+// drop forgets a call that needs nothing more.
+func (a *Agent) drop(c *call) {
+	if c.resolved && !c.out && a.calls[c.ID] == c {
+		delete(a.calls, c.ID)
+	}
+}
+
+func (a *Agent) servers(list []Server, whole bool) {
+	news := policy.List{Whole: whole}
+	for _, s := range list {
+		news.Servers = append(news.Servers, s.Server)
+	}
+	a.backend.Servers(list, whole) // first: what the module sends next must find its server
+	a.act(a.ctrl.Handle(a.now(), news))
+}
+
+// current returns the call whose latest attempt is n and still out.
+func (a *Agent) current(id string, n int) *call {
+	if c := a.calls[id]; c != nil && c.out && n == c.attempts-1 {
+		return c
+	}
+	return nil
+}
+
+func (a *Agent) stood(id string, n int, description []byte) {
+	c := a.current(id, n)
+	// Once given up, the answer comes too late: the backend releases it at the server.
+	if c == nil || c.givenUp || c.resolved {
+		return
+	}
+	c.expiry.Stop()
+	c.stands, c.Description = true, nil
+	a.resolve(c)
+	c.front.Answered(c.Call, description)
+	a.act(a.ctrl.Handle(a.now(), policy.Standing{ID: id, Attempt: n, Server: c.server,
+		Delay: a.now() - c.sentAt}))
+}
+
+func (a *Agent) ended(id string, n int, err *Failure, r policy.Report) {
+	c := a.current(id, n)
+	if c == nil {
+		return
+	}
+	c.out = false
+	c.expiry.Stop()
+	if c.stands && !c.left {
+		c.left = true
+		if err == nil {
+			c.front.Ended(c.Call, nil)
+		} else {
+			c.front.Ended(c.Call, err)
+		}
+	}
+	e := policy.Ended{ID: id, Attempt: n, Server: c.server, Delay: a.now() - c.sentAt,
+		Complete: c.resolved, Report: r}
+	if err != nil {
+		e.Result, e.Wait = err.Result, err.Wait
+		a.cfg.Log.Debug("attempt ended", "call", id, "attempt", n, "error", err)
+	}
+	a.drop(c)
+	a.act(a.ctrl.Handle(a.now(), e))
+}
+
+// act carries out the module's decisions, in order.
+func (a *Agent) act(actions []policy.Action) {
+	for _, action := range actions {
+		switch d := action.(type) {
+		case policy.Send:
+			a.send(d)
+		case policy.Cancel:
+			if c := a.current(d.ID, d.Attempt); c != nil && !c.stands {
+				a.giveUp(c, policy.Cancelled)
+			}
+		case policy.Refuse:
+			if c := a.calls[d.ID]; c != nil && !c.resolved {
+				a.resolve(c)
+				c.front.Refused(c.Call, d.CoolDown)
+				a.drop(c)
+			}
+		case policy.Fail:
+			if c := a.calls[d.ID]; c != nil && !c.resolved {
+				a.resolve(c)
+				c.front.Failed(c.Call, ErrOverdue)
+				a.drop(c)
+			}
+		case policy.Probe:
+			a.backend.Probe(d.Server)
+		case policy.Wake:
+			time.AfterFunc(d.After, func() {
+				a.post("", func() { a.act(a.ctrl.Handle(a.now(), policy.Tick{})) })
+			})
+		case policy.Log:
+			a.cfg.Log.Info(d.Text)
+		}
+	}
+}
+
+func (a *Agent) send(d policy.Send) {
+	c := a.calls[d.ID]
+	if c == nil || c.resolved || c.out {
+		a.cfg.Log.Error("set-up for a call that is over or out", "call", d.ID, "server", d.Server)
+		return
+	}
+	n := c.attempts
+	c.attempts++
+	c.server, c.out, c.givenUp, c.sentAt = d.Server, true, false, a.now()
+	left := d.Until - c.sentAt
+	c.expiry = time.AfterFunc(left, func() {
+		a.post(c.ID, func() {
+			if a.current(c.ID, n) == c && !c.stands {
+				a.giveUp(c, policy.TimedOut)
+			}
+		})
+	})
+	a.backend.SetUp(Attempt{ID: c.ID, N: n, Server: d.Server, Class: c.Class, Number: c.Number,
+		Until: time.Now().Add(left), Description: c.Description})
+}
--- /dev/null
+++ b/internal/trunk/hear.go
@@ -0,0 +1,169 @@
+package trunk
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/isup"
+	"woodrouter/policy"
+)
+
+// hear handles one message of the server. One that can't be understood ends the connection.
+func (t *trunk) hear(l *link, m isup.Message) {
+	l.heard = time.Now()
+	t.heard = l.heard
+	report, err := parseReport(m)
+	if err == nil {
+		err = t.take(m, report)
+	}
+	if err != nil {
+		t.log.Warn("bad message from setup server", "type", m.Type, "call", m.Call, "error", err)
+		t.lost(l, err)
+	}
+}
+
+func (t *trunk) take(m isup.Message, report policy.Report) error {
+	switch m.Type {
+	case isup.GroupState:
+		t.core.Reported(policy.Probed{Server: t.server.ID, Result: policy.OK, Report: report})
+	case isup.TestResult:
+		return t.probed(m, report)
+	case isup.Answer:
+		t.answered(m)
+	case isup.Release:
+		return t.released(m, report)
+	case isup.Progress, isup.Released:
+	default:
+		return fmt.Errorf("message of type %d", m.Type)
+	}
+	return nil
+}
+
+// answered takes an answer. One for an attempt that is over is released at the server:
+// nobody else would.
+func (t *trunk) answered(m isup.Message) {
+	a := t.open[m.Call]
+	if a == nil || a.stands {
+		t.log.Info("late answer released", "call", m.Call)
+		t.release(m.Call)
+		return
+	}
+	a.stands, a.since = true, time.Now()
+	description, _ := m.Get(isup.Description)
+	t.core.Stands(m.Call.String(), a.n, description)
+}
+
+func (t *trunk) released(m isup.Message, report policy.Report) error {
+	cause, err := m.Cause()
+	if err != nil {
+		return err
+	}
+	a := t.open[m.Call]
+	if a == nil { // the answer to a give-up, or the end of a call released here
+		return nil
+	}
+	t.end(m.Call, a, verdict(t.server.ID, cause, m.Text(isup.Note), a.stands), report)
+	return nil
+}
+
+// verdict words a release; nil: the call has come to its end.
+func verdict(server string, cause isup.Cause, note string, stood bool) *agent.Failure {
+	f := failure(server, agent.Spoken, policy.Faulted, fmt.Errorf("released with cause %d %s", cause, note))
+	if stood {
+		if cause == isup.Normal {
+			return nil
+		}
+		f.Stage, f.Result = agent.Stood, policy.Cut
+		return f
+	}
+	switch cause {
+	case isup.NoCircuit:
+		f.Result = policy.Full
+		if note == "no_circuit" {
+			f.Result = policy.NoLines
+		}
+	case isup.UserBusy, isup.Unavailable:
+		if note == "lines_busy" {
+			f.Result = policy.Busy
+		}
+	case isup.TimerExpiry:
+		f.Result = policy.NotSent
+	case isup.TempFailure:
+		f.Stage, f.Result = agent.Written, policy.Cut
+	case isup.Normal:
+		f.Result = policy.Cancelled
+	}
+	return f
+}
+
+// probe asks for a report with a test of its own call id.
+func (t *trunk) probe() {
+	if t.link == nil || t.server.State != policy.Up {
+		t.core.Reported(policy.Probed{Server: t.server.ID, Result: policy.Unreachable, Asked: true,
+			Report: policy.NoReport()})
+		t.connectAgain()
+		return
+	}
+	t.probeNo++
+	id := t.probeNo
+	t.probes[id] = time.Now()
+	time.AfterFunc(t.cfg.ProbeTimeout, func() {
+		t.post(func() { t.probeEnded(id, policy.TimedOut, policy.NoReport()) })
+	})
+	if _, err := t.say(isup.Message{Type: isup.Test, Call: id}.WithCause(isup.Passed)); err != nil {
+		t.lost(t.link, err)
+	}
+}
+
+func (t *trunk) probed(m isup.Message, report policy.Report) error {
+	cause, err := m.Cause()
+	if err != nil {
+		return err
+	}
+	result := policy.OK
+	if cause != isup.Passed {
+		result = policy.Faulted
+	}
+	t.probeEnded(m.Call, result, report)
+	return nil
+}
+
+func (t *trunk) probeEnded(id isup.CallID, r policy.Result, report policy.Report) {
+	at, ok := t.probes[id]
+	if !ok {
+		return
+	}
+	delete(t.probes, id)
+	t.core.Reported(policy.Probed{Server: t.server.ID, Result: r, Delay: time.Since(at), Asked: true,
+		Report: report})
+}
+
+// parseReport reads the load report of a message. Fields that the module has no place
+// for are skipped.
+func parseReport(m isup.Message) (policy.Report, error) {
+	r := policy.NoReport()
+	text, ok := m.Get(isup.Report)
+	if !ok {
+		return r, nil
+	}
+	places := map[string]*float64{"x0": &r.Spare, "spare": &r.Spare, "x1": &r.Total, "total": &r.Total,
+		"util": &r.Util, "queue": &r.Queue, "qps": &r.Rate, "allowed": &r.Rate, "eps": &r.HoldBack,
+		"cut_by": &r.HoldBack}
+	var bad error
+	err := isup.Fields(string(text), func(name, value string) {
+		place := places[name]
+		if place == nil {
+			return
+		}
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			bad = fmt.Errorf("report field %s: %q is no number", name, value)
+			return
+		}
+		*place = x
+	})
+	return r, errors.Join(err, bad)
+}
--- /dev/null
+++ b/internal/trunk/pool.go
@@ -0,0 +1,134 @@
+// Package trunk carries set-ups to setup servers: one actor a server, one long-lived
+// connection each. It is the backend of package agent on binary signalling.
+package trunk
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/policy"
+)
+
+// Core is what a pool tells of attempts; *agent.Agent is one.
+type Core interface {
+	Stands(id string, n int, description []byte)
+	Ended(id string, n int, err *agent.Failure, r policy.Report)
+	Reported(p policy.Probed)
+}
+
+// Config are a pool's figures; the zero values of times get defaults.
+type Config struct {
+	ConnectTimeout time.Duration // a connection not up by then is unreachable
+	WriteTimeout   time.Duration
+	ProbeTimeout   time.Duration
+	Silence        time.Duration // without a word for so long, a server is looked for anew
+	Redial         time.Duration // between connections tried without a set-up that waits
+	Mailbox        int           // most messages of a server that wait
+	Log            *slog.Logger
+	Dial           func(ctx context.Context, address string) (net.Conn, error)
+}
+
+func (c *Config) complete() {
+	for _, d := range []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.ConnectTimeout, 500 * time.Millisecond},
+		{&c.WriteTimeout, 250 * time.Millisecond},
+		{&c.ProbeTimeout, 250 * time.Millisecond},
+		{&c.Silence, 3 * time.Second},
+		{&c.Redial, 500 * time.Millisecond},
+	} {
+		if *d.field <= 0 {
+			*d.field = d.value
+		}
+	}
+	if c.Mailbox <= 0 {
+		c.Mailbox = 1024
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+}
+
+// Pool is the actors of all setup servers. Its methods are for the core's goroutine.
+type Pool struct {
+	cfg    Config
+	core   Core
+	trunks map[string]*trunk
+	group  sync.WaitGroup
+}
+
+// NewPool returns a pool without servers that reports to core.
+func NewPool(cfg Config, core Core) *Pool {
+	cfg.complete()
+	return &Pool{cfg: cfg, core: core, trunks: map[string]*trunk{}}
+}
+
+// Servers starts an actor for each new server and tells the others what has changed.
+func (p *Pool) Servers(list []agent.Server, whole bool) {
+	named := map[string]bool{}
+	for _, s := range list {
+		named[s.ID] = true
+		t := p.trunks[s.ID]
+		if t == nil {
+			if s.State == policy.Gone {
+				continue
+			}
+			t = newTrunk(p.cfg, p.core, s)
+			p.trunks[s.ID] = t
+			p.group.Go(t.run)
+		}
+		t.post(func() { t.listed(s) })
+	}
+	for id, t := range p.trunks {
+		if whole && !named[id] {
+			t.post(t.gone)
+		}
+		if t.finished.Load() {
+			t.box.Close()
+			delete(p.trunks, id)
+		}
+	}
+}
+
+// SetUp hands an attempt to its server's actor.
+func (p *Pool) SetUp(a agent.Attempt) {
+	t := p.trunks[a.Server]
+	if t == nil || !t.box.Offer(func() { t.setUp(a) }) {
+		p.core.Ended(a.ID, a.N, failure(a.Server, agent.Unwritten, policy.NotSent, errBusy), policy.NoReport())
+	}
+}
+
+// GiveUp ends an attempt or the call that stands on it.
+func (p *Pool) GiveUp(server, id string, n int, why policy.Result) {
+	if t := p.trunks[server]; t != nil {
+		t.post(func() { t.giveUp(id, n, why) })
+	}
+}
+
+// Probe asks a server for its report.
+func (p *Pool) Probe(server string) {
+	if t := p.trunks[server]; t != nil {
+		t.post(t.probe)
+	}
+}
+
+// Close ends all connections and waits for the actors.
+func (p *Pool) Close() {
+	for _, t := range p.trunks {
+		t.post(t.stop)
+		t.box.Close()
+	}
+	p.group.Wait()
+}
--- /dev/null
+++ b/internal/trunk/trunk.go
@@ -0,0 +1,411 @@
+package trunk
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/internal/mailbox"
+	"woodrouter/isup"
+	"woodrouter/policy"
+)
+
+// Ends of attempts that the agent itself brings about or infers.
+var (
+	errBusy    = errors.New("too much waits for this server")
+	errState   = errors.New("the server drains or is gone")
+	errLate    = errors.New("its time ran out before it was written")
+	errGivenUp = errors.New("given up")
+	errDied    = errors.New("the server has died")
+	errStopped = errors.New("the agent stops")
+)
+
+func failure(server string, stage agent.Stage, r policy.Result, err error) *agent.Failure {
+	return &agent.Failure{Stage: stage, Result: r, Server: server, Err: err}
+}
+
+// attempt is a set-up that is out, or a call that stands.
+type attempt struct {
+	n      int
+	link   *link
+	stands bool
+	since  time.Time // when it came to stand
+}
+
+// link is one connection to the server.
+type link struct {
+	conn  net.Conn
+	heard time.Time // latest message
+}
+
+// trunk is the actor of one setup server. Its fields belong to its goroutine.
+type trunk struct {
+	cfg      Config
+	core     Core
+	log      *slog.Logger
+	box      *mailbox.Box[func()]
+	server   agent.Server
+	link     *link // nil: no connection is up
+	dialing  bool
+	cancel   context.CancelFunc // of the dial
+	waiting  []agent.Attempt    // for a connection
+	open     map[isup.CallID]*attempt
+	unsaid   []isup.CallID // releases for the next connection
+	heard    time.Time     // latest message on any connection
+	probes   map[isup.CallID]time.Time
+	probeNo  isup.CallID
+	failures int // dials in a row that brought no connection
+	stopped  bool
+	finished atomic.Bool // gone, with nothing open: the pool may forget it
+	buf      []byte
+}
+
+func newTrunk(cfg Config, core Core, s agent.Server) *trunk {
+	return &trunk{cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s,
+		box: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{},
+		probes: map[isup.CallID]time.Time{}, heard: time.Now()}
+}
+
+func (t *trunk) post(f func()) { t.box.Post(f) }
+
+func (t *trunk) run() {
+	for {
+		f, ok := t.box.Take()
+		if !ok {
+			return
+		}
+		t.guard(f)
+	}
+}
+
+// guard keeps a panic to this server's connection: it ends, and what was out on it.
+func (t *trunk) guard(f func()) {
+	defer func() {
+		if r := recover(); r != nil {
+			t.log.Error("panic at a setup server's connection", "reason", r, "stack", string(debug.Stack()))
+			if t.link != nil {
+				t.lost(t.link, fmt.Errorf("panic: %v", r))
+			}
+		}
+	}()
+	f()
+}
+
+// listed takes news of the server. A new address means another connection; a later
+// start, that all calls from before it were cut.
+func (t *trunk) listed(s agent.Server) {
+	old := t.server
+	t.server = s
+	t.finished.Store(false)
+	if s.Address != old.Address && t.link != nil {
+		t.log.Info("setup server has moved", "from", old.Address, "to", s.Address)
+		t.lost(t.link, errDied)
+	}
+	if s.ReadyAt > old.ReadyAt {
+		t.cutBefore(time.Unix(0, int64(s.ReadyAt)))
+	}
+	switch s.State {
+	case policy.Up:
+		t.connect()
+	case policy.Draining:
+		t.refuseWaiting(agent.Unwritten, policy.NotSent, errState)
+	case policy.Gone:
+		t.gone()
+	}
+}
+
+// gone ends all that is left: a server is withdrawn once its process has stopped, and
+// then nobody else will tell of the calls it held.
+func (t *trunk) gone() {
+	t.server.State = policy.Gone
+	t.refuseWaiting(agent.Unwritten, policy.NotSent, errState)
+	if t.link != nil {
+		t.lost(t.link, errDied)
+	}
+	t.cutBefore(time.Now())
+	t.unsaid = nil
+	t.finished.Store(true)
+}
+
+// cutBefore ends the calls that came to stand before a moment at which the server had
+// lost them all.
+func (t *trunk) cutBefore(when time.Time) {
+	for id, a := range t.open {
+		if a.stands && a.since.Before(when) {
+			t.end(id, a, failure(t.server.ID, agent.Stood, policy.Cut, errDied), policy.NoReport())
+		}
+	}
+}
+
+func (t *trunk) end(id isup.CallID, a *attempt, err *agent.Failure, r policy.Report) {
+	delete(t.open, id)
+	t.core.Ended(id.String(), a.n, err, r)
+}
+
+func (t *trunk) setUp(a agent.Attempt) {
+	if t.link == nil && t.server.State == policy.Up && !t.stopped {
+		t.waiting = append(t.waiting, a)
+		// Each wait has its own limit: the dial under way may be older than this set-up.
+		time.AfterFunc(t.cfg.ConnectTimeout, func() { t.post(func() { t.tired(a.ID, a.N) }) })
+		t.connect()
+		return
+	}
+	t.write(a)
+}
+
+// write sends a set-up. It looks once more, as a dial or a full mailbox may have
+// outlasted the news of a drain, the deadline or the caller.
+func (t *trunk) write(a agent.Attempt) {
+	left := time.Until(a.Until)
+	unwritten := func(r policy.Result, err error) {
+		t.core.Ended(a.ID, a.N, failure(t.server.ID, agent.Unwritten, r, err), policy.NoReport())
+	}
+	id, err := isup.ParseCallID(a.ID)
+	switch {
+	case err != nil:
+		unwritten(policy.NotSent, err)
+		return
+	case t.stopped:
+		unwritten(policy.NotSent, errStopped)
+		return
+	case t.server.State != policy.Up:
+		unwritten(policy.NotSent, errState)
+		return
+	case left < time.Millisecond:
+		unwritten(policy.NotSent, errLate)
+		return
+	case t.open[id] != nil:
+		unwritten(policy.NotSent, agent.ErrDuplicate)
+		return
+	}
+	m := isup.Message{Type: isup.SetUp, Call: id}.WithText(isup.Class, a.Class).
+		WithMillis(isup.Left, left)
+	if a.Number != "" {
+		m = m.WithText(isup.Number, a.Number)
+	}
+	if a.Description != nil {
+		m = m.With(isup.Description, a.Description)
+	}
+	link := t.link
+	n, err := t.say(m)
+	if err != nil && n <= 0 {
+		unwritten(policy.NotSent, err)
+	} else { // a part of it may have been enough: its end comes with the connection's
+		t.open[id] = &attempt{n: a.N, link: link}
+	}
+	if err != nil && n >= 0 {
+		t.lost(link, err)
+	}
+}
+
+// say writes a message and tells how many bytes left; -1: it can't be written at all.
+func (t *trunk) say(m isup.Message) (int, error) {
+	b, err := m.Append(t.buf[:0])
+	if err != nil {
+		return -1, err
+	}
+	t.buf = b
+	t.link.conn.SetWriteDeadline(time.Now().Add(t.cfg.WriteTimeout))
+	return t.link.conn.Write(b)
+}
+
+// giveUp ends an attempt that is out, waits, or stands. The end is told only once the
+// give-up is written: from then on the call may count the time until it goes out again.
+func (t *trunk) giveUp(callID string, n int, why policy.Result) {
+	for i, w := range t.waiting {
+		if w.ID == callID && w.N == n {
+			t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
+			t.core.Ended(callID, n, failure(t.server.ID, agent.Unwritten, why, errGivenUp), policy.NoReport())
+			return
+		}
+	}
+	id, err := isup.ParseCallID(callID)
+	a := t.open[id]
+	if err != nil || a == nil || a.n != n { // it has ended meanwhile, and that was told
+		return
+	}
+	stage := agent.Written
+	if a.stands {
+		stage = agent.Stood
+	}
+	t.release(id)
+	if t.open[id] == a {
+		t.end(id, a, failure(t.server.ID, stage, why, errGivenUp), policy.NoReport())
+	}
+}
+
+// release writes a release, or keeps it for the next connection: no connection owns a
+// call that stands.
+func (t *trunk) release(id isup.CallID) {
+	if t.link == nil {
+		t.unsaid = append(t.unsaid, id)
+		t.connect()
+		return
+	}
+	if _, err := t.say(isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal)); err != nil {
+		t.unsaid = append(t.unsaid, id)
+		t.lost(t.link, err)
+	}
+}
+
+// connect dials unless a connection is up or on its way.
+func (t *trunk) connect() {
+	if t.link != nil || t.dialing || t.stopped || t.server.State == policy.Gone {
+		return
+	}
+	t.dialing = true
+	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.ConnectTimeout)
+	t.cancel = cancel
+	address := t.server.Address
+	go func() {
+		defer cancel()
+		conn, err := t.cfg.Dial(ctx, address)
+		if !t.box.Post(func() { t.dialled(address, conn, err) }) && conn != nil {
+			conn.Close()
+		}
+	}()
+}
+
+func (t *trunk) dialled(address string, conn net.Conn, err error) {
+	t.dialing = false
+	if err == nil && (t.stopped || t.server.State == policy.Gone || address != t.server.Address) {
+		conn.Close()
+		err = errState
+	}
+	if err != nil {
+		t.unreached(err)
+		return
+	}
+	if t.failures > 0 {
+		t.log.Info("setup server reached again", "after", t.failures)
+	}
+	t.failures = 0
+	l := &link{conn: conn, heard: time.Now()}
+	t.link = l
+	go t.read(l)
+	time.AfterFunc(t.cfg.Silence, func() { t.post(func() { t.listen(l) }) })
+	unsaid, waiting := t.unsaid, t.waiting
+	t.unsaid, t.waiting = nil, nil
+	for _, id := range unsaid {
+		t.release(id)
+	}
+	for _, a := range waiting {
+		t.setUp(a)
+	}
+}
+
+// unreached handles a dial that brought nothing. A refused connection proves that no
+// process runs; silence proves it only when it has lasted.
+func (t *trunk) unreached(err error) {
+	if t.failures++; t.failures == 1 {
+		t.log.Warn("setup server not reached", "address", t.server.Address, "error", err)
+	}
+	t.refuseWaiting(agent.Unconnected, policy.Unreachable, err)
+	if errors.Is(err, syscall.ECONNREFUSED) || time.Since(t.heard) > t.cfg.Silence {
+		t.cutBefore(time.Now())
+		t.unsaid = nil
+	}
+	time.AfterFunc(t.cfg.Redial, func() { t.post(t.connectAgain) })
+}
+
+// connectAgain keeps a connection ready, and looks for calls whose server fell silent.
+func (t *trunk) connectAgain() {
+	if t.server.State == policy.Up || len(t.open) > 0 || len(t.unsaid) > 0 {
+		t.connect()
+	}
+}
+
+func (t *trunk) refuseWaiting(stage agent.Stage, r policy.Result, err error) {
+	waiting := t.waiting
+	t.waiting = nil
+	for _, a := range waiting {
+		t.core.Ended(a.ID, a.N, failure(t.server.ID, stage, r, err), policy.NoReport())
+	}
+}
+
+// tired ends a set-up whose connection did not come up in time.
+func (t *trunk) tired(id string, n int) {
+	for i, w := range t.waiting {
+		if w.ID == id && w.N == n {
+			t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
+			t.core.Ended(id, n, failure(t.server.ID, agent.Unconnected, policy.Unreachable,
+				context.DeadlineExceeded), policy.NoReport())
+			return
+		}
+	}
+}
+
+// read is the connection's goroutine.
+func (t *trunk) read(l *link) {
+	err := t.readAll(l)
+	t.post(func() { t.lost(l, err) })
+}
+
+func (t *trunk) readAll(l *link) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v", r)
+		}
+	}()
+	in := bufio.NewReaderSize(l.conn, 4<<10)
+	for {
+		m, err := isup.Read(in)
+		if err != nil {
+			return err
+		}
+		if !t.box.Admit(func() { t.hear(l, m) }) {
+			return errStopped
+		}
+	}
+}
+
+// lost ends a connection. The set-ups out on it are given up with it; calls that stand
+// outlive it, and the next dial tells whether their server does.
+func (t *trunk) lost(l *link, err error) {
+	l.conn.Close()
+	if t.link == l {
+		t.link = nil
+		t.log.Info("connection to setup server ended", "error", err)
+	}
+	for id, a := range t.open {
+		if a.link == l && !a.stands {
+			t.end(id, a, failure(t.server.ID, agent.Written, policy.Cut, err), policy.NoReport())
+		}
+	}
+	t.connectAgain()
+}
+
+// listen looks whether the connection has been silent. A machine that vanished leaves it
+// open; its server tells of its groups every second, so a new connection is tried then.
+func (t *trunk) listen(l *link) {
+	if t.link != l {
+		return
+	}
+	silent := time.Since(l.heard)
+	if silent >= t.cfg.Silence {
+		t.log.Warn("setup server silent", "for", silent.Round(time.Millisecond))
+		t.lost(l, fmt.Errorf("silent for %v", silent.Round(time.Millisecond)))
+		return
+	}
+	time.AfterFunc(t.cfg.Silence-silent, func() { t.post(func() { t.listen(l) }) })
+}
+
+// stop ends the connection; what is out on it is not waited for.
+func (t *trunk) stop() {
+	t.stopped = true
+	t.refuseWaiting(agent.Unwritten, policy.NotSent, errStopped)
+	if t.cancel != nil {
+		t.cancel()
+	}
+	if t.link != nil {
+		t.link.conn.Close()
+	}
+}
--- /dev/null
+++ b/isup/isup.go
@@ -0,0 +1,230 @@
+// Package isup reads and writes the binary call signalling that callers, call agents
+// and setup servers speak. It is pure: it knows messages, not what they are for.
+package isup
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxMessage is the most that may follow the length field.
+const MaxMessage = 16 << 10
+
+// Type is a message's type.
+type Type byte
+
+// The message types; Release also refuses a set-up and gives one up.
+const (
+	SetUp      Type = 1
+	Progress   Type = 6
+	Answer     Type = 9
+	Release    Type = 12
+	Released   Type = 16
+	GroupState Type = 43
+	Test       Type = 52
+	TestResult Type = 53
+)
+
+// Param is a parameter's code.
+type Param byte
+
+// The parameters.
+const (
+	Class       Param = 16
+	Left        Param = 17 // milliseconds
+	Tenant      Param = 18
+	Number      Param = 20
+	Figures     Param = 21
+	StayAway    Param = 22 // milliseconds
+	Note        Param = 23
+	Report      Param = 25
+	CauseCode   Param = 30
+	Description Param = 31
+)
+
+// Cause is the value of CauseCode.
+type Cause byte
+
+// The causes.
+const (
+	NotPassed   Cause = 0
+	Passed      Cause = 1 // of a test: a report is asked for, or the test was passed
+	Normal      Cause = 16
+	UserBusy    Cause = 17
+	NoCircuit   Cause = 34
+	TempFailure Cause = 41
+	Congestion  Cause = 42
+	Unavailable Cause = 47
+	TimerExpiry Cause = 102
+)
+
+// CallID names a call; its text form is 16 hex digits.
+type CallID uint64
+
+func (id CallID) String() string {
+	const digits = "0123456789abcdef"
+	var b [16]byte
+	for i := range b {
+		b[i] = digits[id>>(60-4*i)&15]
+	}
+	return string(b[:])
+}
+
+// ParseCallID reads the text form.
+func ParseCallID(s string) (CallID, error) {
+	n, err := strconv.ParseUint(s, 16, 64)
+	if err != nil || len(s) != 16 {
+		return 0, fmt.Errorf("call id %q is not 16 hex digits", s)
+	}
+	return CallID(n), nil
+}
+
+// Value is one parameter.
+type Value struct {
+	Code Param
+	Data []byte
+}
+
+// Message is one message.
+type Message struct {
+	Type   Type
+	Call   CallID
+	Values []Value
+}
+
+// What may be wrong with a message.
+var (
+	ErrOversized = errors.New("message over 16 KiB")
+	ErrShort     = errors.New("message too short for its type and call")
+	ErrParameter = errors.New("parameter runs over the end of the message")
+)
+
+const head = 9 // type and call
+
+// Read takes one message off r. The message owns its memory. io.EOF means that r
+// ended between two messages.
+func Read(r io.Reader) (Message, error) {
+	var size [2]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return Message{}, err
+	}
+	n := int(binary.BigEndian.Uint16(size[:]))
+	switch {
+	case n > MaxMessage:
+		return Message{}, fmt.Errorf("%w: %d bytes", ErrOversized, n)
+	case n < head:
+		return Message{}, fmt.Errorf("%w: %d bytes", ErrShort, n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return Message{}, err
+	}
+	return parse(body)
+}
+
+func parse(body []byte) (Message, error) {
+	m := Message{Type: Type(body[0]), Call: CallID(binary.BigEndian.Uint64(body[1:]))}
+	for rest := body[head:]; len(rest) > 0; {
+		if len(rest) < 3 || int(binary.BigEndian.Uint16(rest[1:])) > len(rest)-3 {
+			return m, ErrParameter
+		}
+		code, n := Param(rest[0]), int(binary.BigEndian.Uint16(rest[1:]))
+		m.Values = append(m.Values, Value{code, rest[3 : 3+n : 3+n]})
+		rest = rest[3+n:]
+	}
+	return m, nil
+}
+
+// Get returns a parameter's value, the first where it is repeated.
+func (m Message) Get(code Param) ([]byte, bool) {
+	for _, v := range m.Values {
+		if v.Code == code {
+			return v.Data, true
+		}
+	}
+	return nil, false
+}
+
+// Text returns a parameter's value as text, "" where it is missing.
+func (m Message) Text(code Param) string {
+	v, _ := m.Get(code)
+	return string(v)
+}
+
+// Millis reads a parameter that counts milliseconds.
+func (m Message) Millis(code Param) (time.Duration, error) {
+	n, err := strconv.ParseInt(m.Text(code), 10, 32)
+	if err != nil || n < 0 {
+		return 0, fmt.Errorf("parameter %d: %q is no number of milliseconds", code, m.Text(code))
+	}
+	return time.Duration(n) * time.Millisecond, nil
+}
+
+// Cause returns the message's cause.
+func (m Message) Cause() (Cause, error) {
+	v, ok := m.Get(CauseCode)
+	if !ok || len(v) != 1 {
+		return 0, fmt.Errorf("parameter %d: %d bytes where one is due", CauseCode, len(v))
+	}
+	return Cause(v[0]), nil
+}
+
+// With adds a parameter.
+func (m Message) With(code Param, data []byte) Message {
+	m.Values = append(m.Values[:len(m.Values):len(m.Values)], Value{code, data})
+	return m
+}
+
+// WithText adds a text parameter.
+func (m Message) WithText(code Param, text string) Message { return m.With(code, []byte(text)) }
+
+// WithMillis adds a parameter that counts milliseconds.
+func (m Message) WithMillis(code Param, d time.Duration) Message {
+	return m.WithText(code, strconv.FormatInt(d.Milliseconds(), 10))
+}
+
+// WithCause adds a cause.
+func (m Message) WithCause(c Cause) Message { return m.With(CauseCode, []byte{byte(c)}) }
+
+// Append writes the message behind b, or tells that it is too large.
+func (m Message) Append(b []byte) ([]byte, error) {
+	n := head
+	for _, v := range m.Values {
+		n += 3 + len(v.Data)
+	}
+	if n > MaxMessage {
+		return b, fmt.Errorf("%w: %d bytes", ErrOversized, n)
+	}
+	b = binary.BigEndian.AppendUint16(b, uint16(n))
+	b = append(b, byte(m.Type))
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Call))
+	for _, v := range m.Values {
+		b = append(b, byte(v.Code))
+		b = binary.BigEndian.AppendUint16(b, uint16(len(v.Data)))
+		b = append(b, v.Data...)
+	}
+	return b, nil
+}
+
+// Fields walks over a text such as "x0:12;x1:40". A part without a colon is malformed.
+func Fields(text string, each func(name, value string)) error {
+	for part := range strings.SplitSeq(text, ";") {
+		if part == "" {
+			continue
+		}
+		name, value, ok := strings.Cut(part, ":")
+		if !ok {
+			return fmt.Errorf("field %q has no value", part)
+		}
+		each(name, value)
+	}
+	return nil
+}
