Share the desk between fronts; WebSocket server, call API and its client codec

internal/desk holds what both fronts need (connections, the callers' side of calls, releases that outlive a connection), so isupfront shrinks to its wire. internal/ws, internal/callapi and callrpc are the second front's parts; they are not wired yet, their tests follow.

--- /dev/null
+++ b/callrpc/client.go
@@ -0,0 +1,134 @@
+package callrpc
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"woodrouter/internal/callproto"
+)
+
+// Options tell how to connect.
+type Options struct {
+	Token string // sent as a bearer token, if any
+}
+
+// Client sets calls up at one agent. It is safe for concurrent use.
+type Client struct {
+	rpc *rpc.Client
+
+	mu    sync.Mutex
+	calls map[string]*Standing
+}
+
+// Standing is a call that stands.
+type Standing struct {
+	ID          string
+	Description []byte
+	client      *Client
+	ended       chan End
+}
+
+// Dial connects to an agent, such as ws://127.0.0.1:8090/calls.
+func Dial(ctx context.Context, url string, o Options) (*Client, error) {
+	opts := &websocket.DialOptions{Subprotocols: []string{callproto.Subprotocol}, HTTPHeader: http.Header{}}
+	if o.Token != "" {
+		opts.HTTPHeader.Set("Authorization", "Bearer "+o.Token)
+	}
+	conn, _, err := websocket.Dial(ctx, url, opts)
+	if err != nil {
+		return nil, fmt.Errorf("callrpc: %w", err)
+	}
+	c := &Client{calls: map[string]*Standing{}}
+	c.rpc = rpc.NewClientWithCodec(NewCodec(conn, c.end))
+	return c, nil
+}
+
+// Close ends the connection. Calls that stand go on; their ends are not heard of here.
+func (c *Client) Close() error { return c.rpc.Close() }
+
+// SetUp sets a call up. Its deadline is the context's where the call names none.
+// Cancelling the context gives the set-up up; a call that came to stand all the same is
+// released. An *Error tells what the agent answered.
+func (c *Client) SetUp(ctx context.Context, call Call) (*Standing, error) {
+	if at, ok := ctx.Deadline(); ok && call.DeadlineMs == 0 {
+		call.DeadlineMs = max(time.Until(at).Milliseconds(), 1)
+	}
+	s := &Standing{ID: call.ID, client: c, ended: make(chan End, 1)}
+	if !c.enter(s) {
+		return nil, &Error{Code: CodeDuplicate, Message: "a call of this id is open here"}
+	}
+	var result callproto.Standing
+	done := c.rpc.Go(callproto.SetUp, call, &result, make(chan *rpc.Call, 1)).Done
+	select {
+	case r := <-done:
+		if r.Error != nil {
+			c.leave(s)
+			return nil, typed(r.Error)
+		}
+		s.Description = result.Description
+		return s, nil
+	case <-ctx.Done():
+		// The agent takes a cancel for a release if its answer is already on the way.
+		c.leave(s)
+		c.rpc.Go(callproto.Cancel, callproto.Name{ID: call.ID}, nil, make(chan *rpc.Call, 1))
+		return nil, ctx.Err()
+	}
+}
+
+// Ended delivers how the call ended, once, unless it was released here.
+func (s *Standing) Ended() <-chan End { return s.ended }
+
+// Release ends the call.
+func (s *Standing) Release(ctx context.Context) error {
+	s.client.leave(s)
+	done := s.client.rpc.Go(callproto.Release, callproto.Name{ID: s.ID}, nil, make(chan *rpc.Call, 1)).Done
+	select {
+	case r := <-done:
+		return typed(r.Error)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// typed turns an error of net/rpc into the agent's, where it is one.
+func typed(err error) error {
+	if e, ok := AsError(err); ok {
+		return e
+	}
+	return err
+}
+
+// enter lists a call before it is sent, as its end may come right behind its answer.
+func (c *Client) enter(s *Standing) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls[s.ID] != nil {
+		return false
+	}
+	c.calls[s.ID] = s
+	return true
+}
+
+func (c *Client) leave(s *Standing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls[s.ID] == s {
+		delete(c.calls, s.ID)
+	}
+}
+
+func (c *Client) end(e End) {
+	c.mu.Lock()
+	s := c.calls[e.ID]
+	delete(c.calls, e.ID)
+	c.mu.Unlock()
+	if s != nil {
+		s.ended <- e
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"woodrouter/agent"
 	"woodrouter/internal/bulletin"
+	"woodrouter/internal/desk"
 	"woodrouter/internal/isupfront"
 	"woodrouter/internal/settings"
 	"woodrouter/internal/trunk"
@@ -51,8 +52,8 @@
 	d.pool = trunk.NewPool(trunk.Config{ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
 		Log: log}, d.core)
 	d.core.Attach(d.pool)
-	d.front = isupfront.New(isupfront.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log,
-		Ready: func() bool { return !d.stopping.Load() }}, d.core)
+	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
+		func() bool { return !d.stopping.Load() })
 	d.follower = &bulletin.Follower{Address: cfg.Bulletin, Core: d.core, Log: log,
 		Patience: 5 * time.Second, Retry: 200 * time.Millisecond}
 	if err := d.follower.Take(cfg.Known); err != nil {
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,280 @@
+// Package desk is what every front needs and no wire decides: connections with a reader
+// and a writing actor each, the table of the callers' side of calls, and the rule that
+// no connection owns a call that stands.
+package desk
+
+import (
+	"cmp"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"woodrouter/agent"
+)
+
+// Core is what a front needs of the agent; *agent.Agent is one.
+type Core interface {
+	Offer(f agent.Front, c agent.Call) bool
+	Withdraw(f agent.Front, id string)
+}
+
+// Config are a desk's figures; zero values get defaults.
+type Config struct {
+	MaxPeers     int           // most connections
+	MaxWaiting   int           // most messages that wait for one slow caller
+	WriteTimeout time.Duration // a caller that takes nothing for so long is cut off
+	MessageTime  time.Duration // a message begun must be whole by then
+	Idle         time.Duration // a connection that says nothing is looked at after this
+	StayAway     time.Duration // told when the agent itself is too busy
+	Goodbye      []byte        // the last that a connection hears when the desk closes
+	Log          *slog.Logger
+}
+
+func (c *Config) complete() {
+	c.MaxPeers = cmp.Or(c.MaxPeers, 512)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, 1024)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 500*time.Millisecond)
+	c.MessageTime = cmp.Or(c.MessageTime, 5*time.Second)
+	c.Idle = cmp.Or(c.Idle, 2*time.Minute)
+	c.StayAway = cmp.Or(c.StayAway, time.Second)
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+// leg is the caller's side of a call that is open or stands.
+type leg struct {
+	peer     *Peer
+	tag      any // the front's own
+	answered bool
+}
+
+// owed is a release that found no connection to the caller.
+type owed struct {
+	item  Item
+	host  string
+	since time.Time
+}
+
+// Releases that find no connection are kept so long, and so many of them.
+const (
+	owedSpan = 10 * time.Second
+	owedMost = 4096
+)
+
+// Desk serves the callers of one front.
+type Desk struct {
+	Config
+	core     Core
+	front    agent.Front
+	converse func(*Peer) error
+
+	mu     sync.Mutex
+	peers  map[*Peer]struct{}
+	legs   map[string]*leg
+	owed   []owed
+	closed bool
+	group  sync.WaitGroup
+}
+
+// New returns a desk; converse reads one connection until it ends.
+func New(cfg Config, core Core, front agent.Front, converse func(*Peer) error) *Desk {
+	cfg.complete()
+	return &Desk{Config: cfg, core: core, front: front, converse: converse,
+		peers: map[*Peer]struct{}{}, legs: map[string]*leg{}}
+}
+
+// Serve accepts callers until the listener is closed.
+func (d *Desk) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil { // out of descriptors, or a caller gone in the queue: others wait
+			d.Log.Warn("accept failed", "error", err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		d.welcome(conn)
+	}
+}
+
+func (d *Desk) welcome(conn net.Conn) {
+	p := newPeer(d, conn)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed || len(d.peers) >= d.MaxPeers {
+		d.Log.Warn("caller turned away: too many connections", "most", d.MaxPeers)
+		conn.Close()
+		return
+	}
+	d.peers[p] = struct{}{}
+	d.group.Go(p.read)
+	d.group.Go(p.write)
+}
+
+// Ready tells that a connection can take messages; it gets the releases owed to its host.
+func (d *Desk) Ready(p *Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.ready = true
+	var kept []owed
+	for _, o := range d.owed {
+		switch {
+		case time.Since(o.since) > owedSpan:
+		case o.host == p.host && p.Send(o.item):
+		default:
+			kept = append(kept, o)
+		}
+	}
+	d.owed = kept
+}
+
+// Close ends all connections once what waits for them is written.
+func (d *Desk) Close() {
+	d.mu.Lock()
+	d.closed = true
+	for p := range d.peers {
+		if p.ready && len(d.Goodbye) > 0 {
+			p.box.Offer(Item{Data: d.Goodbye})
+		}
+		p.box.Close()
+	}
+	d.mu.Unlock()
+	d.group.Wait()
+}
+
+// Offer enters a call and hands it to the core. It fails if one of this id is open at
+// this front; a core too busy to take the call has the front refuse it.
+func (d *Desk) Offer(p *Peer, c agent.Call, tag any) error {
+	d.mu.Lock()
+	twice := d.legs[c.ID] != nil
+	if !twice {
+		d.legs[c.ID] = &leg{peer: p, tag: tag}
+	}
+	d.mu.Unlock()
+	if twice {
+		return agent.ErrDuplicate
+	}
+	if !d.core.Offer(d.front, c) {
+		d.front.Refused(c, d.StayAway)
+	}
+	return nil
+}
+
+// Withdraw ends a call for its caller, by any connection. It reports whether the call
+// was known, and the front's tag and connection if it had no answer yet.
+func (d *Desk) Withdraw(id string) (known bool, by *Peer, tag any) {
+	l := d.finish(id)
+	if l == nil {
+		return false, nil, nil
+	}
+	d.core.Withdraw(d.front, id)
+	if l.answered {
+		return true, nil, nil
+	}
+	return true, l.peer, l.tag
+}
+
+func (d *Desk) finish(id string) *leg {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.legs[id]
+	delete(d.legs, id)
+	return l
+}
+
+// busy tells whether a connection waits for a final answer.
+func (d *Desk) busy(p *Peer) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.legs {
+		if l.peer == p && !l.answered {
+			return true
+		}
+	}
+	return false
+}
+
+// forget ends a connection's part: its unanswered calls have no caller any more. Calls
+// that stand outlive it.
+func (d *Desk) forget(p *Peer) {
+	d.mu.Lock()
+	delete(d.peers, p)
+	var gone []string
+	for id, l := range d.legs {
+		if l.peer == p && !l.answered {
+			delete(d.legs, id)
+			gone = append(gone, id)
+		}
+	}
+	d.mu.Unlock()
+	for _, id := range gone {
+		d.core.Withdraw(d.front, id)
+	}
+}
+
+// Answer passes an answer on. If the caller can't be reached the call is withdrawn.
+func (d *Desk) Answer(id string, data func(tag any) []byte) {
+	d.mu.Lock()
+	l := d.legs[id]
+	if l != nil {
+		l.answered = true
+	}
+	d.mu.Unlock()
+	if l == nil { // the caller has just left; its withdrawal is on the way
+		return
+	}
+	if !l.peer.Send(Item{ID: id, Kind: Answer, Data: data(l.tag)}) {
+		d.undelivered(id)
+	}
+}
+
+// undelivered ends a call whose answer could not be written.
+func (d *Desk) undelivered(id string) {
+	if d.finish(id) != nil {
+		d.Log.Info("answer not delivered: call released", "call", id)
+		d.core.Withdraw(d.front, id)
+	}
+}
+
+// Final passes the last word on a call that did not come to stand.
+func (d *Desk) Final(id string, data func(tag any) []byte) {
+	if l := d.finish(id); l != nil {
+		l.peer.Send(Item{ID: id, Data: data(l.tag)})
+	}
+}
+
+// End passes the end of a call that stood on, by its own connection or any other.
+func (d *Desk) End(id string, data []byte) {
+	if l := d.finish(id); l != nil {
+		d.sayEnded(owed{Item{ID: id, Kind: End, Data: data}, l.peer.host, time.Now()}, l.peer)
+	}
+}
+
+// Blame ends the connection of a call and reports whether the call was known.
+func (d *Desk) Blame(id string, err error) {
+	if l := d.finish(id); l != nil {
+		l.peer.Fail(err)
+	}
+}
+
+// sayEnded tries the caller's connections in turn and keeps what none could take.
+func (d *Desk) sayEnded(o owed, first *Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, up := d.peers[first]; up && first.Send(o.item) {
+		return
+	}
+	for p := range d.peers {
+		if p.ready && p.host == o.host && p.Send(o.item) {
+			return
+		}
+	}
+	if len(d.owed) < owedMost {
+		d.owed = append(d.owed, o)
+	}
+}
--- /dev/null
+++ b/internal/desk/peer.go
@@ -0,0 +1,124 @@
+package desk
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"woodrouter/internal/mailbox"
+)
+
+// Kind tells what is lost with a message that can't be written.
+type Kind int
+
+// The kinds. An answer's call is released, a release looks for another connection.
+const (
+	Other Kind = iota
+	Answer
+	End
+)
+
+// Item is a message as it goes out.
+type Item struct {
+	ID   string
+	Kind Kind
+	Data []byte
+}
+
+// Peer is one caller's connection: a goroutine reads it, its actor writes.
+type Peer struct {
+	In   *bufio.Reader
+	desk *Desk
+	conn net.Conn
+	host string
+	box  *mailbox.Box[Item]
+
+	ready bool // under the desk's lock: it can be sent releases
+}
+
+func newPeer(d *Desk, conn net.Conn) *Peer {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return &Peer{desk: d, conn: conn, host: host, In: bufio.NewReaderSize(conn, 4<<10),
+		box: mailbox.New[Item](d.MaxWaiting)}
+}
+
+// Send queues a message. A caller too slow to take its messages is cut off.
+func (p *Peer) Send(i Item) bool {
+	if p.box.Offer(i) {
+		return true
+	}
+	p.conn.Close()
+	return false
+}
+
+// Fail ends the connection for a fault of the caller.
+func (p *Peer) Fail(err error) {
+	p.desk.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
+	p.conn.Close()
+}
+
+// ErrIdle tells that the next message did not begin in time.
+var ErrIdle = errors.New("idle")
+
+// Await waits for the next message to begin, ErrIdle telling of a long silence. What has
+// begun is to be read whole within MessageTime.
+func (p *Peer) Await() error {
+	p.conn.SetReadDeadline(time.Now().Add(p.desk.Idle))
+	_, err := p.In.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrIdle
+	}
+	p.conn.SetReadDeadline(time.Now().Add(p.desk.MessageTime))
+	return err
+}
+
+// Busy tells whether a set-up is open on the connection.
+func (p *Peer) Busy() bool { return p.desk.busy(p) }
+
+func (p *Peer) read() {
+	err := p.converse()
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		p.desk.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
+	}
+	p.desk.forget(p)
+	p.box.Close() // the writer says what is left, and closes
+}
+
+// converse stops a panic at the connection.
+func (p *Peer) converse() (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v\n%s", r, debug.Stack())
+		}
+	}()
+	return p.desk.converse(p)
+}
+
+func (p *Peer) write() {
+	defer p.conn.Close()
+	for {
+		i, ok := p.box.Take()
+		if !ok {
+			return
+		}
+		p.conn.SetWriteDeadline(time.Now().Add(p.desk.WriteTimeout))
+		if _, err := p.conn.Write(i.Data); err != nil {
+			p.conn.Close()
+			p.unsent(i)
+		}
+	}
+}
+
+func (p *Peer) unsent(i Item) {
+	switch i.Kind {
+	case Answer:
+		p.desk.undelivered(i.ID)
+	case End:
+		p.desk.sayEnded(owed{i, p.host, time.Now()}, nil)
+	}
+}
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -17,7 +17,7 @@
 	t.heard = l.heard
 	report, err := parseReport(m)
 	if err == nil {
-		err = t.take(m, report)
+		err = t.take(l, m, report)
 	}
 	if err != nil {
 		t.log.Warn("bad message from setup server", "type", m.Type, "call", m.Call, "error", err)
@@ -25,14 +25,14 @@
 	}
 }
 
-func (t *trunk) take(m isup.Message, report policy.Report) error {
+func (t *trunk) take(l *link, m isup.Message, report policy.Report) error {
 	switch m.Type {
 	case isup.GroupState:
 		t.core.Reported(policy.Probed{Server: t.server.ID, Result: policy.OK, Report: report})
 	case isup.TestResult:
 		return t.probed(m, report)
 	case isup.Answer:
-		t.answered(m)
+		t.answered(l, m)
 	case isup.Release:
 		return t.released(m, report)
 	case isup.Progress, isup.Released:
@@ -44,13 +44,14 @@
 
 // answered takes an answer. One for an attempt that is over is released at the server:
 // nobody else would.
-func (t *trunk) answered(m isup.Message) {
+func (t *trunk) answered(l *link, m isup.Message) {
 	a := t.open[m.Call]
 	if a == nil || a.stands {
 		t.log.Info("late answer released", "call", m.Call)
-		t.release(m.Call)
+		t.release(l, m.Call)
 		return
 	}
+	t.settled(a.link)
 	a.stands, a.since = true, time.Now()
 	description, _ := m.Get(isup.Description)
 	t.core.Stands(m.Call.String(), a.n, description)
@@ -113,7 +114,7 @@
 	time.AfterFunc(t.cfg.ProbeTimeout, func() {
 		t.post(func() { t.probeEnded(id, policy.TimedOut, policy.NoReport()) })
 	})
-	if _, err := t.say(isup.Message{Type: isup.Test, Call: id}.WithCause(isup.Passed)); err != nil {
+	if _, err := t.say(t.link, isup.Message{Type: isup.Test, Call: id}.WithCause(isup.Passed)); err != nil {
 		t.lost(t.link, err)
 	}
 }
--- /dev/null
+++ b/internal/ws/frame.go
@@ -0,0 +1,213 @@
+// Package ws is the server's side of WebSocket, RFC 6455, on bufio. It reads and words
+// frames and messages; who owns the connection decides when they are written.
+package ws
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"unicode/utf8"
+)
+
+// Opcode is a frame's kind.
+type Opcode byte
+
+// The opcodes of RFC 6455, section 5.2.
+const (
+	Continuation Opcode = 0
+	Text         Opcode = 1
+	Binary       Opcode = 2
+	CloseFrame   Opcode = 8
+	Ping         Opcode = 9
+	Pong         Opcode = 10
+)
+
+// Status codes of RFC 6455, section 7.4.1.
+const (
+	StatusNormal      = 1000
+	StatusGoingAway   = 1001
+	StatusProtocol    = 1002
+	StatusUnsupported = 1003
+	StatusNoCode      = 1005
+	StatusInvalid     = 1007
+	StatusTooBig      = 1009
+)
+
+// CloseError tells why a connection ends, with the status code that says so.
+type CloseError struct {
+	Code   int
+	Reason string
+	Peer   bool // the peer closed it
+}
+
+func (e *CloseError) Error() string { return fmt.Sprintf("closed with %d: %s", e.Code, e.Reason) }
+
+func protocolError(format string, args ...any) error {
+	return &CloseError{Code: StatusProtocol, Reason: fmt.Sprintf(format, args...)}
+}
+
+// Frame is one frame.
+type Frame struct {
+	Final   bool
+	Opcode  Opcode
+	Payload []byte
+}
+
+func (o Opcode) control() bool { return o >= CloseFrame }
+
+// header is a frame's head as it stands on the wire.
+type header struct {
+	final  bool
+	opcode Opcode
+	length uint64
+	mask   [4]byte
+}
+
+func readHeader(r io.Reader) (h header, err error) {
+	var b [8]byte
+	if _, err = io.ReadFull(r, b[:2]); err != nil {
+		return h, err
+	}
+	h.final, h.opcode, h.length = b[0]&0x80 != 0, Opcode(b[0]&0x0f), uint64(b[1]&0x7f)
+	switch {
+	case b[0]&0x70 != 0:
+		return h, protocolError("reserved bits set")
+	case h.opcode > Binary && h.opcode < CloseFrame || h.opcode > Pong:
+		return h, protocolError("unknown opcode %d", h.opcode)
+	case b[1]&0x80 == 0:
+		return h, protocolError("unmasked frame")
+	case h.opcode.control() && (!h.final || h.length > 125):
+		return h, protocolError("control frame fragmented or over 125 bytes")
+	}
+	size, least := 0, uint64(0)
+	switch h.length {
+	case 126:
+		size, least = 2, 126
+	case 127:
+		size, least = 8, 1<<16
+	}
+	if size > 0 {
+		if _, err = io.ReadFull(r, b[8-size:]); err != nil {
+			return h, whole(err)
+		}
+		clear(b[:8-size])
+		if h.length = binary.BigEndian.Uint64(b[:]); h.length < least || h.length>>63 != 0 {
+			return h, protocolError("length %d in a longer form than needed", h.length)
+		}
+	}
+	_, err = io.ReadFull(r, h.mask[:])
+	return h, whole(err)
+}
+
+// whole turns an end inside a frame into an error of its own.
+func whole(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// ReadFrame reads one frame of a client; its payload may have at most most bytes.
+func ReadFrame(r io.Reader, most int) (Frame, error) {
+	h, err := readHeader(r)
+	if err != nil {
+		return Frame{}, err
+	}
+	if h.length > uint64(most) {
+		return Frame{}, &CloseError{Code: StatusTooBig, Reason: fmt.Sprintf("more than %d bytes", most)}
+	}
+	f := Frame{h.final, h.opcode, make([]byte, h.length)}
+	if _, err := io.ReadFull(r, f.Payload); err != nil {
+		return Frame{}, whole(err)
+	}
+	for i := range f.Payload {
+		f.Payload[i] ^= h.mask[i%4]
+	}
+	return f, nil
+}
+
+// AppendFrame words a server's frame, which is whole and not masked.
+func AppendFrame(b []byte, op Opcode, payload []byte) []byte {
+	b = append(b, 0x80|byte(op))
+	switch n := len(payload); {
+	case n < 126:
+		b = append(b, byte(n))
+	case n < 1<<16:
+		b = binary.BigEndian.AppendUint16(append(b, 126), uint16(n))
+	default:
+		b = binary.BigEndian.AppendUint64(append(b, 127), uint64(n))
+	}
+	return append(b, payload...)
+}
+
+// AppendClose words a close frame.
+func AppendClose(b []byte, code int, reason string) []byte {
+	if code == StatusNoCode {
+		return AppendFrame(b, CloseFrame, nil)
+	}
+	for len(reason) > 123 || !utf8.ValidString(reason) {
+		reason = reason[:len(reason)-1]
+	}
+	payload := binary.BigEndian.AppendUint16(nil, uint16(code))
+	return AppendFrame(b, CloseFrame, append(payload, reason...))
+}
+
+// parseClose reads a close frame's payload.
+func parseClose(p []byte) error {
+	e := &CloseError{Code: StatusNoCode, Peer: true}
+	if len(p) == 0 {
+		return e
+	}
+	if len(p) == 1 {
+		return protocolError("close frame of one byte")
+	}
+	e.Code, e.Reason = int(binary.BigEndian.Uint16(p)), string(p[2:])
+	switch {
+	case !utf8.Valid(p[2:]):
+		return &CloseError{Code: StatusInvalid, Reason: "close reason is not UTF-8"}
+	case e.Code < 1000 || e.Code > 4999 || e.Code >= 1004 && e.Code <= 1006 ||
+		e.Code >= 1015 && e.Code < 3000:
+		return protocolError("close code %d", e.Code)
+	}
+	return e
+}
+
+// Reader puts frames together to messages.
+type Reader struct {
+	In   *bufio.Reader
+	Most int // bytes of a message
+
+	op   Opcode // of the message under way; 0: none
+	data []byte
+}
+
+// Next reads one frame. It returns a whole message, or a ping or pong on its own;
+// otherwise ok is false and the next frame is due. A close frame is an error.
+func (r *Reader) Next() (op Opcode, data []byte, ok bool, err error) {
+	f, err := ReadFrame(r.In, r.Most-len(r.data))
+	switch {
+	case err != nil:
+		return 0, nil, false, err
+	case f.Opcode == CloseFrame:
+		return 0, nil, false, parseClose(f.Payload)
+	case f.Opcode.control():
+		return f.Opcode, f.Payload, true, nil
+	case f.Opcode == Continuation && r.op == 0:
+		return 0, nil, false, protocolError("continuation of nothing")
+	case f.Opcode != Continuation && r.op != 0:
+		return 0, nil, false, protocolError("a message inside another")
+	case f.Opcode != Continuation:
+		r.op = f.Opcode
+	}
+	r.data = append(r.data, f.Payload...)
+	if !f.Final {
+		return 0, nil, false, nil
+	}
+	op, data = r.op, r.data
+	r.op, r.data = 0, nil
+	if op == Text && !utf8.Valid(data) {
+		return 0, nil, false, &CloseError{Code: StatusInvalid, Reason: "text is not UTF-8"}
+	}
+	return op, data, true, nil
+}
--- /dev/null
+++ b/internal/ws/upgrade.go
@@ -0,0 +1,121 @@
+package ws
+
+import (
+	"bufio"
+	"crypto/sha1"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// maxRequest bounds the upgrade request.
+const maxRequest = 16 << 10
+
+// Endpoint tells what a server upgrades.
+type Endpoint struct {
+	Path        string
+	Subprotocol string   // confirmed when the client offers it
+	Origins     []string // of web pages that may connect; without the header anyone may
+	// Allow looks at the request; a non-zero status refuses it.
+	Allow func(*http.Request) (status int)
+}
+
+// refusal is an upgrade that was not made.
+type refusal struct {
+	status int
+	reason string
+}
+
+func (r *refusal) Error() string {
+	return fmt.Sprintf("upgrade refused with %d: %s", r.status, r.reason)
+}
+
+// Upgrade reads an upgrade request. It returns the response to write in any case, and
+// an error where the connection is to end after it; without a response it ends at once.
+func (e Endpoint) Upgrade(in *bufio.Reader) (response []byte, err error) {
+	limited := bufio.NewReaderSize(&io.LimitedReader{R: byteReader{in}, N: maxRequest}, 16)
+	req, err := http.ReadRequest(limited)
+	if err != nil {
+		return respond(http.StatusBadRequest), fmt.Errorf("upgrade request: %w", err)
+	}
+	if no := e.check(req); no != nil {
+		return respond(no.status), no
+	}
+	h := sha1.Sum([]byte(req.Header.Get("Sec-Websocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+	r := "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" +
+		"Sec-WebSocket-Accept: " + base64.StdEncoding.EncodeToString(h[:]) + "\r\n"
+	if e.Subprotocol != "" && hasToken(req.Header, "Sec-Websocket-Protocol", e.Subprotocol) {
+		r += "Sec-WebSocket-Protocol: " + e.Subprotocol + "\r\n"
+	}
+	return []byte(r + "\r\n"), nil
+}
+
+// byteReader hands bytes out singly, so that the request's reader takes none of what
+// follows it: a client may send its first frames at once.
+type byteReader struct{ in *bufio.Reader }
+
+func (b byteReader) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	c, err := b.in.ReadByte()
+	if err != nil {
+		return 0, err
+	}
+	p[0] = c
+	return 1, nil
+}
+
+func (e Endpoint) check(req *http.Request) *refusal {
+	key, err := base64.StdEncoding.DecodeString(req.Header.Get("Sec-Websocket-Key"))
+	origin := req.Header.Get("Origin")
+	switch {
+	case req.URL.Path != e.Path:
+		return &refusal{http.StatusNotFound, "path " + req.URL.Path}
+	case req.Method != http.MethodGet:
+		return &refusal{http.StatusMethodNotAllowed, req.Method}
+	case !req.ProtoAtLeast(1, 1) || req.Host == "":
+		return &refusal{http.StatusBadRequest, "HTTP/1.1 with a host is needed"}
+	case !hasToken(req.Header, "Upgrade", "websocket") || !hasToken(req.Header, "Connection", "upgrade"):
+		return &refusal{http.StatusUpgradeRequired, "no upgrade to websocket asked for"}
+	case req.Header.Get("Sec-Websocket-Version") != "13":
+		return &refusal{http.StatusUpgradeRequired, "version " + req.Header.Get("Sec-Websocket-Version")}
+	case err != nil || len(key) != 16:
+		return &refusal{http.StatusBadRequest, "Sec-WebSocket-Key"}
+	case origin != "" && !slices.Contains(e.Origins, origin):
+		return &refusal{http.StatusForbidden, "origin " + origin}
+	}
+	if e.Allow != nil {
+		if status := e.Allow(req); status != 0 {
+			return &refusal{status, "not allowed"}
+		}
+	}
+	return nil
+}
+
+// hasToken looks for a token in a header's lists, in any letter case.
+func hasToken(h http.Header, name, token string) bool {
+	for _, line := range h.Values(name) {
+		for part := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(part), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func respond(status int) []byte {
+	extra := ""
+	switch status {
+	case http.StatusUpgradeRequired:
+		extra = "Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+	case http.StatusUnauthorized:
+		extra = "WWW-Authenticate: Bearer\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n",
+		status, http.StatusText(status), extra)
+}
