--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,262 @@
+package agent
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/policy"
+)
+
+const ms = time.Millisecond
+
+func settings() policy.Settings {
+	return policy.Settings{
+		Senders: 2,
+		Classes: []policy.Class{{Name: "voice", Aim: 1500 * ms, Deadline: 9 * time.Second,
+			Hold: 8 * time.Second, Worth: 1}},
+		Reports: policy.WithAnswers,
+		Limits:  policy.Limits{Attempts: 5, CoolDown: 2 * time.Second, Cancel: true},
+		Rules: policy.Rules{ClearWait: 300 * ms, Cold: 14 * time.Second, TipAfter: time.Second,
+			ColdFrom: 0.3, FallMultiple: 3},
+		Repeat: 800 * ms, Tick: 5 * ms,
+	}
+}
+
+// side records what the core does as front and as backend; a test plays the rest.
+type side struct {
+	mu     sync.Mutex
+	said   []string // to the caller
+	asked  []string // of the setup servers
+	wait   time.Duration
+	panics bool
+}
+
+func (s *side) note(to *[]string, format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*to = append(*to, fmt.Sprintf(format, args...))
+}
+
+func (s *side) say(format string, args ...any) { s.note(&s.said, format, args...) }
+
+func (s *side) read(from *[]string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), *from...)
+}
+
+func (s *side) heard() []string { return s.read(&s.said) }
+func (s *side) did() []string   { return s.read(&s.asked) }
+
+func (s *side) Answered(c Call, d []byte) {
+	if s.panics {
+		panic("front")
+	}
+	s.say("answered %s %s", c.ID, d)
+}
+func (s *side) Refused(c Call, d time.Duration) { s.wait = d; s.say("refused %s", c.ID) }
+func (s *side) Failed(c Call, err error)        { s.say("failed %s", c.ID) }
+func (s *side) Rejected(c Call, err error)      { s.say("rejected %s: %v", c.ID, err) }
+func (s *side) Ended(c Call, err error)         { s.say("ended %s %v", c.ID, err == nil) }
+
+func (s *side) Servers([]Server, bool) {}
+func (s *side) Probe(string)           {}
+func (s *side) SetUp(a Attempt) {
+	s.note(&s.asked, "set up %s.%d at %s", a.ID, a.N, a.Server)
+}
+func (s *side) GiveUp(server, id string, n int, why policy.Result) {
+	s.note(&s.asked, "give up %s.%d at %s", id, n, server)
+}
+
+// play runs a test in a bubble with one setup server on the list.
+func play(t *testing.T, test func(a *Agent, s *side)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &side{}
+		a, err := New(Config{Settings: settings(), Seed: 1, Slack: 20 * ms})
+		require.NoError(t, err)
+		a.Attach(s)
+		go a.Run()
+		defer a.Stop()
+		a.Servers([]Server{{Server: policy.Server{ID: "s"}}}, true)
+		synctest.Wait()
+		test(a, s)
+	})
+}
+
+func offer(a *Agent, s *side, id string, left time.Duration) {
+	a.Offer(s, Call{ID: id, Class: "voice", Pool: -1, Deadline: time.Now().Add(left)})
+	synctest.Wait()
+}
+
+func after(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+var gone = &Failure{Stage: Written, Result: policy.Cut, Server: "s", Err: fmt.Errorf("reset")}
+
+// TestOrders plays what the two sides may do in every order that is a race on sockets;
+// each call gets one final answer, and what is left at a server is given up.
+func TestOrders(t *testing.T) {
+	stands := func(a *Agent, s *side) { a.Stands("c", 0, []byte("d")) }
+	cut := func(a *Agent, s *side) { a.Ended("c", 0, gone, policy.NoReport()) }
+	done := func(a *Agent, s *side) { a.Ended("c", 0, nil, policy.NoReport()) }
+	leave := func(a *Agent, s *side) { a.Withdraw(s, "c") }
+	cancelled := func(a *Agent, s *side) {
+		a.Ended("c", 0, &Failure{Stage: Written, Result: policy.Cancelled}, policy.NoReport())
+	}
+	for _, tc := range []struct {
+		name  string
+		steps []func(*Agent, *side)
+		said  []string
+		asked []string // after the set-up
+	}{
+		{"answer, end", []func(*Agent, *side){stands, done}, []string{"answered c d", "ended c true"}, nil},
+		{"answer, cut", []func(*Agent, *side){stands, cut}, []string{"answered c d", "ended c false"}, nil},
+		{"answer, answer", []func(*Agent, *side){stands, stands, done}, []string{"answered c d", "ended c true"}, nil},
+		{"answer, caller's release", []func(*Agent, *side){stands, leave, cancelled}, []string{"answered c d"},
+			[]string{"give up c.0 at s"}},
+		{"caller's release crosses the end", []func(*Agent, *side){stands, done, leave},
+			[]string{"answered c d", "ended c true"}, nil},
+		{"end crosses the caller's release", []func(*Agent, *side){stands, leave, done},
+			[]string{"answered c d"}, []string{"give up c.0 at s"}},
+		{"caller leaves, then the answer", []func(*Agent, *side){leave, stands, cancelled}, nil,
+			[]string{"give up c.0 at s"}},
+		{"caller leaves twice", []func(*Agent, *side){leave, leave, cancelled, leave}, nil,
+			[]string{"give up c.0 at s"}},
+		{"end of an attempt that is none", []func(*Agent, *side){stands, done, done},
+			[]string{"answered c d", "ended c true"}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			play(t, func(a *Agent, s *side) {
+				offer(a, s, "c", 3*time.Second)
+				require.Equal(t, []string{"set up c.0 at s"}, s.did())
+				for _, step := range tc.steps {
+					step(a, s)
+					synctest.Wait()
+				}
+				after(4 * time.Second) // no guard may speak later
+				assert.Equal(t, tc.said, s.heard())
+				assert.Equal(t, append([]string{"set up c.0 at s"}, tc.asked...), s.did())
+				assert.Empty(t, a.calls, "the call table forgets")
+				assert.Zero(t, a.open)
+			})
+		})
+	}
+}
+
+// TestDeadline: at the caller's deadline the set-up is given up first; its end brings the
+// failure. Should the backend never tell of it, the caller still hears within the slack.
+func TestDeadline(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 800*ms)
+		after(799 * ms)
+		require.Empty(t, s.heard())
+		after(2 * ms)
+		require.Equal(t, []string{"set up c.0 at s", "give up c.0 at s"}, s.did())
+		a.Ended("c", 0, &Failure{Stage: Written, Result: policy.TimedOut}, policy.NoReport())
+		synctest.Wait()
+		require.Equal(t, []string{"failed c"}, s.heard())
+	})
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 800*ms)
+		after(811 * ms)
+		require.Equal(t, []string{"failed c"}, s.heard(), "the core's own last word")
+		a.Ended("c", 0, gone, policy.NoReport())
+		after(time.Second)
+		require.Equal(t, []string{"failed c"}, s.heard())
+		require.Empty(t, a.calls)
+	})
+}
+
+// TestClearWait: a call whose attempt broke goes out again only 300 ms after its end, and
+// what the module gives up is refused at once, with when to return.
+func TestClearWait(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		for i := range 8 { // first attempts earn the further ones
+			id := fmt.Sprint("w", i)
+			offer(a, s, id, 3*time.Second)
+			a.Stands(id, 0, nil)
+		}
+		offer(a, s, "c", 3*time.Second)
+		a.Ended("c", 0, gone, policy.NoReport())
+		after(299 * ms)
+		require.NotContains(t, s.did(), "set up c.1 at s")
+		after(60 * ms)
+		require.Contains(t, s.did(), "set up c.1 at s")
+		a.Ended("c", 0, gone, policy.NoReport()) // a late word of the first attempt
+		synctest.Wait()
+		require.NotContains(t, s.heard(), "refused c")
+
+		a.Servers(nil, true)
+		synctest.Wait()
+		offer(a, s, "d", 3*time.Second)
+		require.Contains(t, s.heard(), "refused d")
+		require.Positive(t, s.wait)
+	})
+}
+
+// TestNotTaken: an id that is open and a class that is unknown are turned away without
+// touching the call that is open.
+func TestNotTaken(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 3*time.Second)
+		offer(a, s, "c", 3*time.Second)
+		a.Offer(s, Call{ID: "x", Class: "none"})
+		a.Withdraw(&side{}, "c") // another front's caller
+		synctest.Wait()
+		require.Equal(t, []string{"rejected c: " + ErrDuplicate.Error(), "rejected x: " + ErrClass.Error()}, s.heard())
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		require.Contains(t, s.heard(), "answered c ")
+	})
+}
+
+// TestPanic: a panic ends the call that it came up in, and the core goes on.
+func TestPanic(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 3*time.Second)
+		s.panics = true
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		s.panics = false
+		require.Contains(t, s.did(), "give up c.0 at s")
+		a.Ended("c", 0, &Failure{Result: policy.Cancelled}, policy.NoReport())
+		offer(a, s, "d", 3*time.Second)
+		a.Stands("d", 0, nil)
+		synctest.Wait()
+		require.Equal(t, []string{"ended c false", "answered d "}, s.heard(), "the caller of c is told that it is over")
+	})
+}
+
+// TestStop: a shutdown waits for open calls, and what can wait no longer is refused.
+func TestStop(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		idle := false
+		offer(a, s, "c", 3*time.Second)
+		offer(a, s, "d", 3*time.Second)
+		a.Idle(func() { idle = true })
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		require.False(t, idle)
+		a.RefuseAll(time.Second)
+		synctest.Wait()
+		require.True(t, idle)
+		require.Contains(t, s.heard(), "refused d")
+		require.Contains(t, s.did(), "give up d.0 at s")
+		require.Equal(t, time.Second, s.wait)
+	})
+}
+
+// TestTime: module time is Unix time, so that the start of a server compares with it.
+func TestTime(t *testing.T) {
+	a, err := New(Config{Settings: settings()})
+	require.NoError(t, err)
+	require.InDelta(t, time.Now().UnixNano(), int64(a.now()), float64(time.Minute))
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,274 @@
+// Package plan manages the second front's settings as plan-and-apply files: an operator's
+// file says what is desired, a state file what is applied, and a plan what an apply would
+// change. The daemon reads the state only.
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Front are the settings of the call-control API.
+type Front struct {
+	Enabled        bool     `toml:"enabled" json:"enabled"`
+	Listen         string   `toml:"listen" json:"listen"`
+	Path           string   `toml:"path" json:"path"`
+	Origins        []string `toml:"origins" json:"origins"`
+	MaxConnections int      `toml:"max_connections" json:"max_connections"`
+	MaxMessage     int      `toml:"max_message_bytes" json:"max_message_bytes"`
+	IdleS          int      `toml:"idle_s" json:"idle_s"`
+	Clients        []Client `toml:"client" json:"clients"`
+}
+
+// Client is a client that may connect. Without any, all may.
+type Client struct {
+	Name        string `toml:"name" json:"name"`
+	TokenSHA256 string `toml:"token_sha256" json:"token_sha256"`
+}
+
+// defaults are what an operator's file need not say.
+func defaults() Front {
+	return Front{Path: "/calls", MaxConnections: 64, MaxMessage: 64 << 10, IdleS: 30}
+}
+
+// Check names the first field that can't be used.
+func (f Front) Check() error {
+	bad := func(field, format string, args ...any) error {
+		return fmt.Errorf("field %s: %s", field, fmt.Sprintf(format, args...))
+	}
+	if !f.Enabled {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(f.Listen)
+	switch {
+	case err != nil:
+		return bad("listen", "%v", err)
+	case !strings.HasPrefix(f.Path, "/"):
+		return bad("path", "%q does not begin with a slash", f.Path)
+	case f.MaxConnections < 1 || f.MaxConnections > 256:
+		return bad("max_connections", "%d is outside 1 to 256", f.MaxConnections)
+	case f.MaxMessage < 1<<10 || f.MaxMessage > 1<<20:
+		return bad("max_message_bytes", "%d is outside 1024 to 1048576", f.MaxMessage)
+	case f.IdleS < 1 || f.IdleS > 3600:
+		return bad("idle_s", "%d is outside 1 to 3600", f.IdleS)
+	}
+	if ip := net.ParseIP(host); len(f.Clients) == 0 && (ip == nil || !ip.IsLoopback()) {
+		return bad("client", "none, which only a loopback address allows")
+	}
+	names := map[string]bool{}
+	for i, c := range f.Clients {
+		sum, err := hex.DecodeString(c.TokenSHA256)
+		switch {
+		case c.Name == "" || names[c.Name]:
+			return bad(fmt.Sprintf("client[%d].name", i), "%q is empty or taken", c.Name)
+		case err != nil || len(sum) != sha256.Size:
+			return bad(fmt.Sprintf("client[%d].token_sha256", i), "not 64 hex digits")
+		}
+		names[c.Name] = true
+	}
+	return nil
+}
+
+// ReadDesired reads an operator's file. A field that nobody knows is an error: it is
+// likelier misspelt than meant for a later version.
+func ReadDesired(path string) (Front, error) {
+	f := defaults()
+	meta, err := toml.DecodeFile(path, &f)
+	if err != nil {
+		return f, fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return f, fmt.Errorf("%s: field %s: unknown", path, extra[0])
+	}
+	if err := f.Check(); err != nil {
+		return f, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// State is what is applied. Serial counts the applies.
+type State struct {
+	Version int    `json:"version"`
+	Serial  int64  `json:"serial"`
+	Front   *Front `json:"websocket"`
+
+	sum string // of the file's text; "" where there is none
+}
+
+const version = 1
+
+// ReadState reads a state file. One that does not exist is the state before all applies:
+// the front is off.
+func ReadState(path string) (State, error) {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return State{Version: version}, nil
+	}
+	if err != nil {
+		return State{}, fmt.Errorf("state: %w", err)
+	}
+	var s State
+	if err := json.Unmarshal(text, &s); err != nil {
+		return s, fmt.Errorf("state %s: %w", path, err)
+	}
+	if s.Version != version {
+		return s, fmt.Errorf("state %s: field version: %d is not %d", path, s.Version, version)
+	}
+	if s.Front != nil {
+		if err := s.Front.Check(); err != nil {
+			return s, fmt.Errorf("state %s: %w", path, err)
+		}
+	}
+	sum := sha256.Sum256(text)
+	s.sum = hex.EncodeToString(sum[:])
+	return s, nil
+}
+
+// Plan is a change that an operator may look at and then apply.
+type Plan struct {
+	Version int      `json:"version"`
+	State   string   `json:"state"`    // the state file it is for
+	BaseSum string   `json:"base_sum"` // of the state it starts from
+	Desired Front    `json:"desired"`
+	Changes []string `json:"changes"`
+}
+
+// Make compares what is desired with what is applied.
+func Make(statePath string, desired Front) (Plan, error) {
+	s, err := ReadState(statePath)
+	if err != nil {
+		return Plan{}, err
+	}
+	if statePath, err = filepath.Abs(statePath); err != nil {
+		return Plan{}, err
+	}
+	return Plan{version, statePath, s.sum, desired, diff(s.Front, &desired)}, nil
+}
+
+// diff words the fields that differ: + added, ~ changed.
+func diff(old, desired *Front) []string {
+	var changes []string
+	now := reflect.ValueOf(*desired)
+	for i := range now.NumField() {
+		name, v := now.Type().Field(i).Tag.Get("toml"), now.Field(i)
+		if old == nil {
+			changes = append(changes, fmt.Sprintf("+ %s = %s", name, show(v)))
+			continue
+		}
+		was := reflect.ValueOf(*old).Field(i)
+		if a, b := text(was), text(v); a != b { // in full: what is shown of a sum may be alike
+			changes = append(changes, fmt.Sprintf("~ %s = %s -> %s", name, show(was), show(v)))
+		}
+	}
+	return changes
+}
+
+func text(v reflect.Value) string {
+	b, _ := json.Marshal(v.Interface())
+	if string(b) == "null" {
+		return "[]"
+	}
+	return string(b)
+}
+
+// show words a value; clients by their names and the beginnings of their sums.
+func show(v reflect.Value) string {
+	clients, ok := v.Interface().([]Client)
+	if !ok {
+		return text(v)
+	}
+	var words []string
+	for _, c := range clients {
+		words = append(words, c.Name+":"+c.TokenSHA256[:min(8, len(c.TokenSHA256))])
+	}
+	slices.Sort(words)
+	return "[" + strings.Join(words, " ") + "]"
+}
+
+// Write saves a plan.
+func (p Plan) Write(path string) error { return writeFile(path, p) }
+
+// Read loads a plan.
+func Read(path string) (Plan, error) {
+	var p Plan
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return p, fmt.Errorf("plan: %w", err)
+	}
+	if err := json.Unmarshal(text, &p); err != nil {
+		return p, fmt.Errorf("plan %s: %w", path, err)
+	}
+	if p.Version != version || p.State == "" {
+		return p, fmt.Errorf("plan %s: field version or state: not a plan of version %d", path, version)
+	}
+	if err := p.Desired.Check(); err != nil {
+		return p, fmt.Errorf("plan %s: desired: %w", path, err)
+	}
+	return p, nil
+}
+
+// ErrStale tells that the state has changed since the plan was made.
+var ErrStale = errors.New("the plan is stale: the state has changed since; plan again")
+
+// Apply makes the plan's state the applied one, or changes nothing. Applies at the same
+// time take turns, so that of two plans from one state the second is stale.
+func (p Plan) Apply() error {
+	lock, err := os.OpenFile(p.State+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	defer lock.Close()
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+		return fmt.Errorf("state %s: lock: %w", p.State, err)
+	}
+	s, err := ReadState(p.State)
+	if err != nil {
+		return err
+	}
+	if s.sum != p.BaseSum {
+		return ErrStale
+	}
+	return writeFile(p.State, State{Version: version, Serial: s.Serial + 1, Front: &p.Desired})
+}
+
+// writeFile writes a file whole or not at all: a reader sees the old text or the new.
+func writeFile(path string, v any) (err error) {
+	text, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			os.Remove(f.Name())
+		}
+	}()
+	_, err = f.Write(append(text, '\n'))
+	err = errors.Join(err, f.Sync(), f.Close())
+	if err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), path); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(dir.Sync(), dir.Close())
+}
--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,264 @@
+// Package standin holds small peers for tests: a setup server, a caller and a bulletin,
+// each bounded, on loopback and of this repository's own making.
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/isup"
+)
+
+// Patience is how long a test waits for what must come. It is wide: only a failure
+// takes so long.
+const Patience = 10 * time.Second
+
+// Conn is a connection that speaks binary signalling.
+type Conn struct {
+	net.Conn
+	In *bufio.Reader
+}
+
+// Send writes a message.
+func (c *Conn) Send(m isup.Message) {
+	b, err := m.Append(nil)
+	if err == nil {
+		_, err = c.Write(b)
+	}
+	_ = err // a closed connection shows where the test waits for its effect
+}
+
+// Got is a message as a setup server received it.
+type Got struct {
+	isup.Message
+	Conn *Conn
+	At   time.Time
+}
+
+// Server is a setup server. It answers nothing by itself but tells of its group first on
+// every connection; what it gets is handed to the test in order.
+type Server struct {
+	Addr string
+	Got  chan Got
+
+	mu    sync.Mutex
+	ln    net.Listener
+	conns []*Conn
+	seen  []Got
+}
+
+// NewServer starts a setup server on a free port, or on addr if it is not "".
+func NewServer(t testing.TB, addr string) *Server {
+	t.Helper()
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	s := &Server{Addr: ln.Addr().String(), Got: make(chan Got, 1000), ln: ln}
+	go s.accept()
+	t.Cleanup(s.Die)
+	return s
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		c := &Conn{conn, bufio.NewReader(conn)}
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
+		c.Send(isup.Message{Type: isup.GroupState}.WithText(isup.Report, "x0:900;x1:1000"))
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c *Conn) {
+	for {
+		m, err := isup.Read(c.In)
+		if err != nil {
+			return
+		}
+		g := Got{m, c, time.Now()}
+		s.mu.Lock()
+		s.seen = append(s.seen, g)
+		s.mu.Unlock()
+		select {
+		case s.Got <- g:
+		default: // a test that does not look
+		}
+	}
+}
+
+// Await returns the next message of a type; others before it are passed over.
+func (s *Server) Await(t testing.TB, want isup.Type) Got {
+	t.Helper()
+	for deadline := time.After(Patience); ; {
+		select {
+		case g := <-s.Got:
+			if g.Type == want {
+				return g
+			}
+		case <-deadline:
+			require.FailNow(t, "setup server: no message", "of type %d", want)
+		}
+	}
+}
+
+// Seen counts the messages of a type for a call; 0 stands for any call.
+func (s *Server) Seen(want isup.Type, id isup.CallID) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.seen {
+		if g.Type == want && (id == 0 || g.Call == id) {
+			n++
+		}
+	}
+	return n
+}
+
+// Refuse closes the listener only, so that new connections are refused.
+func (s *Server) Refuse() { s.ln.Close() }
+
+// Conns returns the connections accepted so far.
+func (s *Server) Conns() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Conn(nil), s.conns...)
+}
+
+// Die resets all connections, as a process that dies.
+func (s *Server) Die() {
+	s.ln.Close()
+	for _, c := range s.Conns() {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Answer lets a set-up's call stand.
+func (g Got) Answer(description string) {
+	g.Conn.Send(isup.Message{Type: isup.Answer, Call: g.Call}.WithText(isup.Description, description))
+}
+
+// Release ends a set-up or a call.
+func (g Got) Release(c isup.Cause, note string) {
+	m := isup.Message{Type: isup.Release, Call: g.Call}.WithCause(c)
+	if note != "" {
+		m = m.WithText(isup.Note, note)
+	}
+	g.Conn.Send(m)
+}
+
+// Caller is a connection of callers.
+type Caller struct{ Conn }
+
+// NewCaller connects to a call agent.
+func NewCaller(t testing.TB, addr string) *Caller {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", addr, Patience)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return &Caller{Conn{conn, bufio.NewReader(conn)}}
+}
+
+// SetUp sends a set-up.
+func (c *Caller) SetUp(id isup.CallID, class string, left time.Duration, dest int) {
+	c.Send(isup.Message{Type: isup.SetUp, Call: id}.WithText(isup.Class, class).WithMillis(isup.Left, left).
+		WithText(isup.Number, fmt.Sprint(id)).WithText(isup.Figures, fmt.Sprintf("dest:%d;width:1;via:-1", dest)).
+		WithText(isup.Description, "offer "+id.String()))
+}
+
+// Next returns the next message, or an error at the end of the connection.
+func (c *Caller) Next() (isup.Message, error) {
+	c.SetReadDeadline(time.Now().Add(Patience))
+	return isup.Read(c.In)
+}
+
+// Await returns the next message, which must be of this type and call.
+func (c *Caller) Await(t testing.TB, want isup.Type, id isup.CallID) isup.Message {
+	t.Helper()
+	m, err := c.Next()
+	require.NoError(t, err)
+	require.Equal(t, want, m.Type)
+	require.Equal(t, id, m.Call)
+	return m
+}
+
+// Bulletin tells of setup servers.
+type Bulletin struct {
+	Addr string
+
+	mu    sync.Mutex
+	items []map[string]any
+	news  chan struct{}
+}
+
+// Endpoint words an entry of the list.
+func Endpoint(name, addr string, group int, status string) map[string]any {
+	return map[string]any{"name": name, "address": addr, "zone": "z", "type": "std", "group": group,
+		"status": status, "weight": 1, "since_ms": 0}
+}
+
+// NewBulletin starts a bulletin whose first event lists these entries.
+func NewBulletin(t testing.TB, entries ...map[string]any) *Bulletin {
+	b := &Bulletin{news: make(chan struct{})}
+	b.Tell(true, entries...)
+	srv := httptest.NewServer(b)
+	b.Addr = srv.Listener.Addr().String()
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return b
+}
+
+// Tell adds an event.
+func (b *Bulletin) Tell(whole bool, entries ...map[string]any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := len(b.items) + 1
+	b.items = append(b.items, map[string]any{"no": n,
+		"roster": map[string]any{"index": n, "snapshot": whole, "endpoints": entries}})
+	close(b.news)
+	b.news = make(chan struct{})
+}
+
+// Known is the form of the events so far.
+func (b *Bulletin) Known(after int) map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	after = min(after, len(b.items))
+	return map[string]any{"no": len(b.items), "items": b.items[after:]}
+}
+
+func (b *Bulletin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	patience, _ := strconv.Atoi(r.URL.Query().Get("patience"))
+	b.mu.Lock()
+	news, known := b.news, len(b.items)
+	b.mu.Unlock()
+	if after >= known {
+		select {
+		case <-news:
+		case <-r.Context().Done():
+		case <-time.After(time.Duration(patience) * time.Millisecond):
+		}
+	}
+	json.NewEncoder(w).Encode(b.Known(after))
+}
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -152,7 +152,7 @@
 	}
 	places := map[string]*float64{"x0": &r.Spare, "spare": &r.Spare, "x1": &r.Total, "total": &r.Total,
 		"util": &r.Util, "queue": &r.Queue, "qps": &r.Rate, "allowed": &r.Rate, "eps": &r.HoldBack,
-		"cut_by": &r.HoldBack}
+		"cut_by": &r.HoldBack, "latency_ms": &r.Wait}
 	var bad error
 	err := isup.Fields(string(text), func(name, value string) {
 		place := places[name]
@@ -164,7 +164,9 @@
 			bad = fmt.Errorf("report field %s: %q is no number", name, value)
 			return
 		}
-		*place = x
+		if *place = x; name == "latency_ms" {
+			r.Wait /= 1000
+		}
 	})
 	return r, errors.Join(err, bad)
 }
--- /dev/null
+++ b/internal/trunk/trunk_test.go
@@ -0,0 +1,353 @@
+package trunk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/agent"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+	"woodrouter/policy"
+)
+
+const ms = time.Millisecond
+
+// told is what a pool says to the core.
+type told struct {
+	stands bool
+	id     string
+	n      int
+	err    *agent.Failure
+	at     time.Time
+}
+
+type core struct {
+	told    chan told
+	reports chan policy.Probed
+}
+
+func (c *core) Stands(id string, n int, _ []byte) { c.told <- told{true, id, n, nil, time.Now()} }
+func (c *core) Ended(id string, n int, err *agent.Failure, _ policy.Report) {
+	c.told <- told{false, id, n, err, time.Now()}
+}
+func (c *core) Reported(p policy.Probed) {
+	select {
+	case c.reports <- p:
+	default:
+	}
+}
+
+func (c *core) await(t *testing.T) told {
+	t.Helper()
+	select {
+	case v := <-c.told:
+		return v
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "the core was not told")
+		return told{}
+	}
+}
+
+// ended awaits the end of an attempt and checks how it came.
+func (c *core) ended(t *testing.T, stage agent.Stage, result policy.Result) told {
+	t.Helper()
+	v := c.await(t)
+	require.False(t, v.stands)
+	require.NotNil(t, v.err)
+	assert.Equal(t, stage, v.err.Stage, v.err)
+	assert.Equal(t, result, v.err.Result, v.err)
+	return v
+}
+
+func start(t *testing.T, cfg Config) (*Pool, *core) {
+	c := &core{make(chan told, 100), make(chan policy.Probed, 100)}
+	p := NewPool(cfg, c)
+	t.Cleanup(p.Close)
+	return p, c
+}
+
+func listed(addr string, s policy.State, since time.Time) agent.Server {
+	ready := policy.Time(0)
+	if !since.IsZero() {
+		ready = policy.Time(since.UnixNano())
+	}
+	return agent.Server{Server: policy.Server{ID: "s", State: s, ReadyAt: ready}, Address: addr}
+}
+
+func (p *Pool) news(servers ...agent.Server) { p.Servers(servers, false) }
+
+func attemptFor(id string, left time.Duration) agent.Attempt {
+	return agent.Attempt{ID: id, Server: "s", Class: "voice", Number: "12", Until: time.Now().Add(left),
+		Description: []byte("offer")}
+}
+
+const one, two = "0000000000000001", "0000000000000002"
+
+// TestSetUp: a set-up goes on unchanged, and each release is read as what it means.
+func TestSetUp(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	g := s.Await(t, isup.SetUp)
+	assert.Equal(t, one, g.Call.String())
+	assert.Equal(t, "voice 12 offer", g.Text(isup.Class)+" "+g.Text(isup.Number)+" "+g.Text(isup.Description))
+	left, err := g.Millis(isup.Left)
+	require.NoError(t, err)
+	assert.InDelta(t, 3000, left.Milliseconds(), 2900)
+	g.Answer("there")
+	require.True(t, c.await(t).stands)
+	g.Release(isup.Normal, "")
+	require.Nil(t, c.await(t).err, "the call came to its end")
+	for _, tc := range []struct {
+		cause  isup.Cause
+		note   string
+		stage  agent.Stage
+		result policy.Result
+	}{
+		{isup.NoCircuit, "overload", agent.Spoken, policy.Full},
+		{isup.NoCircuit, "no_circuit", agent.Spoken, policy.NoLines},
+		{isup.UserBusy, "lines_busy", agent.Spoken, policy.Busy},
+		{isup.Unavailable, "", agent.Spoken, policy.Faulted},
+		{isup.TimerExpiry, "", agent.Spoken, policy.NotSent},
+		{isup.TempFailure, "", agent.Written, policy.Cut},
+	} {
+		p.SetUp(attemptFor(one, 3*time.Second))
+		s.Await(t, isup.SetUp).Release(tc.cause, tc.note)
+		c.ended(t, tc.stage, tc.result)
+	}
+}
+
+// TestRefused: a refused connection proves that nothing ran.
+func TestRefused(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	s.Die()
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	c.ended(t, agent.Unconnected, policy.Unreachable)
+}
+
+// TestDialOutlasted: a set-up that waits for a connection is looked at again when the
+// dial ends. A drain notice, its deadline or its caller may have come first.
+func TestDialOutlasted(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		while  func(p *Pool, s *standin.Server)
+		result policy.Result
+	}{
+		{"drain", func(p *Pool, s *standin.Server) { p.news(listed(s.Addr, policy.Draining, time.Time{})) }, policy.NotSent},
+		{"gone", func(p *Pool, s *standin.Server) { p.Servers(nil, true) }, policy.NotSent},
+		{"given up", func(p *Pool, s *standin.Server) { p.GiveUp("s", one, 0, policy.Cancelled) }, policy.Cancelled},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s, dial := standin.NewServer(t, ""), make(chan struct{})
+			p, c := start(t, Config{ConnectTimeout: standin.Patience,
+				Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+					<-dial
+					return net.Dial("tcp", addr)
+				}})
+			p.news(listed(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(attemptFor(one, 3*time.Second))
+			tc.while(p, s)
+			c.ended(t, agent.Unwritten, tc.result)
+			close(dial)
+			p.Close()
+			assert.Zero(t, s.Seen(isup.SetUp, 0), "nothing may be written any more")
+		})
+	}
+	t.Run("deadline", func(t *testing.T) {
+		p, c := start(t, Config{})
+		s := standin.NewServer(t, "")
+		p.news(listed(s.Addr, policy.Up, time.Time{}))
+		p.SetUp(attemptFor(one, -ms))
+		c.ended(t, agent.Unwritten, policy.NotSent)
+	})
+	t.Run("no connection in time", func(t *testing.T) {
+		p, c := start(t, Config{ConnectTimeout: 50 * ms, Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}})
+		p.news(listed("127.0.0.1:1", policy.Up, time.Time{}))
+		p.SetUp(attemptFor(one, 3*time.Second))
+		c.ended(t, agent.Unconnected, policy.Unreachable)
+	})
+}
+
+// TestGiveUp: the end of a given-up attempt is told once the give-up is written, and a
+// late answer is released at the server, where it would stand for ever.
+func TestGiveUp(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	g := s.Await(t, isup.SetUp)
+	p.GiveUp("s", one, 0, policy.TimedOut)
+	c.ended(t, agent.Written, policy.TimedOut)
+	cause, err := s.Await(t, isup.Release).Cause()
+	require.NoError(t, err)
+	require.Equal(t, isup.Normal, cause)
+	p.GiveUp("s", one, 0, policy.TimedOut) // twice: nothing more to end
+	g.Answer("late")
+	require.Equal(t, one, s.Await(t, isup.Release).Call.String())
+	p.SetUp(attemptFor(two, 3*time.Second))
+	s.Await(t, isup.SetUp).Answer("")
+	v := c.await(t)
+	assert.Equal(t, two, v.id, "neither the late answer nor the second give-up was told")
+}
+
+// TestReset: set-ups out on a connection that breaks may have run; calls that stand
+// outlive it, and their end comes on the next one.
+func TestReset(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	s.Await(t, isup.SetUp).Answer("")
+	require.True(t, c.await(t).stands)
+	p.SetUp(attemptFor(two, 3*time.Second))
+	g := s.Await(t, isup.SetUp)
+	g.Conn.Close()
+	require.Equal(t, two, c.ended(t, agent.Written, policy.Cut).id)
+	require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
+	s.Conns()[1].Send(isup.Message{Type: isup.Release, Call: 1}.WithCause(isup.Normal))
+	v := c.await(t)
+	require.Equal(t, one, v.id)
+	require.Nil(t, v.err)
+}
+
+// TestReleaseOutlivesConnection: a release written while no connection is up is said on
+// the next one.
+func TestReleaseOutlivesConnection(t *testing.T) {
+	var hold sync.Mutex
+	p, c := start(t, Config{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		hold.Lock()
+		defer hold.Unlock()
+		return net.Dial("tcp", addr)
+	}})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	g := s.Await(t, isup.SetUp)
+	g.Answer("")
+	require.True(t, c.await(t).stands)
+	hold.Lock()
+	p.SetUp(attemptFor(two, 3*time.Second))
+	s.Await(t, isup.SetUp)
+	g.Conn.Close()
+	c.ended(t, agent.Written, policy.Cut)
+	p.GiveUp("s", one, 0, policy.Cancelled)
+	c.ended(t, agent.Stood, policy.Cancelled)
+	hold.Unlock()
+	require.Equal(t, one, s.Await(t, isup.Release).Call.String())
+}
+
+// TestDeath: nobody tells of the calls of a process that has died. A refused connection,
+// a later start or its leaving the list does.
+func TestDeath(t *testing.T) {
+	for name, die := range map[string]func(p *Pool, s *standin.Server){
+		"refused":   func(p *Pool, s *standin.Server) { s.Die() },
+		"restarted": func(p *Pool, s *standin.Server) { p.news(listed(s.Addr, policy.Up, time.Now().Add(time.Second))) },
+		"removed":   func(p *Pool, s *standin.Server) { p.news(listed(s.Addr, policy.Gone, time.Time{})) },
+		"left out":  func(p *Pool, s *standin.Server) { p.Servers(nil, true) },
+		"moved": func(p *Pool, s *standin.Server) {
+			s.Refuse()
+			p.news(listed(s.Addr+"0", policy.Up, time.Now().Add(time.Second)))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, c := start(t, Config{})
+			s := standin.NewServer(t, "")
+			p.news(listed(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(attemptFor(one, 3*time.Second))
+			s.Await(t, isup.SetUp).Answer("")
+			require.True(t, c.await(t).stands)
+			die(p, s)
+			c.ended(t, agent.Stood, policy.Cut)
+		})
+	}
+}
+
+// TestSilence: a machine that vanished leaves its connection open and silent. A quiet one
+// does so too, but takes a new connection; its calls must not be cut.
+func TestSilence(t *testing.T) {
+	for _, vanished := range []bool{true, false} {
+		t.Run(fmt.Sprint("vanished ", vanished), func(t *testing.T) {
+			var mu sync.Mutex
+			lost := false
+			p, c := start(t, Config{Silence: 200 * ms, ConnectTimeout: 100 * ms, Redial: 50 * ms,
+				Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+					mu.Lock()
+					defer mu.Unlock()
+					if lost {
+						return nil, errors.New("no route")
+					}
+					return net.Dial("tcp", addr)
+				}})
+			s := standin.NewServer(t, "")
+			p.news(listed(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(attemptFor(one, 3*time.Second))
+			s.Await(t, isup.SetUp).Answer("")
+			require.True(t, c.await(t).stands)
+			mu.Lock()
+			lost = vanished
+			mu.Unlock()
+			if vanished {
+				c.ended(t, agent.Stood, policy.Cut)
+				return
+			}
+			require.Eventually(t, func() bool { return len(s.Conns()) >= 3 }, standin.Patience, ms)
+			assert.Empty(t, c.told, "the call stands")
+		})
+	}
+}
+
+// TestBadMessages: what can't be understood ends the connection, never the actor.
+func TestBadMessages(t *testing.T) {
+	for name, bad := range map[string]string{
+		"oversized":    "\xff\xff",
+		"too short":    "\x00\x01\x09",
+		"unknown type": "\x00\x09\x63\x00\x00\x00\x00\x00\x00\x00\x01",
+		"no cause":     "\x00\x09\x0c\x00\x00\x00\x00\x00\x00\x00\x01",
+		"bad report":   "\x00\x10\x2b\x00\x00\x00\x00\x00\x00\x00\x01\x19\x00\x04x0:x",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, c := start(t, Config{})
+			s := standin.NewServer(t, "")
+			p.news(listed(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(attemptFor(one, 3*time.Second))
+			g := s.Await(t, isup.SetUp)
+			g.Conn.Write([]byte(bad))
+			c.ended(t, agent.Written, policy.Cut)
+			p.SetUp(attemptFor(two, 3*time.Second))
+			s.Await(t, isup.SetUp).Answer("")
+			require.True(t, c.await(t).stands, "the next connection serves")
+		})
+	}
+}
+
+// TestProbe: a test with cause 1 brings a report; silence is a timeout.
+func TestProbe(t *testing.T) {
+	p, c := start(t, Config{ProbeTimeout: 300 * ms})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	require.False(t, (<-c.reports).Asked, "the state of the group comes first")
+	p.Probe("s")
+	g := s.Await(t, isup.Test)
+	g.Conn.Send(isup.Message{Type: isup.TestResult, Call: g.Call}.WithCause(isup.Passed).
+		WithText(isup.Report, "x0:7;x1:9;latency_ms:40;new_field:?"))
+	got := <-c.reports
+	assert.True(t, got.Asked)
+	assert.Equal(t, policy.OK, got.Result)
+	assert.Equal(t, []float64{7, 9, 0.04}, []float64{got.Report.Spare, got.Report.Total, got.Report.Wait})
+	p.Probe("s")
+	assert.Equal(t, policy.TimedOut, (<-c.reports).Result)
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -179,6 +179,8 @@
 			r.Rate = x
 		case "cut_by":
 			r.HoldBack = x
+		case "latency_ms":
+			r.Wait = max(x/1000, policy.None)
 		}
 	}
 	return r
--- /dev/null
+++ b/internal/ws/ws_test.go
@@ -0,0 +1,144 @@
+package ws
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// client words a client's frame; its mask is not zero, so that it counts.
+func client(first byte, payload string) string {
+	mask := []byte{1, 2, 3, 4}
+	b := []byte{first, 0x80 | byte(len(payload))}
+	if len(payload) > 125 {
+		b = []byte{first, 0x80 | 126, byte(len(payload) >> 8), byte(len(payload))}
+	}
+	b = append(b, mask...)
+	for i := range payload {
+		b = append(b, payload[i]^mask[i%4])
+	}
+	return string(b)
+}
+
+func TestMessages(t *testing.T) {
+	long := strings.Repeat("y", 300)
+	for _, tc := range []struct {
+		name, in string
+		want     string // messages, each with its opcode in front
+		code     int    // of the close error; 0: the input just ends
+	}{
+		{"text", client(0x81, "hello"), "1hello ", 0},
+		{"empty text", client(0x81, ""), "1 ", 0},
+		{"two-byte length", client(0x81, long), "1" + long + " ", 0},
+		{"fragmented", client(0x01, "he") + client(0x00, "ll") + client(0x80, "o"), "1hello ", 0},
+		{"ping between fragments", client(0x01, "a") + client(0x89, "p") + client(0x80, "b"), "9p 1ab ", 0},
+		{"binary", client(0x82, "x"), "2x ", 0},
+		{"unmasked", "\x81\x05hello", "", StatusProtocol},
+		{"reserved bit", client(0xc1, "x"), "", StatusProtocol},
+		{"unknown opcode", client(0x83, "x"), "", StatusProtocol},
+		{"unknown control opcode", client(0x8b, "x"), "", StatusProtocol},
+		{"fragmented ping", client(0x09, "x"), "", StatusProtocol},
+		{"long ping", client(0x89, long), "", StatusProtocol},
+		{"continuation of nothing", client(0x80, "x"), "", StatusProtocol},
+		{"message inside a message", client(0x01, "x") + client(0x81, "y"), "", StatusProtocol},
+		{"longer form than needed", "\x81\xfe\x00\x05\x00\x00\x00\x00hello", "", StatusProtocol},
+		{"length over 63 bits", "\x81\xff\xff\xff\xff\xff\xff\xff\xff\xff\x00\x00\x00\x00", "", StatusProtocol},
+		{"oversized", "\x81\xff\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00", "", StatusTooBig},
+		{"oversized in fragments", strings.Repeat(client(0x01, long), 1) + strings.Repeat(client(0x00, long), 4), "", StatusTooBig},
+		{"not UTF-8", client(0x81, "\xff\xfe"), "", StatusInvalid},
+		{"close", client(0x88, "\x03\xe8bye"), "", StatusNormal},
+		{"close without a code", client(0x88, ""), "", StatusNoCode},
+		{"close of one byte", client(0x88, "\x03"), "", StatusProtocol},
+		{"close code out of use", client(0x88, "\x03\xee"), "", StatusProtocol},
+		{"close reason not UTF-8", client(0x88, "\x03\xe8\xff"), "", StatusInvalid},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, got := Reader{In: bufio.NewReader(strings.NewReader(tc.in)), Most: 1000}, ""
+			for {
+				op, data, ok, err := r.Next()
+				if err != nil {
+					var closed *CloseError
+					if tc.code == 0 {
+						require.ErrorIs(t, err, io.EOF)
+					} else if assert.ErrorAs(t, err, &closed) {
+						assert.Equal(t, tc.code, closed.Code)
+					}
+					break
+				}
+				if ok {
+					got += string('0'+op) + string(data) + " "
+				}
+			}
+			assert.Equal(t, tc.want, got)
+		})
+	}
+}
+
+// TestEndInsideAFrame: an end inside a frame is told from one between two.
+func TestEndInsideAFrame(t *testing.T) {
+	whole := client(0x81, strings.Repeat("z", 200))
+	for n := 1; n < len(whole); n++ {
+		_, err := ReadFrame(strings.NewReader(whole[:n]), 1000)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d bytes", n)
+	}
+}
+
+func TestUpgrade(t *testing.T) {
+	const good = "GET /calls HTTP/1.1\r\nHost: x\r\nUpgrade: WebSocket\r\nConnection: keep-alive, Upgrade\r\n" +
+		"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n"
+	e := Endpoint{Path: "/calls", Subprotocol: "p.v1", Origins: []string{"https://good"},
+		Allow: func(r *http.Request) int {
+			if r.Header.Get("Authorization") == "bad" {
+				return http.StatusUnauthorized
+			}
+			return 0
+		}}
+	for _, tc := range []struct{ name, in, want string }{
+		// The key and its answer are those of RFC 6455, section 1.3.
+		{"good", good, "101 s3pPLMBiTxaQ9kYGzzhZRbK+xOo="},
+		{"subprotocol", good + "Sec-WebSocket-Protocol: a, p.v1\r\n", "101 Sec-WebSocket-Protocol: p.v1"},
+		{"known origin", good + "Origin: https://good\r\n", "101 "},
+		{"unknown origin", good + "Origin: https://bad\r\n", "403 "},
+		{"not allowed", good + "Authorization: bad\r\n", "401 WWW-Authenticate"},
+		{"other path", strings.Replace(good, "/calls", "/", 1), "404 "},
+		{"other method", strings.Replace(good, "GET", "POST", 1), "405 "},
+		{"old HTTP", strings.Replace(good, "1.1", "1.0", 1), "400 "},
+		{"no upgrade", strings.Replace(good, "Upgrade: W", "Not: w", 1), "426 Sec-WebSocket-Version: 13"},
+		{"other version", strings.Replace(good, "13", "8", 1), "426 "},
+		{"short key", strings.Replace(good, "dGhlIHNhbXBsZSBub25jZQ==", "dGhl", 1), "400 "},
+		{"not HTTP", "hello\r\n", "400 "},
+		{"endless", "GET /calls HTTP/1.1\r\nA: " + strings.Repeat("a", 2*maxRequest), "400 "},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			in := bufio.NewReaderSize(strings.NewReader(tc.in+"\r\nrest"), 1<<17)
+			response, err := e.Upgrade(in)
+			status, detail, _ := strings.Cut(tc.want, " ")
+			assert.Contains(t, string(response), "HTTP/1.1 "+status+" ")
+			assert.Contains(t, string(response), detail)
+			if assert.Equal(t, status == "101", err == nil) && err == nil {
+				rest, _ := io.ReadAll(in)
+				assert.Equal(t, "rest", string(rest), "what follows the request is left to the frames")
+			}
+		})
+	}
+}
+
+// FuzzNext: no bytes of a client may panic the reader.
+func FuzzNext(f *testing.F) {
+	f.Add([]byte(client(0x01, "a") + client(0x89, "p") + client(0x80, "b")))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r := Reader{In: bufio.NewReader(strings.NewReader(string(in))), Most: 100}
+		for {
+			_, data, _, err := r.Next()
+			if err != nil {
+				return
+			}
+			require.LessOrEqual(t, len(data), 125)
+		}
+	})
+}
--- /dev/null
+++ b/isup/isup_test.go
@@ -0,0 +1,105 @@
+package isup
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// raw frames a body with its length.
+func raw(body string) string { return string([]byte{byte(len(body) >> 8), byte(len(body))}) + body }
+
+const id = "\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55"
+
+func TestRead(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		want     Message
+		err      error
+	}{
+		{"set-up", raw("\x01" + id + "\x10\x00\x05voice\x11\x00\x041500"), Message{Type: SetUp, Call: 0x7f3a9c21e0b4d655,
+			Values: []Value{{Class, []byte("voice")}, {Left, []byte("1500")}}}, nil},
+		{"no parameters", raw("\x06" + id), Message{Type: Progress, Call: 0x7f3a9c21e0b4d655}, nil},
+		{"unknown parameter kept", raw("\x06" + id + "\xee\x00\x00"), Message{Type: Progress, Call: 0x7f3a9c21e0b4d655,
+			Values: []Value{{0xee, []byte{}}}}, nil},
+		{"nothing", "", Message{}, io.EOF},
+		{"half a length", "\x00", Message{}, io.ErrUnexpectedEOF},
+		{"cut off", raw("\x01" + id)[:6], Message{}, io.ErrUnexpectedEOF},
+		{"length only", "\x00\x20", Message{}, io.ErrUnexpectedEOF},
+		{"too short for a call", raw("\x01\x02"), Message{}, ErrShort},
+		{"oversized", "\x40\x01" + strings.Repeat("x", MaxMessage+1), Message{}, ErrOversized},
+		{"parameter over the end", raw("\x01" + id + "\x10\x00\x06voice"), Message{}, ErrParameter},
+		{"half a parameter head", raw("\x01" + id + "\x10\x00"), Message{}, ErrParameter},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := Read(strings.NewReader(tc.in))
+			if tc.err != nil {
+				require.ErrorIs(t, err, tc.err)
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, tc.want, got)
+			back, err := got.Append(nil)
+			require.NoError(t, err)
+			assert.Equal(t, tc.in, string(back), "written as it was read")
+		})
+	}
+}
+
+func TestValues(t *testing.T) {
+	m := Message{Type: Release}.WithCause(NoCircuit).WithText(Note, "overload").WithMillis(StayAway, 1500*time.Millisecond)
+	cause, err := m.Cause()
+	require.NoError(t, err)
+	assert.Equal(t, NoCircuit, cause)
+	assert.Equal(t, "overload", m.Text(Note))
+	d, err := m.Millis(StayAway)
+	require.NoError(t, err)
+	assert.Equal(t, 1500*time.Millisecond, d)
+	for _, bad := range []string{"", "-1", "soon", "99999999999"} {
+		_, err := Message{}.WithText(Left, bad).Millis(Left)
+		assert.Error(t, err, "%q", bad)
+	}
+	_, err = Message{}.With(CauseCode, []byte{1, 2}).Cause()
+	assert.Error(t, err, "a cause is one byte")
+	_, err = Message{}.With(Description, make([]byte, MaxMessage)).Append(nil)
+	assert.ErrorIs(t, err, ErrOversized)
+}
+
+func TestCallID(t *testing.T) {
+	for in, ok := range map[string]bool{"7f3a9c21e0b4d655": true, "0000000000000001": true, "1": false,
+		"7f3a9c21e0b4d65g": false, "+f3a9c21e0b4d655": false, "": false} {
+		got, err := ParseCallID(in)
+		if assert.Equal(t, ok, err == nil, in) && ok {
+			assert.Equal(t, in, got.String())
+		}
+	}
+}
+
+func TestFields(t *testing.T) {
+	for in, want := range map[string]string{"": "", "x0:12;x1:40": "x0=12 x1=40 ", "a:;;b:c:d": "a= b=c:d ", "a": "error"} {
+		got := ""
+		if err := Fields(in, func(n, v string) { got += n + "=" + v + " " }); err != nil {
+			got = "error"
+		}
+		assert.Equal(t, want, got, "%q", in)
+	}
+}
+
+// FuzzRead: no input may panic the reader, and what it takes it can write again.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(raw("\x01" + id + "\x10\x00\x05voice")))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		m, err := Read(bytes.NewReader(in))
+		if err != nil {
+			return
+		}
+		out, err := m.Append(nil)
+		require.NoError(t, err)
+		require.Equal(t, in[:len(out)], out)
+	})
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -77,10 +77,11 @@
 	Queue        float64 // set-ups waiting at the processor
 	Rate         float64 // new set-ups a second that it takes from all senders
 	HoldBack     float64 // share of first set-ups that it asks senders to refuse
+	Wait         float64 // seconds that a message waits at the processor
 }
 
 // NoReport returns a report without figures.
-func NoReport() Report { return Report{None, None, None, None, None, None} }
+func NoReport() Report { return Report{None, None, None, None, None, None, None} }
 
 // State is a server's state on the list.
 type State int
--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -62,6 +62,8 @@
 			func(b float64) bool { return b > 0.5 }},
 		{"rate over the flow", func(r *Report) { r.Rate, r.Spare, r.Total = 50, 100, 200 },
 			func(b float64) bool { return b == 0 }},
+		{"wait long", func(r *Report) { r.Wait = 0.8 }, func(b float64) bool { return b > 0.1 && b < 0.5 }},
+		{"wait none", func(r *Report) { r.Wait = 0 }, func(b float64) bool { return b == 0 }},
 		{"held back", func(r *Report) { r.HoldBack = 0.25 }, func(b float64) bool { return b == 0.25 }},
 		{"none", func(*Report) {}, func(b float64) bool { return b == 0 }},
 		{"NaN", func(r *Report) { r.Util = math.NaN() }, func(b float64) bool { return b == 0 }},
@@ -77,6 +79,19 @@
 	}
 }
 
+// TestWaitOpens: a capacity that was measured while a server ran slow must not keep it
+// shut when its reports tell that nothing waits there any more.
+func TestWaitOpens(t *testing.T) {
+	b := newBench(t, testSettings(), up(1)...)
+	s := b.c.servers[0]
+	s.mu, s.flow, s.lines, s.total = 5, 20, 100, 1000
+	b.c.setB(s, 0.5)
+	b.feed(s.ID, report(func(r *Report) { r.Wait = 0 }))
+	if s.b != 0 {
+		t.Errorf("b = %v at a server that is idle", s.b)
+	}
+}
+
 // TestFullCounts: one 'full' a server in 200 ms moves b, and the server is avoided.
 func TestFullCounts(t *testing.T) {
 	b := newBench(t, testSettings(), up(2)...)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -110,6 +110,7 @@
 	updated  Time          // of meanB
 	reported Time          // when the latest report came
 	period   time.Duration // between reports, as they reach this sender
+	waits    bool          // its reports tell of the wait
 	load     float64       // utilisation as reported, over flowSpan; None: not reported
 	loadAt   Time
 	queue    time.Duration // wait that the latest late answer or queue told of
@@ -427,7 +428,7 @@
 // throttle sets b from the flow of all senders' calls over capacity, or as reported.
 func (c *Controller) throttle(s *server) {
 	u := s.load
-	if s.flow > 0 {
+	if s.flow > 0 && !s.waits {
 		if mu := c.capacity(s); mu > 0 {
 			u = max(u, s.flow/mu)
 		}
@@ -510,6 +511,12 @@
 			c.queued(s, min(c.aim/2, time.Duration(r.Queue/mu*float64(time.Second))))
 		}
 	}
+	if usable(r.Wait) { // counted in set-ups of the length that an idle server takes
+		wait := time.Duration(r.Wait * float64(time.Second))
+		u = max(u, float64(wait)/float64(wait+max(s.base, c.set.Tick)))
+		c.queued(s, wait)
+		s.waits = true
+	}
 	if u > 0 && s.load > 0 {
 		u = s.load + fading(gap, flowSpan)*(u-s.load)
 	}
