--- /dev/null
+++ b/internal/bulletin/bulletin_test.go
@@ -0,0 +1,107 @@
+package bulletin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/agent"
+	"woodrouter/internal/standin"
+	"woodrouter/policy"
+)
+
+type core chan string
+
+func (c core) Servers(list []agent.Server, whole bool) { c <- fmt.Sprint(whole, " ", list) }
+
+func TestServers(t *testing.T) {
+	const entry = `"name":"s-1","address":"10.1.0.9:5070","zone":"east","new":1`
+	for _, tc := range []struct{ name, in, bad string }{
+		{"up", `{` + entry + `,"group":2,"status":"up","since_ms":1700000000123}`, ""},
+		{"removed, no address", `{"name":"s-1","group":2,"status":"removed"}`, ""},
+		{"no name", `{"address":"x","status":"up"}`, "endpoints[0].name"},
+		{"no state", `{` + entry + `}`, "endpoints[0].status"},
+		{"unknown state", `{` + entry + `,"status":"lost"}`, "endpoints[0].status"},
+		{"no address", `{"name":"s-1","status":"up"}`, "endpoints[0].address"},
+		{"before all time", `{` + entry + `,"status":"up","since_ms":-1}`, "endpoints[0].since_ms"},
+	} {
+		var r Roster
+		require.NoError(t, json.Unmarshal([]byte(`{"endpoints":[`+tc.in+`]}`), &r))
+		list, err := r.Servers()
+		if tc.bad != "" {
+			assert.ErrorContains(t, err, tc.bad, tc.name)
+			continue
+		}
+		require.NoError(t, err, tc.name)
+		assert.Equal(t, 2, list[0].Pool)
+		if tc.name == "up" {
+			assert.Equal(t, policy.Time(1700000000123*time.Millisecond), list[0].ReadyAt, "Unix time")
+			assert.Equal(t, "10.1.0.9:5070", list[0].Address)
+		}
+	}
+}
+
+func follow(t *testing.T, addr string) (core, *Follower) {
+	c := make(core, 100)
+	f := &Follower{Address: addr, Core: c, Log: slog.New(slog.DiscardHandler), Patience: 200 * time.Millisecond,
+		Retry: 10 * time.Millisecond}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return c, f
+}
+
+func (c core) next(t *testing.T) string {
+	t.Helper()
+	select {
+	case s := <-c:
+		return s
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "no news")
+		return ""
+	}
+}
+
+// TestFollow: events come once and in order, over empty answers. One that can't be read
+// is passed over: it would come again for ever.
+func TestFollow(t *testing.T) {
+	b := standin.NewBulletin(t, standin.Endpoint("a", "x:1", 0, "up"))
+	c, _ := follow(t, b.Addr)
+	assert.Contains(t, c.next(t), "true [{{a 0 0 0s} x:1}]")
+	b.Tell(false, standin.Endpoint("a", "x:1", 0, "odd"))
+	b.Tell(false, standin.Endpoint("a", "x:1", 0, "draining"))
+	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1}]")
+	assert.Empty(t, c)
+}
+
+// TestBadAnswers: a bulletin that answers nonsense, or nothing, is asked again.
+func TestBadAnswers(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	answers := []string{"", "nonsense\r\n\r\n", "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" +
+			`{"no":1,"items":[{"no":1,"roster":{"snapshot":true,"endpoints":[{"name":"a","address":"x:1","status":"up"}]}}]}`}
+	go func() {
+		for _, a := range answers {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conn.Read(make([]byte, 1000))
+			conn.Write([]byte(a))
+			conn.Close()
+		}
+	}()
+	c, _ := follow(t, ln.Addr().String())
+	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1}]")
+}
--- /dev/null
+++ b/internal/callapi/callapi_test.go
@@ -0,0 +1,339 @@
+package callapi
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/agent"
+	"woodrouter/internal/desk"
+	"woodrouter/internal/standin"
+	"woodrouter/internal/ws"
+)
+
+// core takes every call and lets the test decide.
+type core struct {
+	offered   chan agent.Call
+	withdrawn chan string
+	busy      bool
+}
+
+func (c *core) Offer(_ agent.Front, call agent.Call) bool {
+	if !c.busy {
+		c.offered <- call
+	}
+	return !c.busy
+}
+func (c *core) Withdraw(_ agent.Front, id string) { c.withdrawn <- id }
+
+func next[T any](t *testing.T, from chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "nothing came")
+	}
+	return v
+}
+
+func start(t *testing.T, cfg desk.Config) (*Front, *core, string) {
+	c := &core{make(chan agent.Call, 100), make(chan string, 100), false}
+	f := New(cfg, c)
+	f.Configure(ws.Endpoint{Path: "/calls"}, 4096)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go f.Serve(ln)
+	t.Cleanup(func() { ln.Close(); f.Close() })
+	return f, c, "ws://" + ln.Addr().String() + "/calls"
+}
+
+// client is coder/websocket: an implementation that this one did not write.
+type client struct {
+	*websocket.Conn
+	t   *testing.T
+	ctx context.Context
+}
+
+func dial(t *testing.T, url string) client {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), standin.Patience)
+	t.Cleanup(cancel)
+	conn, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{Subprotocols: []string{"woodrouter.call.v1"}})
+	require.NoError(t, err)
+	require.Equal(t, "woodrouter.call.v1", resp.Header.Get("Sec-WebSocket-Protocol"))
+	t.Cleanup(func() { conn.CloseNow() })
+	return client{conn, t, ctx}
+}
+
+func (c client) say(text string) {
+	c.t.Helper()
+	require.NoError(c.t, c.Write(c.ctx, websocket.MessageText, []byte(text)))
+}
+
+// hear returns the next message in one form: what was told, without its prose.
+func (c client) hear() string {
+	c.t.Helper()
+	_, text, err := c.Read(c.ctx)
+	require.NoError(c.t, err)
+	return brief(c.t, text)
+}
+
+func brief(t *testing.T, text []byte) string {
+	var m map[string]any
+	require.NoError(t, json.Unmarshal(text, &m))
+	require.Equal(t, "2.0", m["jsonrpc"])
+	delete(m, "jsonrpc")
+	if e, ok := m["error"].(map[string]any); ok {
+		require.NotEmpty(t, e["message"])
+		delete(e, "message")
+	}
+	b, err := json.Marshal(m)
+	require.NoError(t, err)
+	return string(b)
+}
+
+const id = "7f3a9c21e0b4d655"
+
+const setUp = `{"jsonrpc":"2.0","id":1,"method":"call.setUp","params":{"id":"` + id +
+	`","class":"voice","tenant":"t","number":"12","first_choice":2,"deadline_ms":3000,"description":"b2ZmZXI=","x":1}}`
+
+// TestOutcomes: each outcome of the core is one answer of the API.
+func TestOutcomes(t *testing.T) {
+	fail := &agent.Failure{Stage: agent.Written, Server: "s", Err: agent.ErrPanic}
+	for _, tc := range []struct {
+		name string
+		do   func(f *Front, c agent.Call)
+		want []string
+	}{
+		{"stands, ends", func(f *Front, c agent.Call) { f.Answered(c, []byte("there")); f.Ended(c, nil) },
+			[]string{`{"id":1,"result":{"description":"dGhlcmU=","id":"` + id + `"}}`,
+				`{"method":"call.ended","params":{"cause":"completed","id":"` + id + `"}}`}},
+		{"stands, is cut", func(f *Front, c agent.Call) { f.Answered(c, nil); f.Ended(c, fail) },
+			[]string{`{"id":1,"result":{"description":null,"id":"` + id + `"}}`,
+				`{"method":"call.ended","params":{"cause":"cut","id":"` + id + `"}}`}},
+		{"refused", func(f *Front, c agent.Call) { f.Refused(c, 1500*time.Millisecond) },
+			[]string{`{"error":{"code":1001,"data":{"id":"` + id + `","retry_after_ms":1500}},"id":1}`}},
+		{"failed", func(f *Front, c agent.Call) { f.Failed(c, fail) },
+			[]string{`{"error":{"code":1002,"data":{"id":"` + id + `","retry_after_ms":1000,"stage":"written"}},"id":1}`}},
+		{"overdue", func(f *Front, c agent.Call) { f.Failed(c, agent.ErrOverdue) },
+			[]string{`{"error":{"code":1003,"data":{"id":"` + id + `","retry_after_ms":1000}},"id":1}`}},
+		{"duplicate at another front", func(f *Front, c agent.Call) { f.Rejected(c, agent.ErrDuplicate) },
+			[]string{`{"error":{"code":1005,"data":{"id":"` + id + `","retry_after_ms":0}},"id":1}`}},
+		{"unknown class", func(f *Front, c agent.Call) { f.Rejected(c, agent.ErrClass) },
+			[]string{`{"error":{"code":1006,"data":{"id":"` + id + `","retry_after_ms":0}},"id":1}`}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, core, url := start(t, desk.Config{})
+			c := dial(t, url)
+			c.say(setUp)
+			call := next(t, core.offered)
+			assert.Equal(t, "voice t 12 2 offer", strings.Join([]string{call.Class, call.Tenant, call.Number,
+				string(rune('0' + call.Pool)), string(call.Description)}, " "))
+			assert.InDelta(t, 3, time.Until(call.Deadline).Seconds(), 2.9)
+			tc.do(f, call)
+			tc.do(f, call) // whatever comes again says nothing
+			for _, want := range tc.want {
+				assert.Equal(t, want, c.hear())
+			}
+			c.say(`{"jsonrpc":"2.0","id":9,"method":"nothing"}`)
+			assert.Contains(t, c.hear(), `-32601`, "nothing else was said")
+		})
+	}
+}
+
+// TestBadRequests: each is answered, and the connection and its calls go on.
+func TestBadRequests(t *testing.T) {
+	f, core, url := start(t, desk.Config{})
+	c := dial(t, url)
+	c.say(setUp)
+	call := next(t, core.offered)
+	for name, tc := range map[string]struct{ in, want string }{
+		"not JSON":               {`{`, `{"error":{"code":-32700},"id":null}`},
+		"not an object":          {`7`, `{"error":{"code":-32600},"id":null}`},
+		"a batch":                {`[]`, `{"error":{"code":-32600},"id":null}`},
+		"no version":             {`{"id":2,"method":"call.cancel"}`, `{"error":{"code":-32600},"id":2}`},
+		"an id that is none":     {`{"jsonrpc":"2.0","id":{},"method":"call.cancel"}`, `{"error":{"code":-32600},"id":null}`},
+		"unknown method":         {`{"jsonrpc":"2.0","id":"a","method":"call.hold"}`, `{"error":{"code":-32601},"id":"a"}`},
+		"request id in use":      {strings.Replace(setUp, id, "0000000000000002", 1), `{"error":{"code":-32600},"id":null}`},
+		"duplicate call id":      {strings.Replace(setUp, `"id":1`, `"id":2`, 1), `{"error":{"code":1005,"data":{"id":"` + id + `","retry_after_ms":0}},"id":2}`},
+		"bad call id":            {`{"jsonrpc":"2.0","id":2,"method":"call.setUp","params":{"id":"x"}}`, `{"error":{"code":-32602},"id":2}`},
+		"no class":               {`{"jsonrpc":"2.0","id":2,"method":"call.setUp","params":{"id":"` + id + `"}}`, `{"error":{"code":-32602},"id":2}`},
+		"no deadline":            {`{"jsonrpc":"2.0","id":2,"method":"call.setUp","params":{"id":"` + id + `","class":"v"}}`, `{"error":{"code":-32602},"id":2}`},
+		"long name":              {`{"jsonrpc":"2.0","id":2,"method":"call.setUp","params":{"id":"` + id + `","deadline_ms":1,"class":"` + strings.Repeat("v", 300) + `"}}`, `{"error":{"code":-32602},"id":2}`},
+		"wrong type":             {`{"jsonrpc":"2.0","id":2,"method":"call.setUp","params":{"id":5}}`, `{"error":{"code":-32602},"id":2}`},
+		"params that are a list": {`{"jsonrpc":"2.0","id":2,"method":"call.release","params":[1]}`, `{"error":{"code":-32602},"id":2}`},
+		"unknown call":           {`{"jsonrpc":"2.0","id":2,"method":"call.release","params":{"id":"0"}}`, `{"error":{"code":1007,"data":{"id":"0","retry_after_ms":0}},"id":2}`},
+	} {
+		c.say(tc.in)
+		assert.Equal(t, tc.want, c.hear(), name)
+	}
+	c.say(`{"jsonrpc":"2.0","method":"call.setUp"}`) // a notification is not answered
+	f.Answered(call, nil)
+	assert.Contains(t, c.hear(), `"result"`)
+}
+
+// TestCancel: a cancel answers the set-up's request too; a release ends a call that
+// stands, by another connection as well. Neither reaches the core twice.
+func TestCancel(t *testing.T) {
+	f, core, url := start(t, desk.Config{})
+	c := dial(t, url)
+	c.say(setUp)
+	next(t, core.offered)
+	c.say(`{"jsonrpc":"2.0","id":2,"method":"call.cancel","params":{"id":"` + id + `"}}`)
+	assert.Equal(t, `{"error":{"code":1004,"data":{"id":"`+id+`","retry_after_ms":0}},"id":1}`, c.hear())
+	assert.Equal(t, `{"id":2,"result":{}}`, c.hear())
+	assert.Equal(t, id, next(t, core.withdrawn))
+
+	c.say(setUp)
+	f.Answered(next(t, core.offered), nil)
+	c.hear()
+	c.CloseNow()
+	other := dial(t, url)
+	other.say(`{"jsonrpc":"2.0","id":1,"method":"call.release","params":{"id":"` + id + `"}}`)
+	assert.Equal(t, `{"id":1,"result":{}}`, other.hear())
+	assert.Equal(t, id, next(t, core.withdrawn))
+	assert.Empty(t, core.withdrawn, "the connection's end withdraws no call that stands")
+}
+
+// TestClientGone: a client that leaves mid-set-up withdraws its calls. The end of a call
+// that stands is told to its host's next connection.
+func TestClientGone(t *testing.T) {
+	f, core, url := start(t, desk.Config{})
+	c := dial(t, url)
+	c.say(setUp)
+	standing := next(t, core.offered)
+	f.Answered(standing, nil)
+	c.hear()
+	c.say(strings.NewReplacer(id, "0000000000000002", `"id":1,`, `"id":2,`).Replace(setUp))
+	open := next(t, core.offered)
+	c.CloseNow()
+	assert.Equal(t, open.ID, next(t, core.withdrawn))
+	f.Answered(open, nil) // crosses the withdrawal: nobody hears it
+	f.Ended(standing, nil)
+	assert.Contains(t, dial(t, url).hear(), `"call.ended"`)
+}
+
+// TestBusy: a core that takes no more calls has the front refuse at once.
+func TestBusy(t *testing.T) {
+	_, core, url := start(t, desk.Config{StayAway: 700 * time.Millisecond})
+	core.busy = true
+	c := dial(t, url)
+	c.say(setUp)
+	assert.Equal(t, `{"error":{"code":1001,"data":{"id":"`+id+`","retry_after_ms":700}},"id":1}`, c.hear())
+}
+
+// TestConnectionFaults: a fault of the framing ends the connection with the status that
+// names it, and its open calls.
+func TestConnectionFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		do   func(c client)
+		want websocket.StatusCode
+	}{
+		{"oversized", func(c client) { c.say(strings.Repeat("x", 5000)) }, websocket.StatusMessageTooBig},
+		{"oversized in fragments", func(c client) {
+			w, err := c.Writer(c.ctx, websocket.MessageText)
+			require.NoError(c.t, err)
+			for range 5 { // the client's writer sends each of these as a frame
+				w.Write([]byte(strings.Repeat("x", 1000)))
+			}
+		}, websocket.StatusMessageTooBig},
+		{"binary", func(c client) { c.Write(c.ctx, websocket.MessageBinary, []byte("x")) }, websocket.StatusUnsupportedData},
+		{"not UTF-8", func(c client) { c.say("\xff") }, websocket.StatusInvalidFramePayloadData},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, core, url := start(t, desk.Config{})
+			c := dial(t, url)
+			c.say(setUp)
+			next(t, core.offered)
+			tc.do(c)
+			_, _, err := c.Read(c.ctx)
+			assert.Equal(t, tc.want, websocket.CloseStatus(err), "%v", err)
+			assert.Equal(t, id, next(t, core.withdrawn))
+		})
+	}
+}
+
+// TestUnmasked: RFC 6455 has a server close on an unmasked frame.
+func TestUnmasked(t *testing.T) {
+	_, _, url := start(t, desk.Config{})
+	conn, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(url, "ws://"), "/calls"))
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(standin.Patience))
+	_, err = conn.Write([]byte("GET /calls HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" +
+		"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n\x81\x02{}"))
+	require.NoError(t, err)
+	var got strings.Builder
+	buf := make([]byte, 4096)
+	for err == nil {
+		var n int
+		n, err = conn.Read(buf)
+		got.Write(buf[:n])
+	}
+	_, frames, _ := strings.Cut(got.String(), "\r\n\r\n")
+	assert.True(t, strings.HasPrefix(frames, "\x88"), "a close frame: %q", frames)
+	assert.Contains(t, frames, "\x03\xea", "1002")
+}
+
+// TestSlowReader: a client that reads nothing is cut off; the front does not wait for it.
+func TestSlowReader(t *testing.T) {
+	_, core, url := start(t, desk.Config{MaxWaiting: 16, WriteTimeout: 100 * time.Millisecond})
+	slow := dial(t, url)
+	slow.say(setUp)
+	next(t, core.offered)
+	ask := []byte(`{"jsonrpc":"2.0","id":"` + strings.Repeat("i", 3000) + `","method":"none"}`)
+	for range 20000 { // bounded: 60 MB of answers fill any buffer
+		if slow.Write(slow.ctx, websocket.MessageText, ask) != nil {
+			break
+		}
+	}
+	assert.Equal(t, id, next(t, core.withdrawn), "its connection ended")
+	c := dial(t, url)
+	c.say(setUp)
+	next(t, core.offered)
+}
+
+// TestVanishedClient: a connection that stays open and silent is pinged and then ended;
+// one that answers the pings stays.
+func TestVanishedClient(t *testing.T) {
+	_, core, url := start(t, desk.Config{Idle: 100 * time.Millisecond})
+	c := dial(t, url) // answers pings only while it reads
+	c.say(setUp)
+	next(t, core.offered)
+	assert.Equal(t, id, next(t, core.withdrawn))
+	quiet := dial(t, url)
+	ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
+	defer cancel()
+	_, _, err := quiet.Read(ctx)
+	assert.ErrorIs(t, err, context.DeadlineExceeded, "six pings were answered")
+}
+
+// TestUpgradeRefused: who may not connect is told by a status.
+func TestUpgradeRefused(t *testing.T) {
+	f, _, url := start(t, desk.Config{})
+	f.Configure(ws.Endpoint{Path: "/calls", Allow: func(*http.Request) int { return http.StatusUnauthorized }}, 0)
+	_, resp, err := websocket.Dial(context.Background(), url, nil)
+	require.Error(t, err)
+	require.NotNil(t, resp)
+	assert.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+}
+
+// TestClose: at the end of the front its clients hear a close frame.
+func TestClose(t *testing.T) {
+	f, _, url := start(t, desk.Config{})
+	c := dial(t, url)
+	c.say(`{"jsonrpc":"2.0","id":1,"method":"none"}`)
+	c.hear()
+	go f.Close()
+	_, _, err := c.Read(c.ctx)
+	assert.Equal(t, websocket.StatusGoingAway, websocket.CloseStatus(err))
+}
--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -3,10 +3,12 @@
 package callapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/agent"
@@ -15,32 +17,33 @@
 	"woodrouter/internal/ws"
 )
 
-// Config are the front's figures.
-type Config struct {
-	Desk       desk.Config
-	Endpoint   ws.Endpoint
-	MaxMessage int // bytes; 0: 64 KiB
-}
-
-// Front serves clients; Serve and Close are its desk's.
+// Front serves clients; Serve, Limit, Clear and Close are its desk's.
 type Front struct {
 	*desk.Desk
+	set atomic.Pointer[terms]
+}
+
+// terms are what holds for connections that come from now on.
+type terms struct {
 	endpoint ws.Endpoint
-	most     int
+	most     int // bytes of a message
 }
 
 // New returns a front that hands calls to core.
-func New(cfg Config, core desk.Core) *Front {
-	f := &Front{endpoint: cfg.Endpoint, most: cfg.MaxMessage}
-	f.endpoint.Subprotocol = callproto.Subprotocol
-	if f.most <= 0 {
-		f.most = 64 << 10
-	}
-	cfg.Desk.Goodbye = ws.AppendClose(nil, ws.StatusGoingAway, "the agent stops")
-	f.Desk = desk.New(cfg.Desk, core, f, f.converse)
+func New(cfg desk.Config, core desk.Core) *Front {
+	f := &Front{}
+	f.Configure(ws.Endpoint{}, 0)
+	cfg.Goodbye = ws.AppendClose(nil, ws.StatusGoingAway, "the agent stops or its settings change")
+	f.Desk = desk.New(cfg, core, f, f.converse)
 	return f
 }
 
+// Configure sets what is upgraded, and the most bytes of a message; 0: 64 KiB.
+func (f *Front) Configure(e ws.Endpoint, most int) {
+	e.Subprotocol = callproto.Subprotocol
+	f.set.Store(&terms{e, cmp.Or(most, 64<<10)})
+}
+
 // session is one client's connection: the request ids that wait for their answers.
 type session struct {
 	peer *desk.Peer
@@ -136,13 +139,14 @@
 	if err := p.Await(); err != nil {
 		return err
 	}
-	response, err := f.endpoint.Upgrade(p.In)
+	set := f.set.Load()
+	response, err := set.endpoint.Upgrade(p.In)
 	p.Send(desk.Item{Data: response})
 	if err != nil {
 		return err
 	}
 	f.Ready(p)
-	err = f.readAll(&session{peer: p, open: map[string]bool{}})
+	err = f.readAll(&session{peer: p, open: map[string]bool{}}, set.most)
 	var closed *ws.CloseError
 	if errors.As(err, &closed) {
 		p.Send(desk.Item{Data: ws.AppendClose(nil, closed.Code, closed.Reason)})
@@ -155,8 +159,8 @@
 
 // readAll reads messages until the connection ends. A client that is silent is pinged,
 // and ends if it does not answer: a vanished one leaves its connection open.
-func (f *Front) readAll(s *session) error {
-	in, pinged := ws.Reader{In: s.peer.In, Most: f.most}, false
+func (f *Front) readAll(s *session, most int) error {
+	in, pinged := ws.Reader{In: s.peer.In, Most: most}, false
 	for {
 		switch err := s.peer.Await(); {
 		case errors.Is(err, desk.ErrIdle) && !pinged:
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -23,6 +23,8 @@
 	Known    bulletin.Batch  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
+	State string `json:"-"` // path of the second front's state; "": that front is off
+
 	seed uint64
 	info settings.Info
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,8 +13,10 @@
 
 	"woodrouter/agent"
 	"woodrouter/internal/bulletin"
+	"woodrouter/internal/callapi"
 	"woodrouter/internal/desk"
 	"woodrouter/internal/isupfront"
+	"woodrouter/internal/plan"
 	"woodrouter/internal/settings"
 	"woodrouter/internal/trunk"
 )
@@ -36,6 +38,7 @@
 	core     *agent.Agent
 	pool     *trunk.Pool
 	front    *isupfront.Front
+	second   second
 	follower *bulletin.Follower
 	stopping atomic.Bool
 }
@@ -54,8 +57,14 @@
 	d.core.Attach(d.pool)
 	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
 		func() bool { return !d.stopping.Load() })
+	d.second = second{d: d, front: callapi.New(desk.Config{Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Address: cfg.Bulletin, Core: d.core, Log: log,
 		Patience: 5 * time.Second, Retry: 200 * time.Millisecond}
+	if cfg.State != "" { // what can't be read is told before anything is served
+		if _, err := plan.ReadState(cfg.State); err != nil {
+			return nil, err
+		}
+	}
 	if err := d.follower.Take(cfg.Known); err != nil {
 		return nil, fmt.Errorf("configuration: field known.%w", err)
 	}
@@ -86,6 +95,11 @@
 	go d.follower.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- d.front.Serve(ln) }()
+	if d.cfg.State != "" {
+		if err := d.second.reload(d.cfg.State); err != nil {
+			return err
+		}
+	}
 	d.log.Info("serving", "name", d.cfg.Name, "listen", ln.Addr().String())
 	var err error
 	select {
@@ -94,6 +108,7 @@
 		d.drain()
 	}
 	ln.Close()
+	d.second.close()
 	d.front.Close()
 	d.pool.Close()
 	d.core.Stop()
@@ -102,6 +117,17 @@
 	return err
 }
 
+// Reload takes the second front's settings anew. What can't be used changes nothing.
+func (d *Daemon) Reload() {
+	if d.cfg.State == "" {
+		d.log.Warn("nothing to reload: no state file was named at the start")
+		return
+	}
+	if err := d.second.reload(d.cfg.State); err != nil {
+		d.log.Error("state not taken; the former settings stay", "error", err)
+	}
+}
+
 // drain keeps serving while callers still come, then waits for what is open.
 func (d *Daemon) drain() {
 	d.log.Info("stopping: serving on, then answering what is open")
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,402 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/callrpc"
+	"woodrouter/internal/plan"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+// config words a configuration with two classes and times that suit a test.
+func config(t testing.TB, b *standin.Bulletin) Config {
+	t.Helper()
+	text, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": b.Addr, "known": b.Known(0),
+		"settings": json.RawMessage(`{"nInstances":1,"rank":0,"resolution":1000,
+			"profiles":[{"name":"voice","goalTime":1500000,"deadline":9000000,"worth":1}],
+			"stats":{"fields":["spare","total","latency_ms"],"how":"piggyback"},
+			"limits":{"maxAttempts":5,"maxRetryAfter":2000000,"retryAfter":true,"cancel":true,"connectTimeout":500000},
+			"guarantees":{"answerSlack":20000,"cold":14000000,"coldFrom":0.29,"fallMultiple":3,"tipAfter":1000000},
+			"domain":{"classHold":[8000000],"clearWait":300000,"repeat":800000,"poolsByClass":[[0,1]]}}`)})
+	require.NoError(t, err)
+	cfg, err := ParseConfig(text)
+	require.NoError(t, err)
+	return cfg
+}
+
+// site is a daemon between both kinds of callers and two setup servers.
+type site struct {
+	t        *testing.T
+	servers  [2]*standin.Server
+	bulletin *standin.Bulletin
+	d        *Daemon
+	addr     string
+	stop     func()
+	out      ledger
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, out: ledger{at: map[isup.CallID]int{}, freed: map[isup.CallID]time.Time{}}}
+	var entries []map[string]any
+	for i := range s.servers {
+		s.servers[i] = standin.NewServer(t, "")
+		entries = append(entries, standin.Endpoint(fmt.Sprint("s", i), s.servers[i].Addr, i, "up"))
+	}
+	s.bulletin = standin.NewBulletin(t, entries...)
+	cfg := config(t, s.bulletin)
+	cfg.State = filepath.Join(t.TempDir(), "state.json")
+	desired := plan.Front{Enabled: true, Listen: "127.0.0.1:0", Path: "/calls", MaxConnections: 8,
+		MaxMessage: 1 << 16, IdleS: 30}
+	p, err := plan.Make(cfg.State, desired)
+	require.NoError(t, err)
+	require.NoError(t, p.Apply())
+	s.d, err = New(cfg, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.addr = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.d.Serve(ctx, ln); close(done) }()
+	s.stop = func() { cancel(); <-done }
+	t.Cleanup(s.stop)
+	require.Eventually(t, func() bool { return s.d.second.address() != nil }, standin.Patience, time.Millisecond)
+	return s
+}
+
+// ledger watches over all servers that a call never has two attempts out, and that one
+// that broke off goes out again no sooner than 300 ms later.
+type ledger struct {
+	mu    sync.Mutex
+	at    map[isup.CallID]int
+	freed map[isup.CallID]time.Time
+	bad   []string
+}
+
+func (l *ledger) sent(g standin.Got) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.at[g.Call]++; l.at[g.Call] > 1 {
+		l.bad = append(l.bad, fmt.Sprintf("%v has a second copy out", g.Call))
+	}
+	if at, ok := l.freed[g.Call]; ok && g.At.Sub(at) < 300*time.Millisecond {
+		l.bad = append(l.bad, fmt.Sprintf("%v came again after %v", g.Call, g.At.Sub(at)))
+	}
+}
+
+func (l *ledger) over(id isup.CallID, broke bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at[id] = 0
+	if broke {
+		l.freed[id] = time.Now()
+	}
+}
+
+// serve has a server act on each set-up by the last digit of its call.
+func (s *site) serve(server *standin.Server) {
+	for g := range server.Got {
+		if g.Type == isup.Release {
+			s.out.over(g.Call, true)
+		}
+		if g.Type != isup.SetUp {
+			continue
+		}
+		s.out.sent(g)
+		kind := g.Call % 8
+		again := s.servers[0].Seen(isup.SetUp, g.Call)+s.servers[1].Seen(isup.SetUp, g.Call) > 1
+		if kind != 5 {
+			s.out.over(g.Call, kind == 3)
+		}
+		switch {
+		case kind == 1:
+			g.Answer("room " + g.Call.String())
+			g.Release(isup.Normal, "")
+		case kind == 2:
+			g.Release(isup.NoCircuit, "overload")
+		case kind == 3 && !again:
+			g.Release(isup.TempFailure, "")
+		case kind == 3:
+			g.Answer("room " + g.Call.String())
+			g.Release(isup.TempFailure, "")
+		case kind == 4:
+			g.Release(isup.UserBusy, "lines_busy")
+		}
+	}
+}
+
+// caller is one front's way to set a call up; it words the outcome without the wire.
+type caller func(id isup.CallID, left time.Duration) string
+
+func (s *site) binary(t *testing.T) caller {
+	return func(id isup.CallID, left time.Duration) string {
+		c := standin.NewCaller(t, s.addr)
+		defer c.Close()
+		c.SetUp(id, "voice", left, int(id%2))
+		said := ""
+		for {
+			m, err := c.Next()
+			if err != nil {
+				return said + " lost"
+			}
+			cause, _ := m.Cause()
+			switch {
+			case m.Type == isup.Answer:
+				said = "stands in " + m.Text(isup.Description)
+			case said != "" && cause == isup.Normal:
+				return said + ", completed"
+			case said != "":
+				return said + ", cut"
+			case cause == isup.Congestion && m.Text(isup.StayAway) != "":
+				return "refused with a time"
+			default:
+				return "failed"
+			}
+		}
+	}
+}
+
+func (s *site) websocket(t *testing.T) (caller, *callrpc.Client) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*standin.Patience)
+	t.Cleanup(cancel)
+	client, err := callrpc.Dial(ctx, "ws://"+s.d.second.address().String()+"/calls", callrpc.Options{})
+	require.NoError(t, err)
+	t.Cleanup(func() { client.Close() })
+	return func(id isup.CallID, left time.Duration) string {
+		first := int(id % 2)
+		call, err := client.SetUp(ctx, callrpc.Call{ID: id.String(), Class: "voice", FirstChoice: &first,
+			DeadlineMs: left.Milliseconds(), Description: []byte("offer " + id.String())})
+		if e, ok := callrpc.AsError(err); ok {
+			if e.Code == callrpc.CodeRefused && e.Data.RetryAfterMs > 0 {
+				return "refused with a time"
+			}
+			return "failed"
+		} else if err != nil {
+			return "lost"
+		}
+		select {
+		case e := <-call.Ended():
+			return "stands in " + string(call.Description) + ", " + e.Cause
+		case <-ctx.Done():
+			return "stands for ever"
+		}
+	}, client
+}
+
+// TestBothFronts mixes both fronts on one core against the same servers: the outcomes are
+// the same, each call has one, and none has two copies out at any time.
+func TestBothFronts(t *testing.T) {
+	s := newSite(t)
+	for _, server := range s.servers {
+		go s.serve(server)
+		t.Cleanup(func() { close(server.Got) })
+	}
+	api, _ := s.websocket(t)
+	for _, round := range []struct {
+		kind, calls isup.CallID // so many by each front
+		want        func(id isup.CallID) string
+	}{
+		{1, 4, func(id isup.CallID) string { return "stands in room " + id.String() + ", completed" }},
+		{3, 1, func(id isup.CallID) string { return "stands in room " + id.String() + ", cut" }},
+		{4, 4, func(isup.CallID) string { return "refused with a time" }},
+		{5, 1, func(isup.CallID) string { return "failed" }}, // silent: its deadline ends it
+		{2, 4, func(isup.CallID) string { return "refused with a time" }},
+	} {
+		var group sync.WaitGroup
+		for i := range round.calls {
+			for front, call := range []caller{s.binary(t), api} {
+				id := 0x1000*(isup.CallID(front)+1) + 0x10*i + round.kind
+				group.Go(func() {
+					assert.Equal(t, round.want(id), call(id, 1400*time.Millisecond), "front %d, call %v", front, id)
+				})
+			}
+		}
+		group.Wait()
+	}
+	assert.Empty(t, s.out.bad)
+	require.Eventually(t, func() bool { // what was silent was given up, whichever front it came by
+		return s.servers[0].Seen(isup.Release, 0x1005)+s.servers[1].Seen(isup.Release, 0x1005) > 0 &&
+			s.servers[0].Seen(isup.Release, 0x2005)+s.servers[1].Seen(isup.Release, 0x2005) > 0
+	}, standin.Patience, time.Millisecond)
+}
+
+// TestClientGoneMidSetUp: a WebSocket client that leaves has its set-up given up at the
+// server, and the answer that crosses the give-up is released there.
+func TestClientGoneMidSetUp(t *testing.T) {
+	s := newSite(t)
+	api, client := s.websocket(t)
+	outcome := make(chan string, 1)
+	go func() { outcome <- api(0x10, 3*time.Second) }()
+	g := s.servers[0].Await(t, isup.SetUp)
+	client.Close()
+	assert.Equal(t, "lost", <-outcome)
+	assert.Equal(t, g.Call, s.servers[0].Await(t, isup.Release).Call)
+	g.Answer("late")
+	assert.Equal(t, g.Call, s.servers[0].Await(t, isup.Release).Call)
+	assert.Zero(t, s.servers[1].Seen(isup.SetUp, 0), "nobody waits for another attempt")
+}
+
+// TestDrain: a server drains while calls of both fronts wait there. They go on elsewhere,
+// 300 ms after their attempts broke, and nothing new reaches it 2 s after the news.
+func TestDrain(t *testing.T) {
+	s := newSite(t)
+	api, _ := s.websocket(t)
+	for id := isup.CallID(0x1000); id < 0x1080; id += 0x10 { // answers in time give room for two
+		go s.binary(t)(id, 3*time.Second)
+		g := s.servers[0].Await(t, isup.SetUp)
+		g.Answer("room")
+		g.Release(isup.Normal, "")
+	}
+	outcomes := make(chan string, 2)
+	go func() { outcomes <- s.binary(t)(0x10, 3*time.Second) }()
+	go func() { outcomes <- api(0x20, 3*time.Second) }()
+	waiting := []standin.Got{s.servers[0].Await(t, isup.SetUp), s.servers[0].Await(t, isup.SetUp)}
+	told := time.Now()
+	s.bulletin.Tell(false, standin.Endpoint("s0", s.servers[0].Addr, 0, "draining"))
+	for id := isup.CallID(0x100); ; id += 0x10 { // first choice is the draining server
+		go s.binary(t)(id, 100*time.Millisecond)
+		select {
+		case <-s.servers[0].Got:
+			require.Less(t, time.Since(told), 2*time.Second)
+			continue
+		case g := <-s.servers[1].Got:
+			require.Equal(t, id, g.Call)
+			g.Release(isup.UserBusy, "lines_busy")
+		case <-time.After(standin.Patience):
+			require.FailNow(t, "the call went nowhere")
+		}
+		break
+	}
+	before := s.servers[0].Seen(isup.SetUp, 0)
+	broke := time.Now()
+	for _, g := range waiting {
+		g.Release(isup.TempFailure, "")
+	}
+	for range waiting {
+		g := s.servers[1].Await(t, isup.SetUp)
+		assert.GreaterOrEqual(t, g.At.Sub(broke), 300*time.Millisecond)
+		g.Answer("room")
+		g.Release(isup.Normal, "")
+	}
+	for range waiting {
+		assert.Equal(t, "stands in room, completed", <-outcomes)
+	}
+	assert.Equal(t, before, s.servers[0].Seen(isup.SetUp, 0), "nothing more at the draining server")
+}
+
+// TestOneIDAtBothFronts: an id that is open by one front is not taken by the other, and
+// the call that has it goes on.
+func TestOneIDAtBothFronts(t *testing.T) {
+	s := newSite(t)
+	api, _ := s.websocket(t)
+	outcome := make(chan string, 1)
+	go func() { outcome <- s.binary(t)(0x10, 3*time.Second) }()
+	g := s.servers[0].Await(t, isup.SetUp)
+	assert.Equal(t, "failed", api(0x10, 3*time.Second))
+	g.Answer("room")
+	g.Release(isup.Normal, "")
+	assert.Equal(t, "stands in room, completed", <-outcome)
+	assert.Equal(t, 1, s.servers[0].Seen(isup.SetUp, 0)+s.servers[1].Seen(isup.SetUp, 0))
+}
+
+// TestStop: after SIGTERM calls are still taken for a while, what is open is answered, and
+// the program ends in time.
+func TestStop(t *testing.T) {
+	s := newSite(t)
+	api, _ := s.websocket(t)
+	outcomes := make(chan string, 2)
+	go func() { outcomes <- api(0x10, 3*time.Second) }()
+	g := s.servers[0].Await(t, isup.SetUp)
+	began := time.Now()
+	ended := make(chan struct{})
+	go func() { s.stop(); close(ended) }()
+	c := standin.NewCaller(t, s.addr) // a new connection, just after
+	c.SetUp(0x20, "voice", 3*time.Second, 1)
+	late := s.servers[1].Await(t, isup.SetUp)
+	late.Answer("room")
+	c.Await(t, isup.Answer, 0x20)
+	g.Release(isup.UserBusy, "lines_busy")
+	assert.Equal(t, "refused with a time", <-outcomes)
+	<-ended
+	assert.GreaterOrEqual(t, time.Since(began), stopServing)
+	assert.Less(t, time.Since(began), stopMost)
+}
+
+// TestReload: a SIGHUP takes the state as it is then; settings that can't be used change
+// nothing, and without a state the front is off.
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	api, client := s.websocket(t)
+	outcome := make(chan string, 1)
+	go func() { outcome <- api(0x10, 3*time.Second) }()
+	g := s.servers[0].Await(t, isup.SetUp)
+	apply := func(change func(*plan.Front)) {
+		state, err := plan.ReadState(s.d.cfg.State)
+		require.NoError(t, err)
+		change(state.Front)
+		p, err := plan.Make(s.d.cfg.State, *state.Front)
+		require.NoError(t, err)
+		require.NoError(t, p.Apply())
+		s.d.Reload()
+	}
+	was := s.d.second.address()
+	apply(func(f *plan.Front) { f.Listen = s.addr }) // taken by the other front
+	assert.Equal(t, was, s.d.second.address())
+	apply(func(f *plan.Front) { f.Enabled = false })
+	assert.Nil(t, s.d.second.address())
+	_, err := net.Dial("tcp", was.String())
+	assert.Error(t, err)
+	g.Answer("room")                    // its client is still connected: a set-up is open on it
+	require.Eventually(t, func() bool { // and is cleared then
+		_, err := client.SetUp(context.Background(), callrpc.Call{ID: "0000000000000030", Class: "none", DeadlineMs: 1})
+		_, answered := callrpc.AsError(err)
+		return err != nil && !answered
+	}, standin.Patience, time.Millisecond)
+	apply(func(f *plan.Front) { f.Enabled, f.Listen = true, "127.0.0.1:0" })
+	again, _ := s.websocket(t)
+	go again(0x20, 3*time.Second)
+	s.servers[0].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
+}
+
+func TestParseConfig(t *testing.T) {
+	const whole = `{"name":"n3","listen":"127.0.0.1:0","seed":"8c1f","bulletin":"127.0.0.1:1","settings":%s,"known":%s}`
+	const classes = `{"nInstances":1,"limits":{"maxAttempts":1},"profiles":[{"name":"v","goalTime":1,"deadline":1}]}`
+	for _, tc := range []struct{ name, in, bad string }{
+		{"good", fmt.Sprintf(whole, classes, "{}"), ""},
+		{"not JSON", "{", "configuration"},
+		{"no listen", `{"bulletin":"x:1"}`, "field listen"},
+		{"no bulletin", `{"listen":"x:1"}`, "field bulletin"},
+		{"seed", `{"listen":"x:1","bulletin":"x:1","seed":"xyz"}`, "field seed"},
+		{"limits", `{"listen":"x:1","bulletin":"x:1","seed":"1","limits":{"sockets":3}}`, "field limits"},
+		{"wrong type", `{"listen":"x:1","limits":{"cores":"many"}}`, "field limits.cores"},
+		{"no settings", `{"listen":"x:1","bulletin":"x:1","seed":"1"}`, "field settings"},
+		{"odd settings", fmt.Sprintf(whole, `{"rank":"first"}`, "{}"), "field settings"},
+		{"useless settings", fmt.Sprintf(whole, `{}`, "{}"), "field settings"},
+		{"odd list", fmt.Sprintf(whole, classes, `{"items":[{"no":1,"roster":{"endpoints":[{"name":"a"}]}}]}`), "field known.items: event 1: roster.endpoints[0].status"},
+	} {
+		cfg, err := ParseConfig([]byte(tc.in))
+		if err == nil {
+			_, err = New(cfg, slog.New(slog.DiscardHandler))
+		}
+		if tc.bad == "" {
+			assert.NoError(t, err, tc.name)
+		} else {
+			assert.ErrorContains(t, err, tc.bad, tc.name)
+		}
+	}
+	_, err := ReadConfig("")
+	assert.Error(t, err)
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -2,22 +2,51 @@
 
 import (
 	"context"
+	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"woodrouter/internal/plan"
+)
+
+// Exit codes; plan tells of changes by one of its own.
+const (
+	exitOK = iota
+	exitError
+	exitChanges
 )
 
-// Main is the program: it reads its configuration, serves until a signal, and returns
-// the exit code.
+const usage = `usage:
+  woodrouter                                     run the call agent; PROXY_CONFIG names its configuration
+  woodrouter plan [-state S] -out P FILE.toml    show what applying FILE.toml would change; exit 0 none, 2 changes, 1 error
+  woodrouter apply P                             apply a plan, unless the state has changed since
+The daemon reads the state file that WOODROUTER_STATE names, at its start and on SIGHUP.
+`
+
+// Main is the program; it returns the exit code.
 func Main(args []string, env func(string) string, out, errs io.Writer) int {
-	if err := serve(env, errs); err != nil {
+	code, err := exitOK, error(nil)
+	switch {
+	case len(args) == 0:
+		err = serve(env, errs)
+	case args[0] == "plan":
+		code, err = makePlan(args[1:], env, out, errs)
+	case args[0] == "apply":
+		err = applyPlan(args[1:], out)
+	default:
+		fmt.Fprint(errs, usage)
+		return exitError
+	}
+	if err != nil {
 		fmt.Fprintln(errs, "woodrouter:", err)
-		return 1
+		return exitError
 	}
-	return 0
+	return code
 }
 
 func serve(env func(string) string, logs io.Writer) error {
@@ -25,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	cfg.State = env("WOODROUTER_STATE")
 	level := slog.LevelInfo
 	if env("WOODROUTER_LOG") == "debug" {
 		level = slog.LevelDebug
@@ -37,5 +67,62 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	go func() {
+		for range hangUps {
+			d.Reload()
+		}
+	}()
 	return d.Run(ctx)
 }
+
+func makePlan(args []string, env func(string) string, out, errs io.Writer) (int, error) {
+	flags := flag.NewFlagSet("plan", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	file := flags.String("out", "", "where to write the plan")
+	state := flags.String("state", env("WOODROUTER_STATE"), "the state file")
+	if err := flags.Parse(args); err != nil {
+		return exitError, err
+	}
+	if *state == "" {
+		*state = "woodrouter.state.json"
+	}
+	if *file == "" || flags.NArg() != 1 {
+		return exitError, errors.New("plan needs -out and one operator's file")
+	}
+	desired, err := plan.ReadDesired(flags.Arg(0))
+	if err != nil {
+		return exitError, err
+	}
+	p, err := plan.Make(*state, desired)
+	if err != nil {
+		return exitError, err
+	}
+	if err := p.Write(*file); err != nil {
+		return exitError, err
+	}
+	for _, c := range p.Changes {
+		fmt.Fprintln(out, c)
+	}
+	if len(p.Changes) == 0 {
+		fmt.Fprintln(out, "no changes")
+		return exitOK, nil
+	}
+	return exitChanges, nil
+}
+
+func applyPlan(args []string, out io.Writer) error {
+	if len(args) != 1 {
+		return errors.New("apply needs one plan")
+	}
+	p, err := plan.Read(args[0])
+	if err != nil {
+		return err
+	}
+	if err := p.Apply(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "applied %d changes to %s\n", len(p.Changes), p.State)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/second.go
@@ -0,0 +1,129 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+
+	"woodrouter/internal/callapi"
+	"woodrouter/internal/plan"
+	"woodrouter/internal/ws"
+)
+
+// clearMost is how long a connection whose settings no longer hold may wait for the
+// answers of its set-ups.
+const clearMost = 5 * time.Second
+
+// second is the front that an operator may set up: the call-control API. One front
+// outlives all its settings, so that calls that stand are heard of after a change.
+type second struct {
+	d     *Daemon
+	front *callapi.Front
+
+	mu      sync.Mutex
+	applied *plan.Front // nil or not enabled: off
+	ln      net.Listener
+}
+
+// configure applies settings. On an error the former ones stay in force.
+func (s *second) configure(next *plan.Front) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reflect.DeepEqual(s.applied, next) {
+		return nil
+	}
+	on := next != nil && next.Enabled
+	ln := s.ln
+	moves := !on || s.ln == nil || s.applied.Listen != next.Listen
+	if moves {
+		ln = nil
+	}
+	if on && ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", next.Listen); err != nil {
+			return fmt.Errorf("field listen: %w", err)
+		}
+	}
+	if on {
+		s.front.Configure(endpoint(next), next.MaxMessage)
+		s.front.Limit(min(next.MaxConnections, s.d.cfg.Limits.Sockets/4), time.Duration(next.IdleS)*time.Second)
+	}
+	if moves && s.ln != nil {
+		s.ln.Close()
+	}
+	if s.ln != nil { // who may connect has changed: the clients connect anew
+		go s.front.Clear(clearMost)
+	}
+	if moves && on {
+		go s.front.Serve(ln)
+	}
+	s.applied, s.ln = next, ln
+	if on {
+		s.d.log.Info("call API on", "listen", ln.Addr().String(), "path", next.Path, "clients", len(next.Clients))
+	} else {
+		s.d.log.Info("call API off")
+	}
+	return nil
+}
+
+// reload reads the state file again.
+func (s *second) reload(path string) error {
+	state, err := plan.ReadState(path)
+	if err != nil {
+		return err
+	}
+	if err := s.configure(state.Front); err != nil {
+		return fmt.Errorf("state %s: %w", path, err)
+	}
+	return nil
+}
+
+// address is where the front listens; nil: it is off.
+func (s *second) address() net.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ln == nil {
+		return nil
+	}
+	return s.ln.Addr()
+}
+
+func (s *second) close() {
+	s.mu.Lock()
+	if s.ln != nil {
+		s.ln.Close()
+	}
+	s.mu.Unlock()
+	s.front.Close()
+}
+
+// endpoint words who may connect and how.
+func endpoint(f *plan.Front) ws.Endpoint {
+	e := ws.Endpoint{Path: f.Path, Origins: f.Origins}
+	if len(f.Clients) > 0 {
+		e.Allow = func(r *http.Request) int { return allow(f.Clients, r.Header.Get("Authorization")) }
+	}
+	return e
+}
+
+// allow looks for the client of a bearer token, in a time that tells nothing of it.
+func allow(clients []plan.Client, header string) int {
+	token, ok := strings.CutPrefix(header, "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	found := 0
+	for _, c := range clients {
+		want, _ := hex.DecodeString(c.TokenSHA256) // checked when it was planned
+		found |= subtle.ConstantTimeCompare(sum[:], want)
+	}
+	if !ok || found == 0 {
+		return http.StatusUnauthorized
+	}
+	return 0
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,16 +112,45 @@
 		conn.Close()
 		return
 	}
+	p.idle = d.Idle
 	d.peers[p] = struct{}{}
 	d.group.Go(p.read)
 	d.group.Go(p.write)
 }
 
+// Limit sets the bounds of connections that come from now on.
+func (d *Desk) Limit(maxPeers int, idle time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.MaxPeers, d.Idle = maxPeers, idle
+}
+
+// Clear ends the connections there are, each once no set-up is open on it, at the latest
+// after most.
+func (d *Desk) Clear(most time.Duration) {
+	d.mu.Lock()
+	var leaving []*Peer
+	for p := range d.peers {
+		leaving = append(leaving, p)
+	}
+	d.mu.Unlock()
+	for last := time.Now().Add(most); len(leaving) > 0; time.Sleep(20 * time.Millisecond) {
+		late := time.Now().After(last)
+		leaving = slices.DeleteFunc(leaving, func(p *Peer) bool {
+			if !late && p.Busy() {
+				return false
+			}
+			p.leave()
+			return true
+		})
+	}
+}
+
 // Ready tells that a connection can take messages; it gets the releases owed to its host.
 func (d *Desk) Ready(p *Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p.ready = true
+	p.ready.Store(true)
 	var kept []owed
 	for _, o := range d.owed {
 		switch {
@@ -138,10 +168,7 @@
 	d.mu.Lock()
 	d.closed = true
 	for p := range d.peers {
-		if p.ready && len(d.Goodbye) > 0 {
-			p.box.Offer(Item{Data: d.Goodbye})
-		}
-		p.box.Close()
+		p.leave()
 	}
 	d.mu.Unlock()
 	d.group.Wait()
@@ -270,7 +297,7 @@
 		return
 	}
 	for p := range d.peers {
-		if p.ready && p.host == o.host && p.Send(o.item) {
+		if p.ready.Load() && p.host == o.host && p.Send(o.item) {
 			return
 		}
 	}
--- a/internal/desk/peer.go
+++ b/internal/desk/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/internal/mailbox"
@@ -38,7 +39,8 @@
 	host string
 	box  *mailbox.Box[Item]
 
-	ready bool // under the desk's lock: it can be sent releases
+	idle  time.Duration
+	ready atomic.Bool // it can be sent releases
 }
 
 func newPeer(d *Desk, conn net.Conn) *Peer {
@@ -56,6 +58,14 @@
 	return false
 }
 
+// leave ends the connection once what waits for it is written.
+func (p *Peer) leave() {
+	if p.ready.Load() && len(p.desk.Goodbye) > 0 {
+		p.box.Offer(Item{Data: p.desk.Goodbye})
+	}
+	p.box.Close()
+}
+
 // Fail ends the connection for a fault of the caller.
 func (p *Peer) Fail(err error) {
 	p.desk.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
@@ -68,7 +78,7 @@
 // Await waits for the next message to begin, ErrIdle telling of a long silence. What has
 // begun is to be read whole within MessageTime.
 func (p *Peer) Await() error {
-	p.conn.SetReadDeadline(time.Now().Add(p.desk.Idle))
+	p.conn.SetReadDeadline(time.Now().Add(p.idle))
 	_, err := p.In.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrIdle
--- /dev/null
+++ b/internal/isupfront/isupfront_test.go
@@ -0,0 +1,184 @@
+package isupfront
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/agent"
+	"woodrouter/internal/desk"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+type core struct {
+	offered   chan agent.Call
+	withdrawn chan string
+	busy      bool
+}
+
+func (c *core) Offer(_ agent.Front, call agent.Call) bool {
+	if !c.busy {
+		c.offered <- call
+	}
+	return !c.busy
+}
+func (c *core) Withdraw(_ agent.Front, id string) { c.withdrawn <- id }
+
+func next[T any](t *testing.T, from chan T) (v T) {
+	t.Helper()
+	select {
+	case v = <-from:
+	case <-time.After(standin.Patience):
+		require.FailNow(t, "nothing came")
+	}
+	return v
+}
+
+func start(t *testing.T, cfg desk.Config) (*Front, *core, string) {
+	c := &core{make(chan agent.Call, 100), make(chan string, 100), false}
+	f := New(cfg, c, func() bool { return true })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go f.Serve(ln)
+	t.Cleanup(func() { ln.Close(); f.Close() })
+	return f, c, ln.Addr().String()
+}
+
+// TestOutcomes: a set-up is read whole, and each outcome is one message.
+func TestOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		do    func(f *Front, c agent.Call)
+		cause isup.Cause
+		away  string
+	}{
+		{"refused", func(f *Front, c agent.Call) { f.Refused(c, 1500*time.Millisecond) }, isup.Congestion, "1500"},
+		{"refused, no advice", func(f *Front, c agent.Call) { f.Refused(c, 0) }, isup.Congestion, ""},
+		{"failed", func(f *Front, c agent.Call) { f.Failed(c, agent.ErrOverdue) }, isup.Unavailable, ""},
+		{"unknown class", func(f *Front, c agent.Call) { f.Rejected(c, agent.ErrClass) }, isup.Unavailable, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f, core, addr := start(t, desk.Config{})
+			c := standin.NewCaller(t, addr)
+			c.SetUp(7, "voice", 3*time.Second, 2)
+			call := next(t, core.offered)
+			assert.Equal(t, "0000000000000007", call.ID)
+			assert.Equal(t, []any{"voice", 2, "offer 0000000000000007"}, []any{call.Class, call.Pool, string(call.Description)})
+			assert.InDelta(t, 3, time.Until(call.Deadline).Seconds(), 2.9)
+			tc.do(f, call)
+			tc.do(f, call) // once is enough
+			m := c.Await(t, isup.Release, 7)
+			cause, err := m.Cause()
+			require.NoError(t, err)
+			assert.Equal(t, tc.cause, cause)
+			assert.Equal(t, tc.away, m.Text(isup.StayAway))
+			c.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+			passed, err := c.Await(t, isup.TestResult, 9).Cause()
+			require.NoError(t, err)
+			assert.Equal(t, isup.Passed, passed)
+		})
+	}
+}
+
+// TestBusy: what the core can't take is refused at once, with when to return.
+func TestBusy(t *testing.T) {
+	_, core, addr := start(t, desk.Config{StayAway: 700 * time.Millisecond})
+	core.busy = true
+	c := standin.NewCaller(t, addr)
+	c.SetUp(7, "voice", 3*time.Second, 2)
+	assert.Equal(t, "700", c.Await(t, isup.Release, 7).Text(isup.StayAway))
+}
+
+// TestStandingOutlivesConnection: the end of a call is told on its connection, else on
+// any of that caller's, else on the next; its release may come on any.
+func TestStandingOutlivesConnection(t *testing.T) {
+	f, core, addr := start(t, desk.Config{})
+	c := standin.NewCaller(t, addr)
+	stand := func(id isup.CallID) agent.Call {
+		c.SetUp(id, "voice", 3*time.Second, 2)
+		call := next(t, core.offered)
+		f.Answered(call, []byte("there"))
+		assert.Equal(t, "there", c.Await(t, isup.Answer, id).Text(isup.Description))
+		return call
+	}
+	one, two, three := stand(1), stand(2), stand(3)
+	f.Ended(one, nil)
+	cause, _ := c.Await(t, isup.Release, 1).Cause()
+	assert.Equal(t, isup.Normal, cause)
+	c.SetUp(4, "voice", 3*time.Second, 2)
+	next(t, core.offered)
+	c.Close()
+	assert.Equal(t, "0000000000000004", next(t, core.withdrawn), "the set-up that was open on it, and no more")
+	f.Ended(two, agent.ErrPanic)
+	other := standin.NewCaller(t, addr)
+	cause, _ = other.Await(t, isup.Release, 2).Cause()
+	assert.Equal(t, isup.TempFailure, cause)
+	other.Send(isup.Message{Type: isup.Release, Call: 3}.WithCause(isup.Normal))
+	assert.Equal(t, three.ID, next(t, core.withdrawn))
+	f.Ended(three, nil) // crosses the caller's release
+	other.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+	other.Await(t, isup.TestResult, 9)
+}
+
+// TestFaults: a message that is malformed, oversized or out of order ends its connection
+// and the calls open on it, and no other.
+func TestFaults(t *testing.T) {
+	setUp, err := isup.Message{Type: isup.SetUp, Call: 1}.WithText(isup.Class, "voice").WithText(isup.Left, "3000").Append(nil)
+	require.NoError(t, err)
+	for name, bad := range map[string]string{
+		"oversized":           "\xff\xff",
+		"too short":           "\x00\x01\x01",
+		"parameter over end":  "\x00\x0c\x01\x00\x00\x00\x00\x00\x00\x00\x02\x10\x00\x09",
+		"unknown type":        "\x00\x09\x63\x00\x00\x00\x00\x00\x00\x00\x02",
+		"answer from caller":  "\x00\x09\x09\x00\x00\x00\x00\x00\x00\x00\x02",
+		"set-up without time": "\x00\x09\x01\x00\x00\x00\x00\x00\x00\x00\x02",
+		"release, no cause":   "\x00\x09\x0c\x00\x00\x00\x00\x00\x00\x00\x01",
+		"bad figures":         "\x00\x18\x01\x00\x00\x00\x00\x00\x00\x00\x02\x11\x00\x011\x15\x00\x06dest:x\x00",
+		"id open already":     string(setUp),
+		"cut off":             "\x00\x30\x01",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, core, addr := start(t, desk.Config{MessageTime: 200 * time.Millisecond})
+			good := standin.NewCaller(t, addr)
+			good.SetUp(5, "voice", 3*time.Second, 2)
+			next(t, core.offered)
+			c := standin.NewCaller(t, addr)
+			_, err := c.Write(append(setUp[:len(setUp):len(setUp)], bad...))
+			require.NoError(t, err)
+			next(t, core.offered)
+			_, err = c.Next()
+			require.Error(t, err)
+			assert.Equal(t, "0000000000000001", next(t, core.withdrawn))
+			good.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+			good.Await(t, isup.TestResult, 9)
+			assert.Empty(t, core.withdrawn)
+		})
+	}
+}
+
+// TestIdle: a connection without a set-up is closed in time; one with a set-up is not.
+func TestIdle(t *testing.T) {
+	f, core, addr := start(t, desk.Config{Idle: 100 * time.Millisecond})
+	busy := standin.NewCaller(t, addr)
+	busy.SetUp(1, "voice", 3*time.Second, 2)
+	call := next(t, core.offered)
+	idle := standin.NewCaller(t, addr)
+	_, err := idle.Next()
+	require.Error(t, err)
+	f.Answered(call, nil)
+	busy.Await(t, isup.Answer, 1)
+}
+
+// TestTooMany: connections beyond the bound are closed, as each costs a descriptor.
+func TestTooMany(t *testing.T) {
+	_, _, addr := start(t, desk.Config{MaxPeers: 1})
+	first := standin.NewCaller(t, addr)
+	first.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+	first.Await(t, isup.TestResult, 9)
+	_, err := standin.NewCaller(t, addr).Next()
+	require.Error(t, err)
+}
