--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,9 @@
 	Slack    time.Duration // a final answer counts so long after the deadline
 	Mailbox  int           // most events that wait; 0: 8192
 	Log      *slog.Logger
+	// Stray hears of a call's end at a setup server when the call is none of this agent's:
+	// it stood before a restart, and its caller still waits to be told. err as for Ended.
+	Stray func(id string, err error)
 }
 
 // Agent is the actor that owns the decision module, the call table and the timers.
@@ -41,6 +44,7 @@
 	origin  policy.Time
 	idle    []func() // told when no set-up is open
 	open    int      // calls without a final answer
+	recent  recent
 }
 
 // event is work for the actor; id names the call it is about, if any.
@@ -80,6 +84,9 @@
 	for _, c := range cfg.Settings.Classes {
 		a.classes[c.Name] = true
 	}
+	if a.cfg.Stray == nil {
+		a.cfg.Stray = func(string, error) {}
+	}
 	if a.cfg.Log == nil {
 		a.cfg.Log = slog.New(slog.DiscardHandler)
 	}
@@ -146,6 +153,15 @@
 	a.post(id, func() { a.ended(id, n, err, r) })
 }
 
+// Unknown tells that a server ended a call of which the backend knows nothing.
+func (a *Agent) Unknown(id string, err *Failure) {
+	a.post(id, func() {
+		if a.calls[id] == nil && !a.recent.has(id) {
+			a.cfg.Stray(id, plain(err))
+		}
+	})
+}
+
 // Reported brings a report that came outside an answer, or the outcome of a probe.
 func (a *Agent) Reported(p policy.Probed) { a.post("", func() { a.act(a.ctrl.Handle(a.now(), p)) }) }
 
@@ -182,6 +198,7 @@
 	}
 	c := &call{Call: in, front: f}
 	a.calls[in.ID] = c
+	a.recent.add(in.ID)
 	a.open++
 	left := max(time.Until(in.Deadline), 0)
 	// The module answers every call in time. Should it ever not, the caller still hears.
@@ -301,11 +318,7 @@
 	c.expiry.Stop()
 	if c.stands && !c.left {
 		c.left = true
-		if err == nil {
-			c.front.Ended(c.Call, nil)
-		} else {
-			c.front.Ended(c.Call, err)
-		}
+		c.front.Ended(c.Call, plain(err))
 	}
 	e := policy.Ended{ID: id, Attempt: n, Server: c.server, Delay: a.now() - c.sentAt,
 		Complete: c.resolved, Report: r}
@@ -317,6 +330,14 @@
 	a.act(a.ctrl.Handle(a.now(), e))
 }
 
+// plain keeps a failure that is none from becoming an error that is not nil.
+func plain(f *Failure) error {
+	if f == nil {
+		return nil
+	}
+	return f
+}
+
 // act carries out the module's decisions, in order.
 func (a *Agent) act(actions []policy.Action) {
 	for _, action := range actions {
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -254,6 +254,26 @@
 	})
 }
 
+// TestStray: the end of a call from before a restart goes to the callers; a word too many
+// about a call of this agent does not.
+func TestStray(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, strays := &side{}, make(chan string, 10)
+		a, err := New(Config{Settings: settings(), Stray: func(id string, err error) { strays <- fmt.Sprint(id, " ", err == nil) }})
+		require.NoError(t, err)
+		a.Attach(s)
+		go a.Run()
+		defer a.Stop()
+		offer(a, s, "mine", 3*time.Second) // refused: there is no server
+		a.Unknown("mine", nil)
+		a.Unknown("old", nil)
+		a.Unknown("cut", gone)
+		synctest.Wait()
+		require.Len(t, strays, 2)
+		require.Equal(t, []string{"old true", "cut false"}, []string{<-strays, <-strays})
+	})
+}
+
 // TestTime: module time is Unix time, so that the start of a server compares with it.
 func TestTime(t *testing.T) {
 	a, err := New(Config{Settings: settings()})
--- a/callrpc/callrpc_test.go
+++ b/callrpc/callrpc_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/rpc"
 	"testing"
 	"time"
@@ -18,53 +17,28 @@
 	"woodrouter/internal/ws"
 )
 
-// core decides by the call's class, as a setup server would by its state.
-type core struct {
-	front     agent.Front
-	offered   chan agent.Call
-	withdrawn chan string
-}
-
-func (c *core) Offer(_ agent.Front, call agent.Call) bool {
-	switch call.Class {
-	case "stands":
-		c.front.Answered(call, []byte("there"))
-	case "ends":
-		c.front.Answered(call, nil)
-		c.front.Ended(call, nil)
-	case "refused":
-		c.front.Refused(call, 1500*time.Millisecond)
-	}
-	c.offered <- call
-	return true
-}
-func (c *core) Withdraw(_ agent.Front, id string) { c.withdrawn <- id }
-
-func next[T any](t *testing.T, from chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(standin.Patience):
-		require.FailNow(t, "nothing came")
-	}
-	return v
-}
-
-func start(t *testing.T) (*core, string, context.Context) {
-	c := &core{offered: make(chan agent.Call, 100), withdrawn: make(chan string, 100)}
+// start serves the API by a core that decides by the call's class.
+func start(t *testing.T) (*standin.Core, string, context.Context) {
+	c := standin.NewCore()
 	f := callapi.New(desk.Config{}, c)
 	f.Configure(ws.Endpoint{Path: "/calls"}, 0)
-	c.front = f
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go f.Serve(ln)
-	t.Cleanup(func() { ln.Close(); f.Close() })
+	c.Decide = func(call agent.Call) {
+		switch call.Class {
+		case "stands":
+			f.Answered(call, []byte("there"))
+		case "ends":
+			f.Answered(call, nil)
+			f.Ended(call, nil)
+		case "refused":
+			f.Refused(call, 1500*time.Millisecond)
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), standin.Patience)
 	t.Cleanup(cancel)
-	return c, "ws://" + ln.Addr().String() + "/calls", ctx
+	return c, "ws://" + standin.Serve(t, f) + "/calls", ctx
 }
 
-func dial(t *testing.T) (*core, *Client, context.Context) {
+func dial(t *testing.T) (*standin.Core, *Client, context.Context) {
 	core, url, ctx := start(t)
 	c, err := Dial(ctx, url, Options{Token: "t"})
 	require.NoError(t, err)
@@ -79,13 +53,13 @@
 	call, err := c.SetUp(ctx, Call{ID: id, Class: "stands"})
 	require.NoError(t, err)
 	assert.Equal(t, "there", string(call.Description))
-	assert.Positive(t, time.Until(next(t, core.offered).Deadline), "the deadline is the context's")
+	assert.Positive(t, time.Until(standin.Next(t, core.Offered).Deadline), "the deadline is the context's")
 	_, err = c.SetUp(ctx, Call{ID: id, Class: "stands", DeadlineMs: 5})
 	e, ok := AsError(err)
 	require.True(t, ok)
 	assert.Equal(t, CodeDuplicate, e.Code)
 	require.NoError(t, call.Release(ctx))
-	assert.Equal(t, id, next(t, core.withdrawn))
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn))
 	e, ok = AsError(call.Release(ctx))
 	require.True(t, ok)
 	assert.Equal(t, CodeUnknownCall, e.Code)
@@ -105,12 +79,12 @@
 	core, c, ctx := dial(t)
 	short, cancel := context.WithCancel(ctx)
 	go func() {
-		next(t, core.offered)
+		standin.Next(t, core.Offered)
 		cancel()
 	}()
 	_, err := c.SetUp(short, Call{ID: id, Class: "silent", DeadlineMs: 5000})
 	require.ErrorIs(t, err, context.Canceled)
-	assert.Equal(t, id, next(t, core.withdrawn))
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn))
 	_, err = c.SetUp(ctx, Call{ID: id, Class: "stands", DeadlineMs: 5})
 	require.NoError(t, err)
 }
@@ -119,7 +93,7 @@
 func TestConnectionEnds(t *testing.T) {
 	core, c, ctx := dial(t)
 	go func() {
-		next(t, core.offered)
+		standin.Next(t, core.Offered)
 		c.Close()
 	}()
 	_, err := c.SetUp(ctx, Call{ID: id, Class: "silent", DeadlineMs: 5000})
@@ -139,7 +113,7 @@
 	var standing struct{ ID string }
 	require.NoError(t, client.Call("call.setUp", Call{ID: id, Class: "ends", DeadlineMs: 5}, &standing))
 	assert.Equal(t, id, standing.ID)
-	assert.Equal(t, "completed", next(t, ended).Cause)
+	assert.Equal(t, "completed", standin.Next(t, ended).Cause)
 	e, ok := AsError(client.Call("call.hold", nil, nil))
 	require.True(t, ok)
 	assert.Equal(t, -32601, e.Code)
--- a/internal/callapi/callapi_test.go
+++ b/internal/callapi/callapi_test.go
@@ -19,40 +19,11 @@
 	"woodrouter/internal/ws"
 )
 
-// core takes every call and lets the test decide.
-type core struct {
-	offered   chan agent.Call
-	withdrawn chan string
-	busy      bool
-}
-
-func (c *core) Offer(_ agent.Front, call agent.Call) bool {
-	if !c.busy {
-		c.offered <- call
-	}
-	return !c.busy
-}
-func (c *core) Withdraw(_ agent.Front, id string) { c.withdrawn <- id }
-
-func next[T any](t *testing.T, from chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(standin.Patience):
-		require.FailNow(t, "nothing came")
-	}
-	return v
-}
-
-func start(t *testing.T, cfg desk.Config) (*Front, *core, string) {
-	c := &core{make(chan agent.Call, 100), make(chan string, 100), false}
+func start(t *testing.T, cfg desk.Config) (*Front, *standin.Core, string) {
+	c := standin.NewCore()
 	f := New(cfg, c)
 	f.Configure(ws.Endpoint{Path: "/calls"}, 4096)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go f.Serve(ln)
-	t.Cleanup(func() { ln.Close(); f.Close() })
-	return f, c, "ws://" + ln.Addr().String() + "/calls"
+	return f, c, "ws://" + standin.Serve(t, f) + "/calls"
 }
 
 // client is coder/websocket: an implementation that this one did not write.
@@ -134,7 +105,7 @@
 			f, core, url := start(t, desk.Config{})
 			c := dial(t, url)
 			c.say(setUp)
-			call := next(t, core.offered)
+			call := standin.Next(t, core.Offered)
 			assert.Equal(t, "voice t 12 2 offer", strings.Join([]string{call.Class, call.Tenant, call.Number,
 				string(rune('0' + call.Pool)), string(call.Description)}, " "))
 			assert.InDelta(t, 3, time.Until(call.Deadline).Seconds(), 2.9)
@@ -154,7 +125,7 @@
 	f, core, url := start(t, desk.Config{})
 	c := dial(t, url)
 	c.say(setUp)
-	call := next(t, core.offered)
+	call := standin.Next(t, core.Offered)
 	for name, tc := range map[string]struct{ in, want string }{
 		"not JSON":               {`{`, `{"error":{"code":-32700},"id":null}`},
 		"not an object":          {`7`, `{"error":{"code":-32600},"id":null}`},
@@ -186,21 +157,21 @@
 	f, core, url := start(t, desk.Config{})
 	c := dial(t, url)
 	c.say(setUp)
-	next(t, core.offered)
+	standin.Next(t, core.Offered)
 	c.say(`{"jsonrpc":"2.0","id":2,"method":"call.cancel","params":{"id":"` + id + `"}}`)
 	assert.Equal(t, `{"error":{"code":1004,"data":{"id":"`+id+`","retry_after_ms":0}},"id":1}`, c.hear())
 	assert.Equal(t, `{"id":2,"result":{}}`, c.hear())
-	assert.Equal(t, id, next(t, core.withdrawn))
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn))
 
 	c.say(setUp)
-	f.Answered(next(t, core.offered), nil)
+	f.Answered(standin.Next(t, core.Offered), nil)
 	c.hear()
 	c.CloseNow()
 	other := dial(t, url)
 	other.say(`{"jsonrpc":"2.0","id":1,"method":"call.release","params":{"id":"` + id + `"}}`)
 	assert.Equal(t, `{"id":1,"result":{}}`, other.hear())
-	assert.Equal(t, id, next(t, core.withdrawn))
-	assert.Empty(t, core.withdrawn, "the connection's end withdraws no call that stands")
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn))
+	assert.Empty(t, core.Withdrawn, "the connection's end withdraws no call that stands")
 }
 
 // TestClientGone: a client that leaves mid-set-up withdraws its calls. The end of a call
@@ -209,13 +180,13 @@
 	f, core, url := start(t, desk.Config{})
 	c := dial(t, url)
 	c.say(setUp)
-	standing := next(t, core.offered)
+	standing := standin.Next(t, core.Offered)
 	f.Answered(standing, nil)
 	c.hear()
 	c.say(strings.NewReplacer(id, "0000000000000002", `"id":1,`, `"id":2,`).Replace(setUp))
-	open := next(t, core.offered)
+	open := standin.Next(t, core.Offered)
 	c.CloseNow()
-	assert.Equal(t, open.ID, next(t, core.withdrawn))
+	assert.Equal(t, open.ID, standin.Next(t, core.Withdrawn))
 	f.Answered(open, nil) // crosses the withdrawal: nobody hears it
 	f.Ended(standing, nil)
 	assert.Contains(t, dial(t, url).hear(), `"call.ended"`)
@@ -224,7 +195,7 @@
 // TestBusy: a core that takes no more calls has the front refuse at once.
 func TestBusy(t *testing.T) {
 	_, core, url := start(t, desk.Config{StayAway: 700 * time.Millisecond})
-	core.busy = true
+	core.Busy = true
 	c := dial(t, url)
 	c.say(setUp)
 	assert.Equal(t, `{"error":{"code":1001,"data":{"id":"`+id+`","retry_after_ms":700}},"id":1}`, c.hear())
@@ -253,11 +224,11 @@
 			_, core, url := start(t, desk.Config{})
 			c := dial(t, url)
 			c.say(setUp)
-			next(t, core.offered)
+			standin.Next(t, core.Offered)
 			tc.do(c)
 			_, _, err := c.Read(c.ctx)
 			assert.Equal(t, tc.want, websocket.CloseStatus(err), "%v", err)
-			assert.Equal(t, id, next(t, core.withdrawn))
+			assert.Equal(t, id, standin.Next(t, core.Withdrawn))
 		})
 	}
 }
@@ -289,17 +260,17 @@
 	_, core, url := start(t, desk.Config{MaxWaiting: 16, WriteTimeout: 100 * time.Millisecond})
 	slow := dial(t, url)
 	slow.say(setUp)
-	next(t, core.offered)
+	standin.Next(t, core.Offered)
 	ask := []byte(`{"jsonrpc":"2.0","id":"` + strings.Repeat("i", 3000) + `","method":"none"}`)
 	for range 20000 { // bounded: 60 MB of answers fill any buffer
 		if slow.Write(slow.ctx, websocket.MessageText, ask) != nil {
 			break
 		}
 	}
-	assert.Equal(t, id, next(t, core.withdrawn), "its connection ended")
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn), "its connection ended")
 	c := dial(t, url)
 	c.say(setUp)
-	next(t, core.offered)
+	standin.Next(t, core.Offered)
 }
 
 // TestVanishedClient: a connection that stays open and silent is pinged and then ended;
@@ -308,8 +279,8 @@
 	_, core, url := start(t, desk.Config{Idle: 100 * time.Millisecond})
 	c := dial(t, url) // answers pings only while it reads
 	c.say(setUp)
-	next(t, core.offered)
-	assert.Equal(t, id, next(t, core.withdrawn))
+	standin.Next(t, core.Offered)
+	assert.Equal(t, id, standin.Next(t, core.Withdrawn))
 	quiet := dial(t, url)
 	ctx, cancel := context.WithTimeout(context.Background(), 600*time.Millisecond)
 	defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,8 @@
 	d := &Daemon{cfg: cfg, log: log}
 	var err error
 	d.core, err = agent.New(agent.Config{Settings: cfg.info.Policy(), Seed: cfg.seed,
-		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log})
+		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log,
+		Stray: func(id string, err error) { d.front.Stray(id, err) }})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"woodrouter/internal/plan"
+	"woodrouter/internal/quiet"
 )
 
 // Exit codes; plan tells of changes by one of its own.
@@ -21,6 +22,9 @@
 	exitChanges
 )
 
+// logMost is how many lines of one kind a second may have.
+const logMost = 20
+
 const usage = `usage:
   woodrouter                                     run the call agent; PROXY_CONFIG names its configuration
   woodrouter plan [-state S] -out P FILE.toml    show what applying FILE.toml would change; exit 0 none, 2 changes, 1 error
@@ -59,7 +63,7 @@
 	if env("WOODROUTER_LOG") == "debug" {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: level}))
+	log := slog.New(quiet.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: level}), logMost))
 	Limit(cfg.Limits)
 	d, err := New(cfg, log)
 	if err != nil {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -55,7 +55,7 @@
 // owed is a release that found no connection to the caller.
 type owed struct {
 	item  Item
-	host  string
+	host  string // "": any
 	since time.Time
 }
 
@@ -155,7 +155,7 @@
 	for _, o := range d.owed {
 		switch {
 		case time.Since(o.since) > owedSpan:
-		case o.host == p.host && p.Send(o.item):
+		case (o.host == p.host || o.host == "") && p.Send(o.item):
 		default:
 			kept = append(kept, o)
 		}
@@ -282,6 +282,11 @@
 	}
 }
 
+// Stray passes on the end of a call that this desk does not know, to any caller.
+func (d *Desk) Stray(id string, data []byte) {
+	d.sayEnded(owed{Item{ID: id, Kind: End, Data: data}, "", time.Now()}, nil)
+}
+
 // Blame ends the connection of a call and reports whether the call was known.
 func (d *Desk) Blame(id string, err error) {
 	if l := d.finish(id); l != nil {
@@ -297,7 +302,7 @@
 		return
 	}
 	for p := range d.peers {
-		if p.ready.Load() && p.host == o.host && p.Send(o.item) {
+		if p.ready.Load() && (p.host == o.host || o.host == "") && p.Send(o.item) {
 			return
 		}
 	}
--- a/internal/isupfront/front.go
+++ b/internal/isupfront/front.go
@@ -76,12 +76,17 @@
 }
 
 // Ended passes the end of a call that stood on.
-func (f *Front) Ended(c agent.Call, err error) {
+func (f *Front) Ended(c agent.Call, err error) { f.End(c.ID, f.ending(c.ID, err)) }
+
+// Stray passes the end of a call from before a restart on.
+func (f *Front) Stray(id string, err error) { f.Desk.Stray(id, f.ending(id, err)) }
+
+func (f *Front) ending(id string, err error) []byte {
 	cause := isup.Normal
 	if err != nil {
 		cause = isup.TempFailure
 	}
-	f.End(c.ID, f.encode(message(isup.Release, c.ID).WithCause(cause)))
+	return f.encode(message(isup.Release, id).WithCause(cause))
 }
 
 // converse reads one connection. Idle ones end, but for those with a set-up open.
--- a/internal/isupfront/isupfront_test.go
+++ b/internal/isupfront/isupfront_test.go
@@ -1,7 +1,6 @@
 package isupfront
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -14,38 +13,10 @@
 	"woodrouter/isup"
 )
 
-type core struct {
-	offered   chan agent.Call
-	withdrawn chan string
-	busy      bool
-}
-
-func (c *core) Offer(_ agent.Front, call agent.Call) bool {
-	if !c.busy {
-		c.offered <- call
-	}
-	return !c.busy
-}
-func (c *core) Withdraw(_ agent.Front, id string) { c.withdrawn <- id }
-
-func next[T any](t *testing.T, from chan T) (v T) {
-	t.Helper()
-	select {
-	case v = <-from:
-	case <-time.After(standin.Patience):
-		require.FailNow(t, "nothing came")
-	}
-	return v
-}
-
-func start(t *testing.T, cfg desk.Config) (*Front, *core, string) {
-	c := &core{make(chan agent.Call, 100), make(chan string, 100), false}
+func start(t *testing.T, cfg desk.Config) (*Front, *standin.Core, string) {
+	c := standin.NewCore()
 	f := New(cfg, c, func() bool { return true })
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go f.Serve(ln)
-	t.Cleanup(func() { ln.Close(); f.Close() })
-	return f, c, ln.Addr().String()
+	return f, c, standin.Serve(t, f)
 }
 
 // TestOutcomes: a set-up is read whole, and each outcome is one message.
@@ -65,7 +36,7 @@
 			f, core, addr := start(t, desk.Config{})
 			c := standin.NewCaller(t, addr)
 			c.SetUp(7, "voice", 3*time.Second, 2)
-			call := next(t, core.offered)
+			call := standin.Next(t, core.Offered)
 			assert.Equal(t, "0000000000000007", call.ID)
 			assert.Equal(t, []any{"voice", 2, "offer 0000000000000007"}, []any{call.Class, call.Pool, string(call.Description)})
 			assert.InDelta(t, 3, time.Until(call.Deadline).Seconds(), 2.9)
@@ -87,7 +58,7 @@
 // TestBusy: what the core can't take is refused at once, with when to return.
 func TestBusy(t *testing.T) {
 	_, core, addr := start(t, desk.Config{StayAway: 700 * time.Millisecond})
-	core.busy = true
+	core.Busy = true
 	c := standin.NewCaller(t, addr)
 	c.SetUp(7, "voice", 3*time.Second, 2)
 	assert.Equal(t, "700", c.Await(t, isup.Release, 7).Text(isup.StayAway))
@@ -100,7 +71,7 @@
 	c := standin.NewCaller(t, addr)
 	stand := func(id isup.CallID) agent.Call {
 		c.SetUp(id, "voice", 3*time.Second, 2)
-		call := next(t, core.offered)
+		call := standin.Next(t, core.Offered)
 		f.Answered(call, []byte("there"))
 		assert.Equal(t, "there", c.Await(t, isup.Answer, id).Text(isup.Description))
 		return call
@@ -110,20 +81,27 @@
 	cause, _ := c.Await(t, isup.Release, 1).Cause()
 	assert.Equal(t, isup.Normal, cause)
 	c.SetUp(4, "voice", 3*time.Second, 2)
-	next(t, core.offered)
+	standin.Next(t, core.Offered)
 	c.Close()
-	assert.Equal(t, "0000000000000004", next(t, core.withdrawn), "the set-up that was open on it, and no more")
+	assert.Equal(t, "0000000000000004", standin.Next(t, core.Withdrawn), "the set-up that was open on it, and no more")
 	f.Ended(two, agent.ErrPanic)
 	other := standin.NewCaller(t, addr)
 	cause, _ = other.Await(t, isup.Release, 2).Cause()
 	assert.Equal(t, isup.TempFailure, cause)
 	other.Send(isup.Message{Type: isup.Release, Call: 3}.WithCause(isup.Normal))
-	assert.Equal(t, three.ID, next(t, core.withdrawn))
+	assert.Equal(t, three.ID, standin.Next(t, core.Withdrawn))
 	f.Ended(three, nil) // crosses the caller's release
 	other.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
 	other.Await(t, isup.TestResult, 9)
 }
 
+// TestStray: the end of a call from before a restart goes to any caller, or to the next.
+func TestStray(t *testing.T) {
+	f, _, addr := start(t, desk.Config{})
+	f.Stray("0000000000000007", nil)
+	standin.NewCaller(t, addr).Await(t, isup.Release, 7)
+}
+
 // TestFaults: a message that is malformed, oversized or out of order ends its connection
 // and the calls open on it, and no other.
 func TestFaults(t *testing.T) {
@@ -145,17 +123,17 @@
 			_, core, addr := start(t, desk.Config{MessageTime: 200 * time.Millisecond})
 			good := standin.NewCaller(t, addr)
 			good.SetUp(5, "voice", 3*time.Second, 2)
-			next(t, core.offered)
+			standin.Next(t, core.Offered)
 			c := standin.NewCaller(t, addr)
 			_, err := c.Write(append(setUp[:len(setUp):len(setUp)], bad...))
 			require.NoError(t, err)
-			next(t, core.offered)
+			standin.Next(t, core.Offered)
 			_, err = c.Next()
 			require.Error(t, err)
-			assert.Equal(t, "0000000000000001", next(t, core.withdrawn))
+			assert.Equal(t, "0000000000000001", standin.Next(t, core.Withdrawn))
 			good.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
 			good.Await(t, isup.TestResult, 9)
-			assert.Empty(t, core.withdrawn)
+			assert.Empty(t, core.Withdrawn)
 		})
 	}
 }
@@ -165,7 +143,7 @@
 	f, core, addr := start(t, desk.Config{Idle: 100 * time.Millisecond})
 	busy := standin.NewCaller(t, addr)
 	busy.SetUp(1, "voice", 3*time.Second, 2)
-	call := next(t, core.offered)
+	call := standin.Next(t, core.Offered)
 	idle := standin.NewCaller(t, addr)
 	_, err := idle.Next()
 	require.Error(t, err)
--- /dev/null
+++ b/internal/quiet/quiet_test.go
@@ -0,0 +1,30 @@
+package quiet
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestFlood: a fault that comes thousands of times a second must not fill the log, nor
+// hide other lines; the next line of its kind tells how many were left out.
+func TestFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log := slog.New(New(slog.NewTextHandler(&out, nil), 3))
+		for range 1000 {
+			log.With("caller", "x").Warn("bad message")
+		}
+		log.Info("other")
+		assert.Equal(t, 3, strings.Count(out.String(), "bad message"))
+		assert.Equal(t, 1, strings.Count(out.String(), "other"))
+		time.Sleep(time.Second)
+		log.Warn("bad message")
+		assert.Contains(t, out.String(), "passed_over=997")
+	})
+}
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -63,7 +63,8 @@
 		return err
 	}
 	a := t.open[m.Call]
-	if a == nil { // the answer to a give-up, or the end of a call released here
+	if a == nil { // the answer to a give-up, or the end of a call from before a restart
+		t.core.Unknown(m.Call.String(), verdict(t.server.ID, cause, m.Text(isup.Note), true))
 		return nil
 	}
 	t.end(m.Call, a, verdict(t.server.ID, cause, m.Text(isup.Note), a.stands), report)
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -17,6 +17,7 @@
 type Core interface {
 	Stands(id string, n int, description []byte)
 	Ended(id string, n int, err *agent.Failure, r policy.Report)
+	Unknown(id string, err *agent.Failure)
 	Reported(p policy.Probed)
 }
 
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -32,12 +32,14 @@
 type core struct {
 	told    chan told
 	reports chan policy.Probed
+	unknown chan string
 }
 
 func (c *core) Stands(id string, n int, _ []byte) { c.told <- told{true, id, n, nil, time.Now()} }
 func (c *core) Ended(id string, n int, err *agent.Failure, _ policy.Report) {
 	c.told <- told{false, id, n, err, time.Now()}
 }
+func (c *core) Unknown(id string, err *agent.Failure) { c.unknown <- id }
 func (c *core) Reported(p policy.Probed) {
 	select {
 	case c.reports <- p:
@@ -68,7 +70,7 @@
 }
 
 func start(t *testing.T, cfg Config) (*Pool, *core) {
-	c := &core{make(chan told, 100), make(chan policy.Probed, 100)}
+	c := &core{make(chan told, 100), make(chan policy.Probed, 100), make(chan string, 100)}
 	p := NewPool(cfg, c)
 	t.Cleanup(p.Close)
 	return p, c
@@ -334,6 +336,17 @@
 	}
 }
 
+// TestUnknownEnd: the end of a call that this program never set up is of one from before
+// its restart; the core decides what becomes of it.
+func TestUnknownEnd(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	require.Eventually(t, func() bool { return len(s.Conns()) == 1 }, standin.Patience, ms)
+	s.Conns()[0].Send(isup.Message{Type: isup.Release, Call: 1}.WithCause(isup.Normal))
+	assert.Equal(t, one, <-c.unknown)
+}
+
 // TestProbe: a test with cause 1 brings a report; silence is a timeout.
 func TestProbe(t *testing.T) {
 	p, c := start(t, Config{ProbeTimeout: 300 * ms})
