Use a setup server again that returns to the list

The log had no 'reached again' after 'listed as up'. At fault: Pool.Servers posted the news of its return and, in the same call, still found the actor's 'finished' of its withdrawal set, closed its mailbox and forgot it (pool.go); every set-up there then ended unwritten. The module, the dial and the bulletin were ruled out: the cold line came on time. Now the list's latest word decides, and the test fails without it.

--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -90,13 +90,16 @@
 			p.trunks[s.ID] = t
 			p.group.Go(t.run)
 		}
+		t.withdrawn = s.State == policy.Gone
 		t.post(func() { t.listed(s) })
 	}
 	for id, t := range p.trunks {
 		if whole && !named[id] {
+			t.withdrawn = true
 			t.post(t.gone)
 		}
-		if t.finished.Load() {
+		// Its actor may not have read yet that it is back: what the list said last counts.
+		if t.withdrawn && t.finished.Load() {
 			t.box.Close()
 			delete(p.trunks, id)
 		}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -68,6 +68,8 @@
 	stopped  bool
 	finished atomic.Bool // gone, with nothing open: the pool may forget it
 	buf      []byte
+
+	withdrawn bool // the pool's: it is gone by the latest news
 }
 
 func newTrunk(cfg Config, core Core, s agent.Server) *trunk {
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -278,6 +278,24 @@
 	}
 }
 
+// TestBack: a server that was withdrawn and comes back is used again. The pool forgot it
+// when the news of its return met an actor that had ended its calls.
+func TestBack(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.news(listed(s.Addr, policy.Gone, time.Time{}))
+	require.Eventually(t, p.trunks["s"].finished.Load, standin.Patience, ms)
+	p.news(listed(s.Addr, policy.Up, time.Now()))
+	p.SetUp(attemptFor(one, 3*time.Second))
+	s.Await(t, isup.SetUp).Answer("")
+	require.True(t, c.await(t).stands)
+	p.news(listed(s.Addr, policy.Gone, time.Time{}))
+	c.ended(t, agent.Stood, policy.Cut)
+	p.news()
+	assert.Empty(t, p.trunks, "and forgotten when it is gone for good")
+}
+
 // TestSilence: a machine that vanished leaves its connection open and silent. A quiet one
 // does so too, but takes a new connection; its calls must not be cut.
 func TestSilence(t *testing.T) {
