--- /dev/null
+++ b/internal/daemon/main_test.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestMain's name is taken by the testing package, hence TestProgram: the commands, their
+// exit codes and what they name.
+func TestProgram(t *testing.T) {
+	dir := t.TempDir()
+	state, file := filepath.Join(dir, "state.json"), filepath.Join(dir, "api.plan")
+	good, bad := filepath.Join(dir, "good.toml"), filepath.Join(dir, "bad.toml")
+	require.NoError(t, os.WriteFile(good, []byte("enabled = true\nlisten = \"127.0.0.1:0\"\n"), 0o600))
+	require.NoError(t, os.WriteFile(bad, []byte("enabled = true\n"), 0o600))
+	config := filepath.Join(dir, "config.json")
+	require.NoError(t, os.WriteFile(config, []byte(`{"listen":"nowhere"}`), 0o600))
+	for _, tc := range []struct {
+		args []string
+		code int
+		out  string
+		errs string
+	}{
+		{[]string{"plan", "-state", state, "-out", file, good}, exitChanges, "+ enabled = true", ""},
+		{[]string{"apply", file}, exitOK, "applied", ""},
+		{[]string{"apply", file}, exitError, "", "stale"},
+		{[]string{"plan", "-state", state, "-out", file, good}, exitOK, "no changes", ""},
+		{[]string{"plan", "-state", state, "-out", file, bad}, exitError, "", "field listen"},
+		{[]string{"plan", "-state", state, good}, exitError, "", "-out"},
+		{[]string{"plan", "-state", config, "-out", file, good}, exitError, "", "version"},
+		{[]string{"apply", bad}, exitError, "", "plan"},
+		{[]string{"apply"}, exitError, "", "one plan"},
+		{[]string{"help"}, exitError, "", "usage"},
+		{nil, exitError, "", "field listen"},
+	} {
+		var out, errs bytes.Buffer
+		env := func(name string) string { return map[string]string{"PROXY_CONFIG": config}[name] }
+		assert.Equal(t, tc.code, Main(tc.args, env, &out, &errs), "%v: %s", tc.args, &errs)
+		assert.Contains(t, out.String(), tc.out, "%v", tc.args)
+		assert.Contains(t, errs.String(), tc.errs, "%v", tc.args)
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -207,6 +207,7 @@
 	mu    sync.Mutex
 	items []map[string]any
 	news  chan struct{}
+	asked int
 }
 
 // Endpoint words an entry of the list.
@@ -247,10 +248,18 @@
 	return map[string]any{"no": len(b.items), "items": b.items[after:]}
 }
 
+// Taken tells whether all events have been taken: the next were asked for.
+func (b *Bulletin) Taken() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asked >= len(b.items)
+}
+
 func (b *Bulletin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	patience, _ := strconv.Atoi(r.URL.Query().Get("patience"))
 	b.mu.Lock()
+	b.asked = max(b.asked, after)
 	news, known := b.news, len(b.items)
 	b.mu.Unlock()
 	if after >= known {
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -13,7 +13,7 @@
 
 // hear handles one message of the server. One that can't be understood ends the connection.
 func (t *trunk) hear(l *link, m isup.Message) {
-	l.heard = time.Now()
+	l.heard, l.spoke = time.Now(), true
 	t.heard = l.heard
 	report, err := parseReport(m)
 	if err == nil {
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -25,6 +25,7 @@
 	errLate    = errors.New("its time ran out before it was written")
 	errGivenUp = errors.New("given up")
 	errDied    = errors.New("the server has died")
+	errMute    = errors.New("connected, but the server says nothing")
 	errStopped = errors.New("the agent stops")
 )
 
@@ -44,6 +45,7 @@
 type link struct {
 	conn    net.Conn
 	heard   time.Time // latest message
+	spoke   bool      // a server tells of its group first; one that hangs is connected to by its kernel alone
 	out     int       // set-ups unanswered on it
 	retired bool      // another has taken its place; it ends with its last set-up
 }
@@ -421,6 +423,11 @@
 		return
 	}
 	wait := t.cfg.Silence - time.Since(l.heard)
+	if wait <= 0 && !l.spoke {
+		t.lost(l, errMute)
+		t.unreached(errMute)
+		return
+	}
 	if wait <= 0 {
 		if wait = t.cfg.Silence; len(t.open) > 0 {
 			t.log.Info("setup server silent: trying a new connection")
