--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -275,6 +275,26 @@
 	}
 }
 
+// TestLinesComeBack: with many lines and short calls a full server has room again within
+// milliseconds. Shut for 200 ms and held to one set-up out, it stood idle.
+func TestLinesComeBack(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Hold = 100 * ms
+	b := newBench(t, set, up(1)...)
+	s := b.c.servers[0]
+	s.total, s.room, s.delay, b.c.hold = 400, 20, 12*ms, 0.1
+	b.call("1")
+	b.now += 10 * ms
+	b.do(Ended{ID: "1", Server: s.ID, Result: NoLines, Report: NoReport()})
+	if b.c.open(s) {
+		t.Error("open before a line can have come free")
+	}
+	b.now += 2 * ms
+	if !b.c.open(s) || s.room < 10 || s.room >= 20 {
+		t.Errorf("open %v, room %v when lines come free at 1 a ms for this sender", b.c.open(s), s.room)
+	}
+}
+
 // TestSilentServer: a server that stops answering is found by the age of its set-ups
 // and gets single trials; when it answers it is taken up again by steps.
 func TestSilentServer(t *testing.T) {
