--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -285,13 +285,11 @@
 	s.total, s.room, s.delay, b.c.hold = 400, 20, 12*ms, 0.1
 	b.call("1")
 	b.now += 10 * ms
-	b.do(Ended{ID: "1", Server: s.ID, Result: NoLines, Report: NoReport()})
-	if b.c.open(s) {
-		t.Error("open before a line can have come free")
+	if sent := pick[Send](b.do(Ended{ID: "1", Server: s.ID, Result: NoLines, Report: NoReport()})); len(sent) > 0 {
+		t.Error("sent again before a line can have come free")
 	}
-	b.now += 2 * ms
-	if !b.c.open(s) || s.room < 10 || s.room >= 20 {
-		t.Errorf("open %v, room %v when lines come free at 1 a ms for this sender", b.c.open(s), s.room)
+	if sent := pick[Send](b.after(30 * ms)); len(sent) != 1 || s.room < 10 || s.room >= 20 {
+		t.Errorf("sent %v, room %v when a line comes free each ms for this sender", sent, s.room)
 	}
 }
 
