Drain test: wait for each warm-up call's outcome before the next

Seen: 3 of 12 runs failed with four of each test binary side by side. A set-up by a new connection could reach the core before the answer to the call before, found no room at its first choice and went to the other server.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -255,13 +255,14 @@
 func TestDrain(t *testing.T) {
 	s := newSite(t)
 	api, _ := s.websocket(t)
+	outcomes := make(chan string, 2)
 	for id := isup.CallID(0x1000); id < 0x1080; id += 0x10 { // answers in time give room for two
-		go s.binary(t)(id, 3*time.Second)
+		go func() { outcomes <- s.binary(t)(id, 3*time.Second) }()
 		g := s.servers[0].Await(t, isup.SetUp)
 		g.Answer("room")
 		g.Release(isup.Normal, "")
+		require.Equal(t, "stands in room, completed", <-outcomes)
 	}
-	outcomes := make(chan string, 2)
 	go func() { outcomes <- s.binary(t)(0x10, 3*time.Second) }()
 	go func() { outcomes <- api(0x20, 3*time.Second) }()
 	waiting := []standin.Got{s.servers[0].Await(t, isup.SetUp), s.servers[0].Await(t, isup.SetUp)}
