Bound open calls; let the daemon's group read the state file

Open calls hold up to 16 KiB of description each, and nothing bounded their number: 4096 at most now (64 MB), beyond that a call is refused at once with when to return. The state file was 0600, so a daemon of another user could not read what an operator applied: 0640. A trunk's queue is searched in one place.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -26,6 +26,7 @@
 	Seed     uint64
 	Slack    time.Duration // a final answer counts so long after the deadline
 	Mailbox  int           // most events that wait; 0: 8192
+	MaxOpen  int           // most calls without a final answer, as each holds memory; 0: 4096
 	Log      *slog.Logger
 	// Stray hears of a call's end at a setup server when the call is none of this agent's:
 	// it stood before a restart, and its caller still waits to be told. err as for Ended.
@@ -197,6 +198,10 @@
 		f.Rejected(in, ErrClass)
 		return
 	}
+	if a.open >= cmp.Or(a.cfg.MaxOpen, 4096) {
+		f.Refused(in, a.cfg.Settings.Limits.CoolDown)
+		return
+	}
 	c := &call{Call: in, front: f}
 	a.calls[in.ID] = c
 	a.recent.add(in.ID)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -226,6 +226,22 @@
 	})
 }
 
+// TestMaxOpen: open calls hold their descriptions, so there is a bound; beyond it a call is
+// refused at once and one that is over makes place.
+func TestMaxOpen(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		a.cfg.MaxOpen = 1
+		offer(a, s, "c", 3*time.Second)
+		offer(a, s, "d", 3*time.Second)
+		require.Equal(t, []string{"refused d"}, s.heard())
+		require.Equal(t, 2*time.Second, s.wait)
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		offer(a, s, "e", 3*time.Second)
+		require.NotContains(t, s.heard(), "refused e")
+	})
+}
+
 // TestPanic: a panic ends the call that it came up in, and the core goes on.
 func TestPanic(t *testing.T) {
 	play(t, func(a *Agent, s *side) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -259,7 +259,8 @@
 		}
 	}()
 	_, err = f.Write(append(text, '\n'))
-	err = errors.Join(err, f.Sync(), f.Close())
+	// The daemon may run as another user of the operator's group; nobody else reads tokens' sums.
+	err = errors.Join(err, f.Chmod(0o640), f.Sync(), f.Close())
 	if err != nil {
 		return err
 	}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -237,12 +238,9 @@
 // giveUp ends an attempt that is out, waits, or stands. The end is told only once the
 // give-up is written: from then on the call may count the time until it goes out again.
 func (t *trunk) giveUp(callID string, n int, why policy.Result) {
-	for i, w := range t.waiting {
-		if w.ID == callID && w.N == n {
-			t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
-			t.core.Ended(callID, n, failure(t.server.ID, agent.Unwritten, why, errGivenUp), policy.NoReport())
-			return
-		}
+	if t.dequeue(callID, n) {
+		t.core.Ended(callID, n, failure(t.server.ID, agent.Unwritten, why, errGivenUp), policy.NoReport())
+		return
 	}
 	id, err := isup.ParseCallID(callID)
 	a := t.open[id]
@@ -365,14 +363,19 @@
 
 // tired ends a set-up whose connection did not come up in time.
 func (t *trunk) tired(id string, n int) {
-	for i, w := range t.waiting {
-		if w.ID == id && w.N == n {
-			t.waiting = append(t.waiting[:i:i], t.waiting[i+1:]...)
-			t.core.Ended(id, n, failure(t.server.ID, agent.Unconnected, policy.Unreachable,
-				context.DeadlineExceeded), policy.NoReport())
-			return
-		}
+	if t.dequeue(id, n) {
+		t.core.Ended(id, n, failure(t.server.ID, agent.Unconnected, policy.Unreachable,
+			context.DeadlineExceeded), policy.NoReport())
+	}
+}
+
+// dequeue takes a set-up out of those that wait for a connection, if it is there.
+func (t *trunk) dequeue(id string, n int) bool {
+	i := slices.IndexFunc(t.waiting, func(w agent.Attempt) bool { return w.ID == id && w.N == n })
+	if i >= 0 {
+		t.waiting = slices.Delete(t.waiting, i, i+1)
 	}
+	return i >= 0
 }
 
 // read is the connection's goroutine.
