Hand a caller's release of a call from before a restart to the servers

The other half of calls that outlive the agent: a caller may release one that this process never set up, on any connection, and it stood on at its server. Such a release goes to every connected server now, but never for an id handled here.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -139,6 +139,16 @@
 // stands, or can't be reached with the answer. Nothing more is owed for the call.
 func (a *Agent) Withdraw(f Front, id string) { a.post(id, func() { a.withdraw(f, id) }) }
 
+// ReleaseUnknown tells that a caller released a call its front knows nothing of. One from
+// before a restart still stands at some server; of one handled here all is said.
+func (a *Agent) ReleaseUnknown(id string) {
+	a.post(id, func() {
+		if a.calls[id] == nil && !a.recent.has(id) {
+			a.backend.ReleaseUnknown(id)
+		}
+	})
+}
+
 // Servers brings news of the server list.
 func (a *Agent) Servers(list []Server, whole bool) {
 	a.post("", func() { a.servers(list, whole) })
@@ -190,6 +200,7 @@
 }
 
 func (a *Agent) offer(f Front, in Call) {
+	a.recent.add(in.ID)
 	if a.calls[in.ID] != nil {
 		f.Rejected(in, ErrDuplicate)
 		return
@@ -204,7 +215,6 @@
 	}
 	c := &call{Call: in, front: f}
 	a.calls[in.ID] = c
-	a.recent.add(in.ID)
 	a.open++
 	left := max(time.Until(in.Deadline), 0)
 	// The module answers every call in time. Should it ever not, the caller still hears.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -75,6 +75,9 @@
 
 func (s *side) Servers([]Server, bool) {}
 func (s *side) Probe(string)           {}
+func (s *side) ReleaseUnknown(id string) {
+	s.note(&s.asked, "release %s somewhere", id)
+}
 func (s *side) SetUp(a Attempt) {
 	s.note(&s.asked, "set up %s.%d at %s", a.ID, a.N, a.Server)
 }
@@ -278,8 +281,8 @@
 	})
 }
 
-// TestStray: the end of a call from before a restart goes to the callers; a word too many
-// about a call of this agent does not.
+// TestStray: the end of a call from before a restart goes to the callers, and a caller's
+// release of one to the servers; a word too many about a call of this agent does not.
 func TestStray(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, strays := &side{}, make(chan string, 10)
@@ -293,6 +296,10 @@
 		a.Unknown("old", nil)
 		a.Unknown("cut", gone)
 		synctest.Wait()
+		a.ReleaseUnknown("mine")
+		a.ReleaseUnknown("older")
+		synctest.Wait()
+		require.Equal(t, []string{"release older somewhere"}, s.did())
 		require.Len(t, strays, 2)
 		require.Equal(t, []string{"old true", "cut false"}, []string{<-strays, <-strays})
 	})
--- a/agent/api.go
+++ b/agent/api.go
@@ -60,6 +60,8 @@
 	// GiveUp ends an attempt, or the call that stands on it: Ended follows with why,
 	// once the give-up is written, unless another end came first.
 	GiveUp(server, id string, n int, why policy.Result)
+	// ReleaseUnknown ends a call that stands at one of the servers, nobody knows which.
+	ReleaseUnknown(id string)
 	Probe(server string)
 }
 
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -19,6 +19,7 @@
 type Core interface {
 	Offer(f agent.Front, c agent.Call) bool
 	Withdraw(f agent.Front, id string)
+	ReleaseUnknown(id string)
 }
 
 // Config are a desk's figures; zero values get defaults.
@@ -287,6 +288,9 @@
 	d.sayEnded(owed{Item{ID: id, Kind: End, Data: data}, "", time.Now()}, nil)
 }
 
+// ReleaseUnknown hands on the release of a call that this desk does not know.
+func (d *Desk) ReleaseUnknown(id string) { d.core.ReleaseUnknown(id) }
+
 // Blame ends the connection of a call and reports whether the call was known.
 func (d *Desk) Blame(id string, err error) {
 	if l := d.finish(id); l != nil {
--- a/internal/isupfront/front.go
+++ b/internal/isupfront/front.go
@@ -124,7 +124,9 @@
 		if _, err := m.Cause(); err != nil {
 			return err
 		}
-		f.Withdraw(m.Call.String())
+		if known, _, _ := f.Withdraw(m.Call.String()); !known {
+			f.ReleaseUnknown(m.Call.String())
+		}
 	case isup.Test:
 		cause := isup.NotPassed
 		if f.ready() {
--- a/internal/isupfront/isupfront_test.go
+++ b/internal/isupfront/isupfront_test.go
@@ -95,11 +95,15 @@
 	other.Await(t, isup.TestResult, 9)
 }
 
-// TestStray: the end of a call from before a restart goes to any caller, or to the next.
+// TestStray: the end of a call from before a restart goes to any caller, or to the next;
+// a caller's release of one is handed on.
 func TestStray(t *testing.T) {
-	f, _, addr := start(t, desk.Config{})
+	f, core, addr := start(t, desk.Config{})
 	f.Stray("0000000000000007", nil)
-	standin.NewCaller(t, addr).Await(t, isup.Release, 7)
+	c := standin.NewCaller(t, addr)
+	c.Await(t, isup.Release, 7)
+	c.Send(isup.Message{Type: isup.Release, Call: 8}.WithCause(isup.Normal))
+	assert.Equal(t, "0000000000000008", standin.Next(t, core.Unknown))
 }
 
 // TestFaults: a message that is malformed, oversized or out of order ends its connection
--- a/internal/standin/core.go
+++ b/internal/standin/core.go
@@ -14,13 +14,15 @@
 type Core struct {
 	Offered   chan agent.Call
 	Withdrawn chan string
+	Unknown   chan string
 	Busy      bool
 	Decide    func(agent.Call) // before the offer returns; nil: later, by the test
 }
 
 // NewCore returns a core that takes every call.
 func NewCore() *Core {
-	return &Core{Offered: make(chan agent.Call, 100), Withdrawn: make(chan string, 100)}
+	return &Core{Offered: make(chan agent.Call, 100), Withdrawn: make(chan string, 100),
+		Unknown: make(chan string, 100)}
 }
 
 // Offer takes a call unless the core is busy.
@@ -38,6 +40,9 @@
 // Withdraw notes a call that its caller left.
 func (c *Core) Withdraw(_ agent.Front, id string) { c.Withdrawn <- id }
 
+// ReleaseUnknown notes a release of a call that the front did not know.
+func (c *Core) ReleaseUnknown(id string) { c.Unknown <- id }
+
 // Next returns what comes next on a channel.
 func Next[T any](t testing.TB, from <-chan T) (v T) {
 	t.Helper()
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"woodrouter/agent"
+	"woodrouter/isup"
 	"woodrouter/policy"
 )
 
@@ -121,6 +122,22 @@
 	}
 }
 
+// ReleaseUnknown has every server that is connected end the call; those that do not hold
+// it have nothing to do.
+func (p *Pool) ReleaseUnknown(id string) {
+	n, err := isup.ParseCallID(id)
+	if err != nil {
+		return
+	}
+	for _, t := range p.trunks {
+		t.post(func() {
+			if t.link != nil {
+				t.release(t.link, n)
+			}
+		})
+	}
+}
+
 // Probe asks a server for its report.
 func (p *Pool) Probe(server string) {
 	if t := p.trunks[server]; t != nil {
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -370,6 +370,8 @@
 	require.Eventually(t, func() bool { return len(s.Conns()) == 1 }, standin.Patience, ms)
 	s.Conns()[0].Send(isup.Message{Type: isup.Release, Call: 1}.WithCause(isup.Normal))
 	assert.Equal(t, one, <-c.unknown)
+	p.ReleaseUnknown(two) // and the other way: its caller's release finds its server
+	assert.Equal(t, two, s.Await(t, isup.Release).Call.String())
 }
 
 // TestProbe: a test with cause 1 brings a report; silence is a timeout.
