--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -91,6 +91,16 @@
 		Description: []byte("offer")}
 }
 
+// stand brings a call to stand and returns its set-up.
+func stand(t *testing.T, p *Pool, c *core, s *standin.Server, id string) standin.Got {
+	t.Helper()
+	p.SetUp(attemptFor(id, 3*time.Second))
+	g := s.Await(t, isup.SetUp)
+	g.Answer("")
+	require.Equal(t, []any{true, id}, []any{c.await(t).stands, g.Call.String()})
+	return g
+}
+
 const one, two = "0000000000000001", "0000000000000002"
 
 // TestSetUp: a set-up goes on unchanged, and each release is read as what it means.
@@ -212,9 +222,7 @@
 	p, c := start(t, Config{})
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
-	p.SetUp(attemptFor(one, 3*time.Second))
-	s.Await(t, isup.SetUp).Answer("")
-	require.True(t, c.await(t).stands)
+	stand(t, p, c, s, one)
 	p.SetUp(attemptFor(two, 3*time.Second))
 	g := s.Await(t, isup.SetUp)
 	g.Conn.Close()
@@ -269,9 +277,7 @@
 			p, c := start(t, Config{})
 			s := standin.NewServer(t, "")
 			p.news(listed(s.Addr, policy.Up, time.Time{}))
-			p.SetUp(attemptFor(one, 3*time.Second))
-			s.Await(t, isup.SetUp).Answer("")
-			require.True(t, c.await(t).stands)
+			stand(t, p, c, s, one)
 			die(p, s)
 			c.ended(t, agent.Stood, policy.Cut)
 		})
@@ -287,9 +293,7 @@
 	p.news(listed(s.Addr, policy.Gone, time.Time{}))
 	require.Eventually(t, p.trunks["s"].finished.Load, standin.Patience, ms)
 	p.news(listed(s.Addr, policy.Up, time.Now()))
-	p.SetUp(attemptFor(one, 3*time.Second))
-	s.Await(t, isup.SetUp).Answer("")
-	require.True(t, c.await(t).stands)
+	stand(t, p, c, s, one)
 	p.news(listed(s.Addr, policy.Gone, time.Time{}))
 	c.ended(t, agent.Stood, policy.Cut)
 	p.news()
@@ -323,9 +327,7 @@
 				}})
 			s := standin.NewServer(t, "")
 			p.news(listed(s.Addr, policy.Up, time.Time{}))
-			p.SetUp(attemptFor(one, 3*time.Second))
-			s.Await(t, isup.SetUp).Answer("")
-			require.True(t, c.await(t).stands)
+			stand(t, p, c, s, one)
 			later.Store(true)
 			if tc.cut {
 				c.ended(t, agent.Stood, policy.Cut)
@@ -354,9 +356,7 @@
 			g := s.Await(t, isup.SetUp)
 			g.Conn.Write([]byte(bad))
 			c.ended(t, agent.Written, policy.Cut)
-			p.SetUp(attemptFor(two, 3*time.Second))
-			s.Await(t, isup.SetUp).Answer("")
-			require.True(t, c.await(t).stands, "the next connection serves")
+			stand(t, p, c, s, two)
 		})
 	}
 }
--- a/internal/ws/frame.go
+++ b/internal/ws/frame.go
@@ -108,13 +108,13 @@
 	return err
 }
 
-// ReadFrame reads one frame of a client; its payload may have at most most bytes.
+// ReadFrame reads one frame of a client; a data frame may have at most most bytes.
 func ReadFrame(r io.Reader, most int) (Frame, error) {
 	h, err := readHeader(r)
 	if err != nil {
 		return Frame{}, err
 	}
-	if h.length > uint64(most) {
+	if !h.opcode.control() && h.length > uint64(most) {
 		return Frame{}, &CloseError{Code: StatusTooBig, Reason: fmt.Sprintf("more than %d bytes", most)}
 	}
 	f := Frame{h.final, h.opcode, make([]byte, h.length)}
--- a/internal/ws/ws_test.go
+++ b/internal/ws/ws_test.go
@@ -37,6 +37,8 @@
 		{"two-byte length", client(0x81, long), "1" + long + " ", 0},
 		{"fragmented", client(0x01, "he") + client(0x00, "ll") + client(0x80, "o"), "1hello ", 0},
 		{"ping between fragments", client(0x01, "a") + client(0x89, "p") + client(0x80, "b"), "9p 1ab ", 0},
+		{"ping when little is left", client(0x01, long) + client(0x00, long) + client(0x00, long) + client(0x89, long[:120]) +
+			client(0x80, ""), "9" + long[:120] + " 1" + long + long + long + " ", 0},
 		{"binary", client(0x82, "x"), "2x ", 0},
 		{"unmasked", "\x81\x05hello", "", StatusProtocol},
 		{"reserved bit", client(0xc1, "x"), "", StatusProtocol},
