Let calls at a draining server stand when a check of its silence is refused

It listens no more but keeps the connection that is up, and unreached (trunk.go) took any refusal for its death. A refusal beside a connection that nobody has reset proves the opposite; that is how it is read now, and the test fails without it. After a reset, a refusal ends the calls 0.1 s later, so that the server's own words come first.

--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -29,6 +29,7 @@
 	ProbeTimeout   time.Duration
 	Silence        time.Duration // without a word for so long, a server is looked for anew
 	Redial         time.Duration // between connections tried without a set-up that waits
+	CutGrace       time.Duration // between a refused connection and the end of the calls it proves dead
 	Mailbox        int           // most messages of a server that wait
 	Log            *slog.Logger
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
@@ -44,6 +45,7 @@
 		{&c.ProbeTimeout, 250 * time.Millisecond},
 		{&c.Silence, 3 * time.Second},
 		{&c.Redial, 500 * time.Millisecond},
+		{&c.CutGrace, 100 * time.Millisecond},
 	} {
 		if *d.field <= 0 {
 			*d.field = d.value
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -329,9 +329,16 @@
 	}
 }
 
-// unreached handles a dial that brought nothing. A refused connection proves that no
-// process runs; silence proves it only when it has lasted.
+// unreached handles a dial that brought nothing. A refused connection proves that nobody
+// listens; silence proves that the machine is gone only when it has lasted.
 func (t *trunk) unreached(err error) {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && t.link != nil {
+		// The machine answers and has not reset the connection there is: the process lives and
+		// listens no more, as one that drains does. Its calls stand.
+		t.link.heard, t.heard = time.Now(), time.Now()
+		return
+	}
 	if t.failures++; t.failures == 1 {
 		t.log.Warn("setup server not reached", "address", t.server.Address, "error", err)
 	}
@@ -339,11 +346,21 @@
 	if t.link != nil { // it was silent, and this dial was to tell why
 		t.lost(t.link, err)
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) || time.Since(t.heard) > t.cfg.Silence {
+	switch {
+	case refused:
+		time.AfterFunc(t.cfg.CutGrace, func() { t.post(t.died) })
+	case time.Since(t.heard) > t.cfg.Silence:
+		t.died()
+	}
+	time.AfterFunc(t.cfg.Redial, func() { t.post(t.connectAgain) })
+}
+
+// died ends the calls of a process that is taken for dead, unless it was reached meanwhile.
+func (t *trunk) died() {
+	if t.link == nil {
 		t.cutBefore(time.Now())
 		t.unsaid = nil
 	}
-	time.AfterFunc(t.cfg.Redial, func() { t.post(t.connectAgain) })
 }
 
 // connectAgain keeps a connection ready, and looks for calls whose server fell silent.
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -339,6 +339,25 @@
 	}
 }
 
+// TestDrainingRefuses: a server that drains listens no more but keeps its connection. That
+// a check of its silence is refused must not cut its calls; the reset at its end does.
+func TestDrainingRefuses(t *testing.T) {
+	var dials atomic.Int32
+	p, c := start(t, Config{Silence: 100 * ms, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		dials.Add(1)
+		return net.Dial("tcp", addr)
+	}})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	stand(t, p, c, s, one)
+	s.Refuse()
+	p.news(listed(s.Addr, policy.Draining, time.Time{}))
+	require.Eventually(t, func() bool { return dials.Load() >= 5 }, standin.Patience, ms)
+	assert.Empty(t, c.told, "the call stands")
+	s.Die()
+	c.ended(t, agent.Stood, policy.Cut)
+}
+
 // TestBadMessages: what can't be understood ends the connection, never the actor.
 func TestBadMessages(t *testing.T) {
 	for name, bad := range map[string]string{
