Follow the bulletin to its new address on SIGHUP, and bound each poll

In its log SIGHUP brought "nothing to reload", the poll ended with EOF when the old bulletin closed, and no list change came after it: the new server (8.5 s) was never used, the old one was removed at 14.2 s and 57% of calls were refused until the agents were restarted. At fault: daemon.Reload, which read the second front's state only; bulletin.Follower, whose address was fixed. Also: a poll asked for 5 s and was given 8 s (Patience + 3 s), more than what counts as told (2 s after the wait asked for); it now asks for 1 s and ends 0.75 s later. The fixed 3.3 s of a stop follows the longest deadline. Ruled out: that Take loses an event by passing over one it could not read. An answer that breaks off fails as a whole and is asked for again; a bad event would be bad again.

--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"woodrouter/agent"
@@ -80,17 +81,43 @@
 
 // Follower is the actor of the list.
 type Follower struct {
-	Address  string
 	Core     Core
 	Log      *slog.Logger
 	Patience time.Duration // how long the bulletin may hold an answer back
+	Grace    time.Duration // and how long the answer may take beside that
 	Retry    time.Duration // after a failed call
 
+	mu      sync.Mutex
+	address string
+	cut     context.CancelFunc // ends the call under way
+
 	last int64
 	conn net.Conn
 	in   *bufio.Reader
 }
 
+// Move has the bulletin asked at another address from now on. The call under way is cut,
+// as the former address may tell nothing more and yet hold its answer back.
+func (f *Follower) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if address == f.address {
+		return
+	}
+	f.address = address
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
+// aim returns the address of the next call and the context that a Move ends.
+func (f *Follower) aim(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ctx, f.cut = context.WithCancel(ctx)
+	return ctx, f.cut, f.address
+}
+
 // maxAnswer bounds an answer of the bulletin.
 const maxAnswer = 4 << 20
 
@@ -120,24 +147,31 @@
 // Run polls until ctx ends. A failure ends one call, never the actor.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.drop()
-	failures := 0
+	failures, asked := 0, ""
 	for ctx.Err() == nil {
-		err := f.poll(ctx)
+		call, cut, address := f.aim(ctx)
+		if address != asked {
+			f.drop()
+			failures, asked = 0, address
+		}
+		err := f.poll(call, address)
 		if err == nil {
 			if failures > 0 {
 				f.Log.Info("bulletin reached again", "after", failures)
 			}
 			failures = 0
+			cut()
 			continue
 		}
 		f.drop()
-		if failures++; failures == 1 && ctx.Err() == nil {
-			f.Log.Warn("bulletin not reached", "address", f.Address, "error", err)
+		if failures++; failures == 1 && call.Err() == nil {
+			f.Log.Warn("bulletin not reached", "address", address, "error", err)
 		}
 		select {
-		case <-ctx.Done():
+		case <-call.Done(): // a new address is asked at once
 		case <-time.After(f.Retry):
 		}
+		cut()
 	}
 }
 
@@ -148,15 +182,18 @@
 	f.conn = nil
 }
 
-func (f *Follower) poll(ctx context.Context) (err error) {
+// poll asks once. The whole call has one limit: an answer that stops half-way, on a
+// connection that stays open, must not keep the list from what comes after it.
+func (f *Follower) poll(ctx context.Context, address string) (err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("panic: %v", r)
 		}
 	}()
+	until := time.Now().Add(f.Patience + f.Grace)
 	if f.conn == nil {
-		d := net.Dialer{Timeout: 2 * time.Second}
-		if f.conn, err = d.DialContext(ctx, "tcp", f.Address); err != nil {
+		d := net.Dialer{Timeout: f.Grace}
+		if f.conn, err = d.DialContext(ctx, "tcp", address); err != nil {
 			f.conn = nil
 			return err
 		}
@@ -164,9 +201,9 @@
 	}
 	stop := context.AfterFunc(ctx, func(c net.Conn) func() { return func() { c.Close() } }(f.conn))
 	defer stop()
-	f.conn.SetDeadline(time.Now().Add(f.Patience + 3*time.Second))
+	f.conn.SetDeadline(until)
 	if _, err = fmt.Fprintf(f.conn, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
-		f.last, f.Patience.Milliseconds(), f.Address); err != nil {
+		f.last, f.Patience.Milliseconds(), address); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(f.in, nil)
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -50,8 +50,9 @@
 
 func follow(t *testing.T, addr string) (core, *Follower) {
 	c := make(core, 100)
-	f := &Follower{Address: addr, Core: c, Log: slog.New(slog.DiscardHandler), Patience: 200 * time.Millisecond,
-		Retry: 10 * time.Millisecond}
+	f := &Follower{Core: c, Log: slog.New(slog.DiscardHandler), Patience: 200 * time.Millisecond,
+		Grace: 300 * time.Millisecond, Retry: 10 * time.Millisecond}
+	f.Move(addr)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
@@ -105,3 +106,49 @@
 	c, _ := follow(t, ln.Addr().String())
 	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1}]")
 }
+
+// TestMove: after a move the new address is asked at once for what follows the last event,
+// though the former one still holds its answer back. Waiting for it would leave the list
+// behind by all that it may take.
+func TestMove(t *testing.T) {
+	entry := standin.Endpoint("a", "x:1", 0, "up")
+	old, next := standin.NewBulletin(t, entry), standin.NewBulletin(t, entry)
+	c := make(core, 100)
+	f := &Follower{Core: c, Log: slog.New(slog.DiscardHandler), Patience: time.Hour, Grace: time.Hour,
+		Retry: time.Hour}
+	f.Move(old.Addr)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	c.next(t)
+	require.Eventually(t, old.Taken, standin.Patience, time.Millisecond)
+	next.Tell(false, standin.Endpoint("a", "x:1", 0, "draining"))
+	f.Move(next.Addr)
+	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1}]", "the first event is not told again")
+	assert.Empty(t, c)
+}
+
+// TestStopped: an answer that stops half-way is waited for no longer than the patience asked
+// for and the grace; then the bulletin is asked again.
+func TestStopped(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() }) // it stays open
+			conn.Read(make([]byte, 1000))
+			answer := `{"no":1,"items":[{"no":1,"roster":{"endpoints":[{"name":"a","address":"x:1","status":"up"}]}}]}`
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer[:len(answer)*min(i+1, 2)/2])
+		}
+	}()
+	began := time.Now()
+	c, f := follow(t, ln.Addr().String())
+	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1}]")
+	assert.Less(t, time.Since(began), f.Patience+f.Grace+2*time.Second, "what it would have told counts as told by then")
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -25,6 +25,7 @@
 
 	State string `json:"-"` // path of the second front's state; "": that front is off
 
+	path string // of the file this was read from; "": none
 	seed uint64
 	info settings.Info
 }
@@ -42,7 +43,9 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	return ParseConfig(text)
+	c, err := ParseConfig(text)
+	c.path = path
+	return c, err
 }
 
 // ParseConfig reads the configuration's text.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -21,11 +22,22 @@
 	"woodrouter/internal/trunk"
 )
 
-// What a stop may take: callers keep coming for a while after it is asked for, and the
-// platform kills what is left no earlier than 3.7 s after.
+// A stop: callers keep coming for stopServing after it is asked for. The platform kills what
+// is left once the longest deadline, counted as killMost where it is longer, and killSpare
+// have passed; stopMargin before that everything has its answer.
 const (
 	stopServing = 800 * time.Millisecond
-	stopMost    = 3300 * time.Millisecond
+	killMost    = 3 * time.Second
+	killSpare   = 700 * time.Millisecond
+	stopMargin  = 400 * time.Millisecond
+)
+
+// How the bulletin is asked. What it would have told counts as told 2 s after the end of the
+// wait asked for, so a short wait and a short grace keep the list true over broken answers.
+const (
+	listPatience = time.Second
+	listGrace    = 750 * time.Millisecond
+	listRetry    = 100 * time.Millisecond
 )
 
 // memoryShare is the part of the memory limit at which the collector works harder.
@@ -59,8 +71,9 @@
 	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
 		func() bool { return !d.stopping.Load() })
 	d.second = second{d: d, front: callapi.New(desk.Config{Log: log}, d.core)}
-	d.follower = &bulletin.Follower{Address: cfg.Bulletin, Core: d.core, Log: log,
-		Patience: 5 * time.Second, Retry: 200 * time.Millisecond}
+	d.follower = &bulletin.Follower{Core: d.core, Log: log, Patience: listPatience, Grace: listGrace,
+		Retry: listRetry}
+	d.follower.Move(cfg.Bulletin)
 	if cfg.State != "" { // what can't be read is told before anything is served
 		if _, err := plan.ReadState(cfg.State); err != nil {
 			return nil, err
@@ -118,10 +131,17 @@
 	return err
 }
 
-// Reload takes the second front's settings anew. What can't be used changes nothing.
+// Reload reads the configuration file and the second front's state anew. What can't be
+// used changes nothing.
 func (d *Daemon) Reload() {
+	if d.cfg.path == "" && d.cfg.State == "" {
+		d.log.Warn("nothing to reload: neither a configuration file nor a state file was named at the start")
+		return
+	}
+	if d.cfg.path != "" {
+		d.reconfigure()
+	}
 	if d.cfg.State == "" {
-		d.log.Warn("nothing to reload: no state file was named at the start")
 		return
 	}
 	if err := d.second.reload(d.cfg.State); err != nil {
@@ -129,11 +149,36 @@
 	}
 }
 
+// reconfigure moves the list's follower to the bulletin that the file names now. All else
+// in the file is what a process starts with; a change there is told and left to the next.
+func (d *Daemon) reconfigure() {
+	next, err := ReadConfig(d.cfg.path)
+	if err != nil {
+		d.log.Error("configuration not taken; the former one stays", "error", err)
+		return
+	}
+	d.follower.Move(next.Bulletin)
+	d.log.Info("configuration taken", "bulletin", next.Bulletin)
+	if next.Name != d.cfg.Name || next.Listen != d.cfg.Listen || next.Limits != d.cfg.Limits ||
+		!bytes.Equal(next.Settings, d.cfg.Settings) {
+		d.log.Warn("configuration: name, listen, limits and settings hold from the next start")
+	}
+}
+
+// stopMost is when a stop must have answered everything.
+func (d *Daemon) stopMost() time.Duration {
+	longest := time.Duration(0)
+	for _, p := range d.cfg.info.Profiles {
+		longest = max(longest, settings.Micros(p.Deadline))
+	}
+	return max(min(longest, killMost)+killSpare-stopMargin, stopServing)
+}
+
 // drain keeps serving while callers still come, then waits for what is open.
 func (d *Daemon) drain() {
 	d.log.Info("stopping: serving on, then answering what is open")
 	d.stopping.Store(true)
-	last := time.After(stopMost)
+	last := time.After(d.stopMost())
 	time.Sleep(stopServing)
 	idle := make(chan struct{})
 	d.core.Idle(func() { close(idle) })
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
 	"sync"
 	"testing"
@@ -23,6 +24,12 @@
 // config words a configuration with two classes and times that suit a test.
 func config(t testing.TB, b *standin.Bulletin) Config {
 	t.Helper()
+	cfg, err := ParseConfig(configText(t, b))
+	require.NoError(t, err)
+	return cfg
+}
+
+func configText(t testing.TB, b *standin.Bulletin) []byte {
 	text, err := json.Marshal(map[string]any{
 		"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bulletin": b.Addr, "known": b.Known(0),
 		"settings": json.RawMessage(`{"nInstances":1,"rank":0,"resolution":1000,
@@ -32,9 +39,7 @@
 			"guarantees":{"answerSlack":20000,"cold":14000000,"coldFrom":0.29,"fallMultiple":3,"tipAfter":1000000},
 			"domain":{"classHold":[8000000],"clearWait":300000,"repeat":800000,"poolsByClass":[[0,1]]}}`)})
 	require.NoError(t, err)
-	cfg, err := ParseConfig(text)
-	require.NoError(t, err)
-	return cfg
+	return text
 }
 
 // site is a daemon between both kinds of callers and two setup servers.
@@ -329,7 +334,7 @@
 	assert.Equal(t, "refused with a time", <-outcomes)
 	<-ended
 	assert.GreaterOrEqual(t, time.Since(began), stopServing)
-	assert.Less(t, time.Since(began), stopMost)
+	assert.Less(t, time.Since(began), s.d.stopMost())
 }
 
 // TestReload: a SIGHUP takes the state as it is then; settings that can't be used change
@@ -368,6 +373,40 @@
 	s.servers[0].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
 }
 
+// TestReconfigure: a SIGHUP has the list followed at the bulletin that the file names by
+// then, from the event reached; a file that can't be used changes nothing.
+func TestReconfigure(t *testing.T) {
+	s := newSite(t)
+	s.d.cfg.path = filepath.Join(t.TempDir(), "config.json")
+	next := standin.NewBulletin(t)
+	for _, bad := range []string{"{", `{"listen":"127.0.0.1:0","bulletin":"nowhere"}`} {
+		require.NoError(t, os.WriteFile(s.d.cfg.path, []byte(bad), 0o600))
+		s.d.Reload()
+	}
+	s.bulletin.Tell(false)
+	require.Eventually(t, s.bulletin.Taken, standin.Patience, time.Millisecond, "the former one is followed")
+	require.NoError(t, os.WriteFile(s.d.cfg.path, configText(t, next), 0o600))
+	s.d.Reload()
+	next.Tell(false)
+	next.Tell(false, standin.Endpoint("s0", s.servers[0].Addr, 0, "draining"))
+	require.Eventually(t, next.Taken, standin.Patience, time.Millisecond)
+	go s.binary(t)(0x10, 3*time.Second) // first choice is the server that drains
+	s.servers[1].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
+}
+
+// TestStopMost: the time that a stop may take follows the longest deadline, as SIGKILL does.
+func TestStopMost(t *testing.T) {
+	for _, tc := range []struct{ deadlines, most string }{
+		{`{"name":"a","deadline":9000000}`, "3.3s"},
+		{`{"name":"a","deadline":900000},{"name":"b","deadline":1200000}`, "1.5s"},
+		{`{"name":"a","deadline":100000}`, "800ms"},
+	} {
+		d := Daemon{}
+		require.NoError(t, json.Unmarshal([]byte(`{"profiles":[`+tc.deadlines+`]}`), &d.cfg.info))
+		assert.Equal(t, tc.most, d.stopMost().String(), tc.deadlines)
+	}
+}
+
 func TestParseConfig(t *testing.T) {
 	const whole = `{"name":"n3","listen":"127.0.0.1:0","seed":"8c1f","bulletin":"127.0.0.1:1","settings":%s,"known":%s}`
 	const classes = `{"nInstances":1,"limits":{"maxAttempts":1},"profiles":[{"name":"v","goalTime":1,"deadline":1}]}`
