Replace a setup server's connection that stalls within a fifth of the aim

With the module's beliefs logged every 0.5 s, one server after the other goes suspect with its report 0.4 to 3 s old, set-ups out and nothing coming, until "setup server silent: trying a new connection" 3.0 s later, after which all is well at once; meanwhile the other server runs out of lines and calls are refused. The server was never ill: its answers were lost with all that would follow on that connection. Now a connection with a set-up out and not a word for a fifth of the shortest aim gets a second beside it. The old one's set-ups stay, as a queue is as quiet, until the server answers a call or a probe (with no wait) on the new one; then they are cut, in time for another attempt. A half message ends its connection. What was out on a lost connection is released on the next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
 	}
 	d.pool = trunk.NewPool(trunk.Config{ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
-		Log: log}, d.core)
+		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Log: log}, d.core)
 	d.core.Attach(d.pool)
 	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
 		func() bool { return !d.stopping.Load() })
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,16 @@
 	return in, nil
 }
 
+// ShortestAim is the least time within which a call of some class is to stand; 0: no class.
+func (in Info) ShortestAim() (aim time.Duration) {
+	for _, p := range in.Profiles {
+		if d := Micros(p.GoalTime); aim == 0 || d < aim {
+			aim = d
+		}
+	}
+	return aim
+}
+
 // Policy words the settings object in the module's terms.
 func (in Info) Policy() policy.Settings {
 	s := policy.Settings{
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -55,6 +55,9 @@
 	a.stands, a.since = true, time.Now()
 	description, _ := m.Get(isup.Description)
 	t.core.Stands(m.Call.String(), a.n, description)
+	if l == t.link && l == a.link {
+		t.overtaken()
+	}
 }
 
 func (t *trunk) released(m isup.Message, report policy.Report) error {
@@ -130,6 +133,9 @@
 		result = policy.Faulted
 	}
 	t.probeEnded(m.Call, result, report)
+	if wait := time.Duration(report.Wait * float64(time.Second)); result == policy.OK && wait >= 0 && wait < t.cfg.Stall/2 {
+		t.overtaken()
+	}
 	return nil
 }
 
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -1,8 +1,9 @@
-// Package trunk carries set-ups to setup servers: one actor a server, one long-lived
-// connection each. It is the backend of package agent on binary signalling.
+// Package trunk carries set-ups to setup servers: one actor a server, with one
+// long-lived connection that is replaced when it stalls. It is the backend of package agent on binary signalling.
 package trunk
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -27,15 +28,23 @@
 	ConnectTimeout time.Duration // a connection not up by then is unreachable
 	WriteTimeout   time.Duration
 	ProbeTimeout   time.Duration
-	Silence        time.Duration // without a word for so long, a server is looked for anew
+	Aim            time.Duration // the shortest aim of a call: what follows is measured by it
+	MessageTime    time.Duration // a message that has begun goes on within twice this, and is whole within four times
+	Stall          time.Duration // a set-up waits so long without a word: another connection is tried
+	Speak          time.Duration // a new connection on which nothing is said by then is mute
+	Silence        time.Duration // without a word for so long, a server that holds calls is looked for anew
 	Redial         time.Duration // between connections tried without a set-up that waits
 	CutGrace       time.Duration // between a refused connection and the end of the calls it proves dead
+	Probes         bool          // servers may be probed
 	Mailbox        int           // most messages of a server that wait
 	Log            *slog.Logger
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
 }
 
 func (c *Config) complete() {
+	aim := cmp.Or(c.Aim, 1500*time.Millisecond)
+	quarter := min(max(aim/4, 100*time.Millisecond), 500*time.Millisecond)
+	fifth := min(max(aim/5, 60*time.Millisecond), 400*time.Millisecond)
 	for _, d := range []struct {
 		field *time.Duration
 		value time.Duration
@@ -43,6 +52,9 @@
 		{&c.ConnectTimeout, 500 * time.Millisecond},
 		{&c.WriteTimeout, 250 * time.Millisecond},
 		{&c.ProbeTimeout, 250 * time.Millisecond},
+		{&c.MessageTime, quarter},
+		{&c.Stall, fifth},
+		{&c.Speak, 3 * quarter},
 		{&c.Silence, 3 * time.Second},
 		{&c.Redial, 500 * time.Millisecond},
 		{&c.CutGrace, 100 * time.Millisecond},
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync/atomic"
@@ -27,6 +28,8 @@
 	errGivenUp = errors.New("given up")
 	errDied    = errors.New("the server has died")
 	errMute    = errors.New("connected, but the server says nothing")
+	errHalf    = errors.New("a message stopped half-way")
+	errStalled = errors.New("the server answers on another connection, and not on this one")
 	errStopped = errors.New("the agent stops")
 )
 
@@ -48,9 +51,20 @@
 	heard   time.Time // latest message
 	spoke   bool      // a server tells of its group first; one that hangs is connected to by its kernel alone
 	out     int       // set-ups unanswered on it
+	since   time.Time // when they began to be any
 	retired bool      // another has taken its place; it ends with its last set-up
+	left    time.Time // when it was retired
 }
 
+// stalled tells whether set-ups have waited on a connection for so long without a word on it.
+func (l *link) stalled(span time.Duration) bool {
+	return l.out > 0 && time.Since(l.heard) >= span && time.Since(l.since) >= span
+}
+
+// mostRetired bounds the connections to a server: with the one in use and the one on its way
+// there are four at most.
+const mostRetired = 2
+
 // trunk is the actor of one setup server. Its fields belong to its goroutine.
 type trunk struct {
 	cfg      Config
@@ -60,6 +74,8 @@
 	server   agent.Server
 	link     *link // takes new set-ups; nil: no connection is up
 	dialing  bool
+	retired  int                // connections that wait for their last set-ups
+	tried    time.Time          // when a connection beside the one in use was tried last
 	cancel   context.CancelFunc // of the dial
 	waiting  []agent.Attempt    // for a connection
 	open     map[isup.CallID]*attempt
@@ -160,10 +176,19 @@
 	t.core.Ended(id.String(), a.n, err, r)
 }
 
+// discard closes a retired connection.
+func (t *trunk) discard(l *link) {
+	if l.retired {
+		l.retired = false
+		t.retired--
+	}
+	l.conn.Close()
+}
+
 // settled counts a set-up off its connection.
 func (t *trunk) settled(l *link) {
 	if l.out--; l.out == 0 && l.retired {
-		l.conn.Close()
+		t.discard(l)
 	}
 }
 
@@ -217,7 +242,9 @@
 		unwritten(policy.NotSent, err)
 	} else { // a part of it may have been enough: its end comes with the connection's
 		t.open[id] = &attempt{n: a.N, link: link}
-		link.out++
+		if link.out++; link.out == 1 {
+			link.since = time.Now()
+		}
 	}
 	if err != nil && n >= 0 {
 		t.lost(link, err)
@@ -311,14 +338,17 @@
 	t.failures = 0
 	l := &link{conn: conn, heard: time.Now()}
 	if old := t.link; old != nil {
-		old.retired = true
-		if old.out == 0 {
-			old.conn.Close()
+		old.retired, old.left = true, time.Now()
+		if t.retired++; old.out == 0 {
+			t.discard(old)
 		}
 	}
 	t.link = l
 	go t.read(l)
-	time.AfterFunc(t.cfg.Silence, func() { t.post(func() { t.listen(l) }) })
+	if t.retired > 0 && t.cfg.Probes {
+		t.probe()
+	}
+	t.listen(l)
 	unsaid, waiting := t.unsaid, t.waiting
 	t.unsaid, t.waiting = nil, nil
 	for _, id := range unsaid {
@@ -407,9 +437,18 @@
 			err = fmt.Errorf("panic: %v", r)
 		}
 	}()
-	in := bufio.NewReaderSize(l.conn, 4<<10)
+	from := &source{conn: l.conn, step: t.cfg.MessageTime}
+	in := bufio.NewReaderSize(from, 4<<10)
 	for {
+		from.await()
+		if _, err := in.Peek(1); err != nil {
+			return err
+		}
+		from.begin()
 		m, err := isup.Read(in)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return errHalf
+		}
 		if err != nil {
 			return err
 		}
@@ -430,31 +469,45 @@
 	for id, a := range t.open {
 		if a.link == l && !a.stands {
 			t.end(id, a, failure(t.server.ID, agent.Written, policy.Cut, err), policy.NoReport())
+			t.release(t.link, id) // its answer may have been lost: then a call stands there
 		}
 	}
 	t.connectAgain()
 }
 
-// listen looks whether the connection has been silent while something is open on it. A
-// machine that vanished leaves its connections open, and a quiet one has nothing to say:
-// a second connection, on which a server speaks first, tells the two apart.
+// overtaken ends the retired connections on which nothing was heard since: the server has
+// shown that it keeps no set-up waiting for so long, so what is out on them is lost.
+func (t *trunk) overtaken() {
+	for _, a := range t.open {
+		if l := a.link; l.retired && l.heard.Before(l.left) {
+			t.lost(l, errStalled)
+			t.overtaken() // what was open has changed
+			return
+		}
+	}
+}
+
+// listen looks whether the connection in use still serves. A server speaks first on a new
+// one, at once. Later, an answer may be lost with all that would follow it on its connection,
+// a machine that vanished leaves its connections open, and a quiet one has nothing to say: a
+// second connection tells these apart, and takes over.
 func (t *trunk) listen(l *link) {
 	if t.link != l {
 		return
 	}
-	wait := t.cfg.Silence - time.Since(l.heard)
-	if wait <= 0 && !l.spoke {
+	silent := time.Since(l.heard)
+	switch {
+	case !l.spoke && silent >= t.cfg.Speak:
 		t.lost(l, errMute)
 		t.unreached(errMute)
 		return
+	case !l.spoke || t.retired >= mostRetired || time.Since(t.tried) < t.cfg.Redial:
+	case l.stalled(t.cfg.Stall), len(t.open) > 0 && silent >= t.cfg.Silence:
+		t.log.Info("setup server silent: trying a new connection", "for", silent, "out", l.out)
+		t.tried = time.Now()
+		t.dial()
 	}
-	if wait <= 0 {
-		if wait = t.cfg.Silence; len(t.open) > 0 {
-			t.log.Info("setup server silent: trying a new connection")
-			t.dial()
-		}
-	}
-	time.AfterFunc(wait, func() { t.post(func() { t.listen(l) }) })
+	time.AfterFunc(t.cfg.Stall/4, func() { t.post(func() { t.listen(l) }) })
 }
 
 // stop ends the connection; what is out on it is not waited for.
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -235,7 +235,8 @@
 }
 
 // TestReleaseOutlivesConnection: a release written while no connection is up is said on
-// the next one.
+// the next one, and so is that of a set-up lost with its connection: its answer may have been
+// lost, and then nobody else would end the call that stands.
 func TestReleaseOutlivesConnection(t *testing.T) {
 	var hold sync.Mutex
 	p, c := start(t, Config{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
@@ -257,9 +258,43 @@
 	p.GiveUp("s", one, 0, policy.Cancelled)
 	c.ended(t, agent.Stood, policy.Cancelled)
 	hold.Unlock()
+	require.Equal(t, two, s.Await(t, isup.Release).Call.String())
 	require.Equal(t, one, s.Await(t, isup.Release).Call.String())
 }
 
+// TestHalfMessage: an answer that stops half-way leaves a connection that is of no further
+// use, and open. It is given up with what is out on it, and the server used by another.
+func TestHalfMessage(t *testing.T) {
+	p, c := start(t, Config{Aim: 400 * ms})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 30*time.Second))
+	g := s.Await(t, isup.SetUp)
+	g.Conn.Write([]byte("\x00\x20\x09\x00\x00"))
+	assert.ErrorIs(t, c.ended(t, agent.Written, policy.Cut).err, errHalf)
+	stand(t, p, c, s, two)
+}
+
+// TestStalled: a connection on which a set-up is out and nothing is heard may have lost all
+// that would follow. New set-ups go by another; the old one stays for its own, as a server
+// with a queue is as quiet.
+func TestStalled(t *testing.T) {
+	p, c := start(t, Config{Aim: 400 * ms, Silence: time.Hour})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(attemptFor(one, 30*time.Second))
+	g := s.Await(t, isup.SetUp)
+	require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
+	other := stand(t, p, c, s, two)
+	assert.NotSame(t, g.Conn, other.Conn)
+	g.Answer("")
+	assert.Equal(t, one, c.await(t).id, "and its answer still counts")
+	require.Eventually(t, func() bool {
+		_, err := g.Conn.Write([]byte("\x00\x09\x06\x00\x00\x00\x00\x00\x00\x00\x01")) // means nothing
+		return err != nil
+	}, standin.Patience, ms, "then the old connection ends")
+}
+
 // TestDeath: nobody tells of the calls of a process that has died. A refused connection,
 // a later start or its leaving the list does.
 func TestDeath(t *testing.T) {
@@ -358,6 +393,27 @@
 	c.ended(t, agent.Stood, policy.Cut)
 }
 
+// TestOvertaken: once a server whose connection stalled shows on another that nothing waits
+// there, by an answer or by a probe's report, what is out on the old one is lost and ends.
+func TestOvertaken(t *testing.T) {
+	for _, probes := range []bool{false, true} {
+		p, c := start(t, Config{Aim: 400 * ms, Silence: time.Hour, Probes: probes})
+		s := standin.NewServer(t, "")
+		p.news(listed(s.Addr, policy.Up, time.Time{}))
+		p.SetUp(attemptFor(one, 30*time.Second))
+		s.Await(t, isup.SetUp)
+		if probes {
+			g := s.Await(t, isup.Test)
+			g.Conn.Send(isup.Message{Type: isup.TestResult, Call: g.Call}.WithCause(isup.Passed).
+				WithText(isup.Report, "x0:900;x1:1000;latency_ms:0"))
+		} else {
+			require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
+			stand(t, p, c, s, two)
+		}
+		assert.ErrorIs(t, c.ended(t, agent.Written, policy.Cut).err, errStalled)
+	}
+}
+
 // TestBadMessages: what can't be understood ends the connection, never the actor.
 func TestBadMessages(t *testing.T) {
 	for name, bad := range map[string]string{
