Pass over second copies of an answer; bound the memory of ended calls

Read: trunk.answered released a call at its server when an answer came for one that stood already, which cuts a good call, and when it came under an id that was never sent there. Protocol: peers send second copies and answers under unknown ids beside good ones. Confirmed by a test that fails without the change (the standing call's release is seen at the server). Now only the late answer of an attempt that this server was sent, and that ended without a word of it, is released.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"woodrouter/internal/mailbox"
+	"woodrouter/internal/recent"
 	"woodrouter/policy"
 )
 
@@ -45,7 +46,7 @@
 	origin  policy.Time
 	idle    []func() // told when no set-up is open
 	open    int      // calls without a final answer
-	recent  recent
+	recent  recent.Set[string]
 }
 
 // event is work for the actor; id names the call it is about, if any.
@@ -143,7 +144,7 @@
 // before a restart still stands at some server; of one handled here all is said.
 func (a *Agent) ReleaseUnknown(id string) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.has(id) {
+		if a.calls[id] == nil && !a.recent.Has(id) {
 			a.backend.ReleaseUnknown(id)
 		}
 	})
@@ -168,7 +169,7 @@
 // Unknown tells that a server ended a call of which the backend knows nothing.
 func (a *Agent) Unknown(id string, err *Failure) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.has(id) {
+		if a.calls[id] == nil && !a.recent.Has(id) {
 			a.cfg.Stray(id, plain(err))
 		}
 	})
@@ -200,7 +201,7 @@
 }
 
 func (a *Agent) offer(f Front, in Call) {
-	a.recent.add(in.ID)
+	a.recent.Add(in.ID)
 	if a.calls[in.ID] != nil {
 		f.Rejected(in, ErrDuplicate)
 		return
--- /dev/null
+++ b/internal/recent/recent_test.go
@@ -0,0 +1,32 @@
+package recent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestSet: an id stays for its span and goes in time; a flood of others takes no more than
+// two generations.
+func TestSet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s Set[int]
+		assert.False(t, s.Has(-1))
+		s.Add(-1)
+		time.Sleep(span)
+		s.Add(-2)
+		assert.True(t, s.Has(-1))
+		time.Sleep(span + 1)
+		s.Add(-3)
+		time.Sleep(span + 1)
+		s.Add(-4)
+		assert.Equal(t, []bool{false, false, true, true}, []bool{s.Has(-1), s.Has(-2), s.Has(-3), s.Has(-4)})
+		for i := range 10 * most {
+			s.Add(i)
+		}
+		assert.LessOrEqual(t, len(s.now)+len(s.before), 2*most)
+		assert.True(t, s.Has(10*most-1))
+	})
+}
--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -43,13 +43,18 @@
 }
 
 // answered takes an answer. One for an attempt that is over is released at the server:
-// nobody else would.
+// nobody else would. A second copy says nothing new, and a release for it would cut a call
+// that stands; nor is there anything to release of an id that was never sent there.
 func (t *trunk) answered(l *link, m isup.Message) {
 	a := t.open[m.Call]
-	if a == nil || a.stands {
+	switch {
+	case a == nil && t.over.Has(m.Call):
 		t.log.Info("late answer released", "call", m.Call)
 		t.release(l, m.Call)
 		return
+	case a == nil || a.stands:
+		t.log.Info("answer passed over", "call", m.Call, "stands", a != nil)
+		return
 	}
 	t.settled(a.link)
 	a.stands, a.since = true, time.Now()
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -16,6 +16,7 @@
 
 	"woodrouter/agent"
 	"woodrouter/internal/mailbox"
+	"woodrouter/internal/recent"
 	"woodrouter/isup"
 	"woodrouter/policy"
 )
@@ -79,8 +80,9 @@
 	cancel   context.CancelFunc // of the dial
 	waiting  []agent.Attempt    // for a connection
 	open     map[isup.CallID]*attempt
-	unsaid   []isup.CallID // releases for the next connection
-	heard    time.Time     // latest message on any connection
+	over     recent.Set[isup.CallID] // attempts that ended without a word of the server
+	unsaid   []isup.CallID           // releases for the next connection
+	heard    time.Time               // latest message on any connection
 	probes   map[isup.CallID]time.Time
 	probeNo  isup.CallID
 	failures int // dials in a row that brought no connection
@@ -170,6 +172,9 @@
 
 func (t *trunk) end(id isup.CallID, a *attempt, err *agent.Failure, r policy.Report) {
 	delete(t.open, id)
+	if err != nil && err.Stage == agent.Written {
+		t.over.Add(id)
+	}
 	if !a.stands {
 		t.settled(a.link)
 	}
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -414,6 +414,27 @@
 	}
 }
 
+// TestMoreAnswers: a second copy of an answer must not cut the call that stands, and one for
+// an id that was never sent there is passed over; the late answer of an attempt that was given
+// up is released.
+func TestMoreAnswers(t *testing.T) {
+	p, c := start(t, Config{})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	g := stand(t, p, c, s, one)
+	g.Answer("")
+	g.Conn.Send(isup.Message{Type: isup.Answer, Call: 77}.WithText(isup.Description, ""))
+	p.SetUp(attemptFor(two, 3*time.Second))
+	late := s.Await(t, isup.SetUp)
+	p.GiveUp("s", two, 0, policy.Cancelled)
+	c.ended(t, agent.Written, policy.Cancelled)
+	late.Answer("")
+	require.Eventually(t, func() bool { return s.Seen(isup.Release, late.Call) == 2 }, standin.Patience, ms)
+	assert.Equal(t, 2, s.Seen(isup.Release, 0), "no other was released")
+	g.Release(isup.Normal, "")
+	assert.Nil(t, c.await(t).err, "the call stood to its end")
+}
+
 // TestBadMessages: what can't be understood ends the connection, never the actor.
 func TestBadMessages(t *testing.T) {
 	for name, bad := range map[string]string{
