Refuse set-ups no server could use; end silent callers and make room for good ones

Logging each set-up with its connection: the last one before each close had call id 0 ("no id"); the module sent it again, up to five times, each time ending a connection and cutting what others had out on it. Unknown tenants, pools and widths came to servers too, answered with an error. Releases of unknown ids are bounded. Ruled out: that a timer or table entry outlives such a call; the check comes before both. The memory of recent ids did grow with them: they are added after the check now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"time"
 
 	"woodrouter/internal/mailbox"
@@ -17,10 +19,14 @@
 var (
 	ErrDuplicate = errors.New("a call of this id is open")
 	ErrClass     = errors.New("unknown class")
+	ErrCall      = errors.New("a call that no setup server could use")
 	ErrOverdue   = errors.New("no outcome by the caller's deadline")
 	ErrPanic     = errors.New("fault inside the agent")
 )
 
+// maxNumber bounds the number called.
+const maxNumber = 256
+
 // Config is what an agent needs beside its backend.
 type Config struct {
 	Settings policy.Settings
@@ -41,12 +47,32 @@
 	backend Backend
 	box     *mailbox.Box[event]
 	calls   map[string]*call
-	classes map[string]bool
+	classes map[string]policy.Class
+	tenants map[string]bool
 	start   time.Time
 	origin  policy.Time
 	idle    []func() // told when no set-up is open
 	open    int      // calls without a final answer
 	recent  recent.Set[string]
+	unknown pace
+}
+
+// unknownMost is how many releases of unknown calls a second go to the servers: more than
+// the calls of a busy second, which is what a restart leaves behind of each.
+const unknownMost = 200
+
+// pace counts what may happen unknownMost times a second.
+type pace struct {
+	since time.Time
+	n     int
+}
+
+func (p *pace) take(now time.Time) bool {
+	if now.Sub(p.since) >= time.Second {
+		*p = pace{since: now}
+	}
+	p.n++
+	return p.n <= unknownMost
 }
 
 // event is work for the actor; id names the call it is about, if any.
@@ -80,12 +106,15 @@
 		return nil, err
 	}
 	a := &Agent{cfg: cfg, ctrl: ctrl, box: mailbox.New[event](cmp.Or(cfg.Mailbox, 8192)),
-		calls: map[string]*call{}, classes: map[string]bool{}, start: time.Now()}
+		calls: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, start: time.Now()}
 	// The module compares its time with the Unix milliseconds of a server's start, and
 	// must never see it run backwards: the wall clock once, then the monotonic one.
 	a.origin = policy.Time(a.start.UnixNano())
 	for _, c := range cfg.Settings.Classes {
-		a.classes[c.Name] = true
+		a.classes[c.Name] = c
+	}
+	for _, t := range cfg.Settings.Tenants {
+		a.tenants[t.Name] = true
 	}
 	if a.cfg.Stray == nil {
 		a.cfg.Stray = func(string, error) {}
@@ -141,10 +170,11 @@
 func (a *Agent) Withdraw(f Front, id string) { a.post(id, func() { a.withdraw(f, id) }) }
 
 // ReleaseUnknown tells that a caller released a call its front knows nothing of. One from
-// before a restart still stands at some server; of one handled here all is said.
+// before a restart still stands at some server; of one handled here all is said. Each
+// costs every server a message, so a caller that makes ids up is held to unknownMost a second.
 func (a *Agent) ReleaseUnknown(id string) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.Has(id) {
+		if a.calls[id] == nil && !a.recent.Has(id) && a.unknown.take(time.Now()) {
 			a.backend.ReleaseUnknown(id)
 		}
 	})
@@ -201,15 +231,15 @@
 }
 
 func (a *Agent) offer(f Front, in Call) {
-	a.recent.Add(in.ID)
 	if a.calls[in.ID] != nil {
 		f.Rejected(in, ErrDuplicate)
 		return
 	}
-	if !a.classes[in.Class] {
-		f.Rejected(in, ErrClass)
+	if err := a.check(in); err != nil {
+		f.Rejected(in, err)
 		return
 	}
+	a.recent.Add(in.ID)
 	if a.open >= cmp.Or(a.cfg.MaxOpen, 4096) {
 		f.Refused(in, a.cfg.Settings.Limits.CoolDown)
 		return
@@ -231,6 +261,32 @@
 		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again}))
 }
 
+// check looks at what a caller claims before anything is kept of it. A setup server answers
+// what it can't use with an error, or ends the connection and with it others' set-ups.
+func (a *Agent) check(c Call) error {
+	class, ok := a.classes[c.Class]
+	bad := func(format string, args ...any) error {
+		return fmt.Errorf("%w: "+format, append([]any{ErrCall}, args...)...)
+	}
+	switch {
+	case !ok:
+		return ErrClass
+	case strings.Trim(c.ID, "0") == "":
+		return bad("no id")
+	case len(a.tenants) > 0 && !a.tenants[c.Tenant]:
+		return bad("unknown tenant %.40q", c.Tenant)
+	case c.Number == "" || len(c.Number) > maxNumber:
+		return bad("number %.40q", c.Number)
+	case len(c.Description) == 0:
+		return bad("no description")
+	case c.Pool < -1 || c.Pool >= 0 && class.Pools != nil && !slices.Contains(class.Pools, c.Pool):
+		return bad("first choice %d", c.Pool)
+	case c.Width != 0 && class.Width != 0 && c.Width != class.Width:
+		return bad("width %d", c.Width)
+	}
+	return nil
+}
+
 func (a *Agent) withdraw(f Front, id string) {
 	c := a.calls[id]
 	if c == nil || c.front != f || c.left { // a release may cross the call's end
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,7 +21,8 @@
 	return policy.Settings{
 		Senders: 2,
 		Classes: []policy.Class{{Name: "voice", Aim: 1500 * ms, Deadline: 9 * time.Second,
-			Hold: 8 * time.Second, Worth: 1}},
+			Hold: 8 * time.Second, Worth: 1, Pools: []int{0, 1}, Width: 1}},
+		Tenants: []policy.Tenant{{Name: "t", Allowance: 100}},
 		Reports: policy.WithAnswers,
 		Limits:  policy.Limits{Attempts: 5, CoolDown: 2 * time.Second, Cancel: true},
 		Rules: policy.Rules{ClearWait: 300 * ms, Cold: 14 * time.Second, TipAfter: time.Second,
@@ -100,8 +102,13 @@
 	})
 }
 
+func callFor(id string, left time.Duration) Call {
+	return Call{ID: id, Class: "voice", Tenant: "t", Number: "12", Pool: -1, Deadline: time.Now().Add(left),
+		Description: []byte("offer")}
+}
+
 func offer(a *Agent, s *side, id string, left time.Duration) {
-	a.Offer(s, Call{ID: id, Class: "voice", Pool: -1, Deadline: time.Now().Add(left)})
+	a.Offer(s, callFor(id, left))
 	synctest.Wait()
 }
 
@@ -229,6 +236,48 @@
 	})
 }
 
+// TestUnknownFlood: releases of calls that nobody knows go to the servers, as after a restart,
+// but a caller that makes ids up must not have each of them cost every server a message.
+func TestUnknownFlood(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		for i := range 10 * unknownMost {
+			a.ReleaseUnknown(fmt.Sprint(i))
+		}
+		synctest.Wait()
+		assert.Len(t, s.did(), unknownMost)
+		after(time.Second)
+		a.ReleaseUnknown("later")
+		synctest.Wait()
+		assert.Len(t, s.did(), unknownMost+1)
+	})
+}
+
+// TestUseless: what no setup server could use is turned away before anything is kept of it.
+func TestUseless(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		for _, spoil := range []func(*Call){
+			func(c *Call) { c.ID = "0000000000000000" },
+			func(c *Call) { c.Tenant = "nobody" },
+			func(c *Call) { c.Number = "" },
+			func(c *Call) { c.Number = strings.Repeat("1", 300) },
+			func(c *Call) { c.Description = nil },
+			func(c *Call) { c.Pool = 99 },
+			func(c *Call) { c.Pool = -3 },
+			func(c *Call) { c.Width = 400 },
+		} {
+			c := callFor("x", 3*time.Second)
+			spoil(&c)
+			a.Offer(s, c)
+			synctest.Wait()
+			said := s.heard()
+			assert.Contains(t, said[len(said)-1], "rejected "+c.ID+": "+ErrCall.Error())
+		}
+		assert.Empty(t, s.did())
+		assert.Empty(t, a.calls)
+		assert.False(t, a.recent.Has("x"))
+	})
+}
+
 // TestMaxOpen: open calls hold their descriptions, so there is a bound; beyond it a call is
 // refused at once and one that is over makes place.
 func TestMaxOpen(t *testing.T) {
--- a/agent/api.go
+++ b/agent/api.go
@@ -17,6 +17,7 @@
 	Tenant      string
 	Number      string
 	Pool        int  // setup server of first choice, by its number; -1: none
+	Width       int  // lines it takes; 0: not stated
 	Again       bool // dialled again
 	Deadline    time.Time
 	Description []byte
@@ -33,7 +34,8 @@
 	Refused(c Call, stayAway time.Duration)
 	// Failed tells that the call could not be set up; err tells how far it came.
 	Failed(c Call, err error)
-	// Rejected tells that the call was not taken: err is ErrDuplicate or ErrClass.
+	// Rejected tells that the call was not taken: err is ErrDuplicate, ErrClass
+	// or ErrCall.
 	Rejected(c Call, err error)
 	// Ended tells that a call that stood is over; err is nil where it came to its end.
 	Ended(c Call, err error)
--- a/internal/callapi/callapi_test.go
+++ b/internal/callapi/callapi_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -308,3 +309,21 @@
 	_, _, err := c.Read(c.ctx)
 	assert.Equal(t, websocket.StatusGoingAway, websocket.CloseStatus(err))
 }
+
+// TestSilent: a connection that never asks for an upgrade is ended soon, as one that says
+// nothing is on the other front; an upgraded one may be idle.
+func TestSilent(t *testing.T) {
+	_, _, url := start(t, desk.Config{FirstTime: 100 * time.Millisecond})
+	idle := dial(t, url)
+	for _, half := range []string{"", "GET /calls HTTP/1.1\r\n"} {
+		conn, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(url, "ws://"), "/calls"))
+		require.NoError(t, err)
+		defer conn.Close()
+		conn.Write([]byte(half))
+		conn.SetReadDeadline(time.Now().Add(standin.Patience))
+		_, err = io.ReadAll(conn)
+		require.NoError(t, err, "the agent ended it, not the test")
+	}
+	idle.say(`{}`)
+	assert.Contains(t, idle.hear(), "error")
+}
--- a/internal/callapi/front.go
+++ b/internal/callapi/front.go
@@ -119,8 +119,11 @@
 // Rejected tells why a call was not taken.
 func (f *Front) Rejected(c agent.Call, err error) {
 	code := callproto.CodeUnknownClass
-	if errors.Is(err, agent.ErrDuplicate) {
+	switch {
+	case errors.Is(err, agent.ErrDuplicate):
 		code = callproto.CodeDuplicate
+	case errors.Is(err, agent.ErrCall):
+		code = callproto.CodeParams
 	}
 	f.Final(c.ID, replyError(&callproto.Error{Code: code, Message: err.Error(), Data: &callproto.ErrorData{ID: c.ID}}))
 }
@@ -141,6 +144,7 @@
 	}
 	set := f.set.Load()
 	response, err := set.endpoint.Upgrade(p.In)
+	p.Said()
 	p.Send(desk.Item{Data: response})
 	if err != nil {
 		return err
@@ -172,6 +176,7 @@
 		}
 		pinged = false
 		op, data, ok, err := in.Next()
+		s.peer.Said()
 		switch {
 		case err != nil:
 			return err
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -182,7 +182,7 @@
 	t.Cleanup(func() { client.Close() })
 	return func(id isup.CallID, left time.Duration) string {
 		first := int(id % 2)
-		call, err := client.SetUp(ctx, callrpc.Call{ID: id.String(), Class: "voice", FirstChoice: &first,
+		call, err := client.SetUp(ctx, callrpc.Call{ID: id.String(), Class: "voice", Number: id.String(), FirstChoice: &first,
 			DeadlineMs: left.Milliseconds(), Description: []byte("offer " + id.String())})
 		if e, ok := callrpc.AsError(err); ok {
 			if e.Code == callrpc.CodeRefused && e.Data.RetryAfterMs > 0 {
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -27,8 +27,9 @@
 	MaxPeers     int           // most connections
 	MaxWaiting   int           // most messages that wait for one slow caller
 	WriteTimeout time.Duration // a caller that takes nothing for so long is cut off
-	MessageTime  time.Duration // a message begun must be whole by then
-	Idle         time.Duration // a connection that says nothing is looked at after this
+	FirstTime    time.Duration // a new connection's first message must be whole by then
+	MessageTime  time.Duration // a later message, once begun, must be whole within this
+	Idle         time.Duration // a connection that says nothing more is looked at after this
 	StayAway     time.Duration // told when the agent itself is too busy
 	Goodbye      []byte        // the last that a connection hears when the desk closes
 	Log          *slog.Logger
@@ -38,7 +39,8 @@
 	c.MaxPeers = cmp.Or(c.MaxPeers, 512)
 	c.MaxWaiting = cmp.Or(c.MaxWaiting, 1024)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 500*time.Millisecond)
-	c.MessageTime = cmp.Or(c.MessageTime, 5*time.Second)
+	c.FirstTime = cmp.Or(c.FirstTime, 2*time.Second)
+	c.MessageTime = cmp.Or(c.MessageTime, 2*time.Second)
 	c.Idle = cmp.Or(c.Idle, 2*time.Minute)
 	c.StayAway = cmp.Or(c.StayAway, time.Second)
 	if c.Log == nil {
@@ -108,7 +110,7 @@
 	p := newPeer(d, conn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed || len(d.peers) >= d.MaxPeers {
+	if d.closed || len(d.peers) >= d.MaxPeers && !d.makeRoom() {
 		d.Log.Warn("caller turned away: too many connections", "most", d.MaxPeers)
 		conn.Close()
 		return
@@ -119,6 +121,26 @@
 	d.group.Go(p.write)
 }
 
+// makeRoom ends the connection that is missed least: one that never said a whole message
+// before one without a call, and that before one whose calls all stand, as any other
+// connection serves those; among these the one that has been silent longest. Hundreds that
+// only connect must not shut those out that have calls.
+func (d *Desk) makeRoom() bool {
+	var least *Peer
+	for p := range d.peers {
+		if p.open == 0 && (least == nil || p.missed().before(least.missed())) {
+			least = p
+		}
+	}
+	if least == nil {
+		return false
+	}
+	d.Log.Warn("caller's connection ended for a new one", "most", d.MaxPeers, "caller", least.conn.RemoteAddr(), "standing", least.calls)
+	delete(d.peers, least)
+	least.leave()
+	return true
+}
+
 // Limit sets the bounds of connections that come from now on.
 func (d *Desk) Limit(maxPeers int, idle time.Duration) {
 	d.mu.Lock()
@@ -182,6 +204,8 @@
 	twice := d.legs[c.ID] != nil
 	if !twice {
 		d.legs[c.ID] = &leg{peer: p, tag: tag}
+		p.open++
+		p.calls++
 	}
 	d.mu.Unlock()
 	if twice {
@@ -211,20 +235,26 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.legs[id]
-	delete(d.legs, id)
+	if l != nil {
+		d.remove(id, l)
+	}
 	return l
 }
 
+// remove takes a call out of the table and off its connection's counts.
+func (d *Desk) remove(id string, l *leg) {
+	delete(d.legs, id)
+	l.peer.calls--
+	if !l.answered {
+		l.peer.open--
+	}
+}
+
 // busy tells whether a connection waits for a final answer.
 func (d *Desk) busy(p *Peer) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, l := range d.legs {
-		if l.peer == p && !l.answered {
-			return true
-		}
-	}
-	return false
+	return p.open > 0
 }
 
 // forget ends a connection's part: its unanswered calls have no caller any more. Calls
@@ -235,7 +265,7 @@
 	var gone []string
 	for id, l := range d.legs {
 		if l.peer == p && !l.answered {
-			delete(d.legs, id)
+			d.remove(id, l)
 			gone = append(gone, id)
 		}
 	}
@@ -249,8 +279,9 @@
 func (d *Desk) Answer(id string, data func(tag any) []byte) {
 	d.mu.Lock()
 	l := d.legs[id]
-	if l != nil {
+	if l != nil && !l.answered {
 		l.answered = true
+		l.peer.open--
 	}
 	d.mu.Unlock()
 	if l == nil { // the caller has just left; its withdrawal is on the way
--- a/internal/desk/peer.go
+++ b/internal/desk/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -39,13 +40,40 @@
 	host string
 	box  *mailbox.Box[Item]
 
+	born  time.Time
+	said  atomic.Int64 // when its latest message was whole, in Unix nanoseconds; 0: none yet
 	idle  time.Duration
 	ready atomic.Bool // it can be sent releases
+
+	open, calls int // set-ups without an answer, and all calls; guarded by the desk
+}
+
+// worth orders connections by how much they would be missed.
+type worth struct {
+	rank int
+	said int64
+}
+
+func (w worth) before(v worth) bool {
+	return cmp.Or(cmp.Compare(w.rank, v.rank), cmp.Compare(w.said, v.said)) < 0
+}
+
+func (p *Peer) missed() worth {
+	w := worth{said: p.said.Load()}
+	switch {
+	case w.said == 0:
+		w.said = p.born.UnixNano()
+	case p.calls == 0:
+		w.rank = 1
+	default:
+		w.rank = 2
+	}
+	return w
 }
 
 func newPeer(d *Desk, conn net.Conn) *Peer {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	return &Peer{desk: d, conn: conn, host: host, In: bufio.NewReaderSize(conn, 4<<10),
+	return &Peer{desk: d, conn: conn, born: time.Now(), host: host, In: bufio.NewReaderSize(conn, 4<<10),
 		box: mailbox.New[Item](d.MaxWaiting)}
 }
 
@@ -75,9 +103,21 @@
 // ErrIdle tells that the next message did not begin in time.
 var ErrIdle = errors.New("idle")
 
+// errNothing tells that a new connection said nothing, or half a message.
+var errNothing = errors.New("no whole message in time")
+
 // Await waits for the next message to begin, ErrIdle telling of a long silence. What has
-// begun is to be read whole within MessageTime.
+// begun is to be read whole within MessageTime. All that a connection says first has
+// FirstTime: who only holds it open is told apart from a caller between two calls.
 func (p *Peer) Await() error {
+	if p.said.Load() == 0 {
+		p.conn.SetReadDeadline(p.born.Add(p.desk.FirstTime))
+		_, err := p.In.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return errNothing
+		}
+		return err
+	}
 	p.conn.SetReadDeadline(time.Now().Add(p.idle))
 	_, err := p.In.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -87,6 +127,9 @@
 	return err
 }
 
+// Said notes that a message was read whole.
+func (p *Peer) Said() { p.said.Store(time.Now().UnixNano()) }
+
 // Busy tells whether a set-up is open on the connection.
 func (p *Peer) Busy() bool { return p.desk.busy(p) }
 
--- a/internal/isupfront/front.go
+++ b/internal/isupfront/front.go
@@ -71,7 +71,7 @@
 		f.Blame(c.ID, err)
 		return
 	}
-	f.Log.Warn("call rejected", "call", c.ID, "class", c.Class, "error", err)
+	f.Log.Warn("call rejected", "call", c.ID, "class", fmt.Sprintf("%.40s", c.Class), "error", err)
 	f.Failed(c, err)
 }
 
@@ -106,6 +106,7 @@
 		if err != nil {
 			return err
 		}
+		p.Said()
 		if err := f.take(p, m); err != nil {
 			return fmt.Errorf("message of type %d, call %v: %w", m.Type, m.Call, err)
 		}
@@ -140,11 +141,17 @@
 	return nil
 }
 
-// parseCall reads a set-up. Of the figures only the first choice matters here.
+// maxLeft bounds a caller's patience: more is no figure that anyone means.
+const maxLeft = 10 * time.Minute
+
+// parseCall reads a set-up. Of the figures the first choice and the width matter here.
 func parseCall(m isup.Message, now time.Time) (agent.Call, error) {
 	c := agent.Call{ID: m.Call.String(), Class: m.Text(isup.Class), Tenant: m.Text(isup.Tenant),
 		Number: m.Text(isup.Number), Pool: -1}
 	left, err := m.Millis(isup.Left)
+	if err == nil && left > maxLeft {
+		err = fmt.Errorf("parameter %d: %v is out of range", isup.Left, left)
+	}
 	if err != nil {
 		return c, err
 	}
@@ -152,11 +159,18 @@
 	c.Description, _ = m.Get(isup.Description)
 	var bad error
 	err = isup.Fields(m.Text(isup.Figures), func(name, value string) {
-		if name != "dest" {
+		n, least := &c.Pool, 0
+		switch name {
+		case "dest":
+		case "width":
+			n, least = &c.Width, 1
+		default:
 			return
 		}
-		if c.Pool, bad = strconv.Atoi(value); bad != nil {
-			bad = fmt.Errorf("figure dest: %q is no number", value)
+		if x, err := strconv.Atoi(value); err != nil || x < least {
+			bad = errors.Join(bad, fmt.Errorf("figure %s: %.40q", name, value))
+		} else {
+			*n = x
 		}
 	})
 	return c, errors.Join(err, bad)
--- a/internal/isupfront/isupfront_test.go
+++ b/internal/isupfront/isupfront_test.go
@@ -1,6 +1,7 @@
 package isupfront
 
 import (
+	"os"
 	"testing"
 	"time"
 
@@ -106,22 +107,35 @@
 	assert.Equal(t, "0000000000000008", standin.Next(t, core.Unknown))
 }
 
+// raw words a set-up with odd figures.
+func raw(t *testing.T, left, figures string) string {
+	b, err := isup.Message{Type: isup.SetUp, Call: 2}.WithText(isup.Class, "voice").WithText(isup.Left, left).
+		WithText(isup.Figures, figures).Append(nil)
+	require.NoError(t, err)
+	return string(b)
+}
+
 // TestFaults: a message that is malformed, oversized or out of order ends its connection
 // and the calls open on it, and no other.
 func TestFaults(t *testing.T) {
 	setUp, err := isup.Message{Type: isup.SetUp, Call: 1}.WithText(isup.Class, "voice").WithText(isup.Left, "3000").Append(nil)
 	require.NoError(t, err)
 	for name, bad := range map[string]string{
-		"oversized":           "\xff\xff",
-		"too short":           "\x00\x01\x01",
-		"parameter over end":  "\x00\x0c\x01\x00\x00\x00\x00\x00\x00\x00\x02\x10\x00\x09",
-		"unknown type":        "\x00\x09\x63\x00\x00\x00\x00\x00\x00\x00\x02",
-		"answer from caller":  "\x00\x09\x09\x00\x00\x00\x00\x00\x00\x00\x02",
-		"set-up without time": "\x00\x09\x01\x00\x00\x00\x00\x00\x00\x00\x02",
-		"release, no cause":   "\x00\x09\x0c\x00\x00\x00\x00\x00\x00\x00\x01",
-		"bad figures":         "\x00\x18\x01\x00\x00\x00\x00\x00\x00\x00\x02\x11\x00\x011\x15\x00\x06dest:x\x00",
-		"id open already":     string(setUp),
-		"cut off":             "\x00\x30\x01",
+		"oversized":              "\xff\xff",
+		"too short":              "\x00\x01\x01",
+		"parameter over end":     "\x00\x0c\x01\x00\x00\x00\x00\x00\x00\x00\x02\x10\x00\x09",
+		"unknown type":           "\x00\x09\x63\x00\x00\x00\x00\x00\x00\x00\x02",
+		"answer from caller":     "\x00\x09\x09\x00\x00\x00\x00\x00\x00\x00\x02",
+		"set-up without time":    "\x00\x09\x01\x00\x00\x00\x00\x00\x00\x00\x02",
+		"release, no cause":      "\x00\x09\x0c\x00\x00\x00\x00\x00\x00\x00\x01",
+		"bad figures":            "\x00\x18\x01\x00\x00\x00\x00\x00\x00\x00\x02\x11\x00\x011\x15\x00\x06dest:x\x00",
+		"first choice no number": raw(t, "3000", "dest:nan;width:1;via:-1"),
+		"negative first choice":  raw(t, "3000", "dest:-3"),
+		"no width":               raw(t, "3000", "dest:0;width:0"),
+		"negative time":          raw(t, "-5", "dest:0"),
+		"days":                   raw(t, "864000000", "dest:0"),
+		"id open already":        string(setUp),
+		"cut off":                "\x00\x30\x01",
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, core, addr := start(t, desk.Config{MessageTime: 200 * time.Millisecond})
@@ -155,12 +169,59 @@
 	busy.Await(t, isup.Answer, 1)
 }
 
-// TestTooMany: connections beyond the bound are closed, as each costs a descriptor.
+// TestSilent: who connects and says nothing, or half a message, is ended soon; who has asked
+// once may hold its connection.
+func TestSilent(t *testing.T) {
+	_, core, addr := start(t, desk.Config{FirstTime: 100 * time.Millisecond})
+	asked := standin.NewCaller(t, addr)
+	asked.SetUp(1, "voice", 3*time.Second, 2)
+	standin.Next(t, core.Offered)
+	for _, half := range []string{"", "\x00\x30\x01"} {
+		c := standin.NewCaller(t, addr)
+		c.Write([]byte(half))
+		_, err := c.Next()
+		require.Error(t, err)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the agent ended it, not the test")
+	}
+	asked.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+	asked.Await(t, isup.TestResult, 9)
+}
+
+// TestTooMany: each connection costs a descriptor. In a full house a newcomer takes the place
+// of one that never spoke, then of one without a call, then of one whose calls all stand; what
+// has a set-up open stays, and then the newcomer is closed.
 func TestTooMany(t *testing.T) {
-	_, _, addr := start(t, desk.Config{MaxPeers: 1})
-	first := standin.NewCaller(t, addr)
-	first.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
-	first.Await(t, isup.TestResult, 9)
-	_, err := standin.NewCaller(t, addr).Next()
-	require.Error(t, err)
+	f, core, addr := start(t, desk.Config{MaxPeers: 3, FirstTime: time.Hour})
+	say := func() *standin.Caller {
+		c := standin.NewCaller(t, addr)
+		c.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+		c.Await(t, isup.TestResult, 9)
+		return c
+	}
+	ended := func(c *standin.Caller) {
+		t.Helper()
+		_, err := c.Next()
+		require.Error(t, err)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+	standing, idle := say(), say()
+	standing.SetUp(1, "voice", 3*time.Second, 2)
+	call := standin.Next(t, core.Offered)
+	f.Answered(call, nil)
+	standing.Await(t, isup.Answer, 1)
+	silent := standin.NewCaller(t, addr)
+	busy := func(id isup.CallID) {
+		c := say()
+		c.SetUp(id, "voice", 3*time.Second, 2)
+		standin.Next(t, core.Offered)
+	}
+	busy(2)
+	ended(silent)
+	busy(3)
+	ended(idle)
+	busy(4)
+	ended(standing)
+	ended(standin.NewCaller(t, addr))
+	f.Ended(call, nil) // its connection was taken: the next of its host hears
+	assert.Empty(t, core.Withdrawn, "no call was lost")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,7 @@
 		Repeat       int64   `json:"repeat"`
 		GivesWait    bool    `json:"givesWait"`
 		PoolsByClass [][]int `json:"poolsByClass"`
+		Widths       []int   `json:"widths"`
 	} `json:"domain"`
 	Discovery string `json:"discovery"`
 }
@@ -117,6 +118,9 @@
 		if i < len(in.Domain.PoolsByClass) {
 			c.Pools = in.Domain.PoolsByClass[i]
 		}
+		if i < len(in.Domain.Widths) {
+			c.Width = in.Domain.Widths[i]
+		}
 		s.Classes = append(s.Classes, c)
 	}
 	for _, t := range in.Customers {
--- a/policy/api.go
+++ b/policy/api.go
@@ -31,6 +31,7 @@
 	Worth     float64
 	LateShare float64 // share of the worth that a call earns after the aim
 	Pools     []int   // numbers of the servers that may take it; nil: any
+	Width     int     // lines that a call takes; 0: not known
 }
 
 // Tenant is a customer with an allowance, in calls a second over all senders.
