Spare connections with calls and those used just now when a full house makes room

Now only a connection without any call that was not used for 250 ms makes room, and a set-up that comes on one being ended goes nowhere. Ruled out: descriptors (526 of 1024) and memory (16 of 192 MB).

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -29,6 +29,7 @@
 	WriteTimeout time.Duration // a caller that takes nothing for so long is cut off
 	FirstTime    time.Duration // a new connection's first message must be whole by then
 	MessageTime  time.Duration // a later message, once begun, must be whole within this
+	RoomAfter    time.Duration // a connection without a call, silent for so long, makes room in a full house
 	Idle         time.Duration // a connection that says nothing more is looked at after this
 	StayAway     time.Duration // told when the agent itself is too busy
 	Goodbye      []byte        // the last that a connection hears when the desk closes
@@ -41,6 +42,7 @@
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 500*time.Millisecond)
 	c.FirstTime = cmp.Or(c.FirstTime, 2*time.Second)
 	c.MessageTime = cmp.Or(c.MessageTime, 2*time.Second)
+	c.RoomAfter = cmp.Or(c.RoomAfter, 250*time.Millisecond)
 	c.Idle = cmp.Or(c.Idle, 2*time.Minute)
 	c.StayAway = cmp.Or(c.StayAway, time.Second)
 	if c.Log == nil {
@@ -90,6 +92,10 @@
 		peers: map[*Peer]struct{}{}, legs: map[string]*leg{}}
 }
 
+// errEnded tells that a call came on a connection that is being ended. Nothing of it goes
+// on, so that its caller may take the end of the connection for an end of the call.
+var errEnded = errors.New("the connection is being ended")
+
 // Serve accepts callers until the listener is closed.
 func (d *Desk) Serve(ln net.Listener) error {
 	for {
@@ -121,21 +127,22 @@
 	d.group.Go(p.write)
 }
 
-// makeRoom ends the connection that is missed least: one that never said a whole message
-// before one without a call, and that before one whose calls all stand, as any other
-// connection serves those; among these the one that has been silent longest. Hundreds that
-// only connect must not shut those out that have calls.
+// makeRoom ends a connection without a call: one that never said a whole message before one
+// that has; among these the one that has been silent longest. Hundreds that only connect
+// must not shut those out that have calls. What was used just now stays, as its caller's
+// first message, or the next, may be on its way; so does what has a call that stands, as
+// that may be the only way to tell of its end.
 func (d *Desk) makeRoom() bool {
 	var least *Peer
 	for p := range d.peers {
-		if p.open == 0 && (least == nil || p.missed().before(least.missed())) {
+		if p.calls == 0 && p.quiet() >= d.RoomAfter && (least == nil || p.before(least)) {
 			least = p
 		}
 	}
 	if least == nil {
 		return false
 	}
-	d.Log.Warn("caller's connection ended for a new one", "most", d.MaxPeers, "caller", least.conn.RemoteAddr(), "standing", least.calls)
+	d.Log.Warn("caller's connection ended for a new one", "most", d.MaxPeers, "caller", least.conn.RemoteAddr())
 	delete(d.peers, least)
 	least.leave()
 	return true
@@ -201,14 +208,18 @@
 // this front; a core too busy to take the call has the front refuse it.
 func (d *Desk) Offer(p *Peer, c agent.Call, tag any) error {
 	d.mu.Lock()
+	_, up := d.peers[p]
 	twice := d.legs[c.ID] != nil
-	if !twice {
+	if up && !twice {
 		d.legs[c.ID] = &leg{peer: p, tag: tag}
 		p.open++
 		p.calls++
 	}
 	d.mu.Unlock()
-	if twice {
+	switch {
+	case !up:
+		return errEnded
+	case twice:
 		return agent.ErrDuplicate
 	}
 	if !d.core.Offer(d.front, c) {
@@ -247,6 +258,7 @@
 	l.peer.calls--
 	if !l.answered {
 		l.peer.open--
+		l.peer.touch()
 	}
 }
 
@@ -282,6 +294,7 @@
 	if l != nil && !l.answered {
 		l.answered = true
 		l.peer.open--
+		l.peer.touch()
 	}
 	d.mu.Unlock()
 	if l == nil { // the caller has just left; its withdrawal is on the way
--- a/internal/desk/peer.go
+++ b/internal/desk/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -41,40 +40,28 @@
 	box  *mailbox.Box[Item]
 
 	born  time.Time
-	said  atomic.Int64 // when its latest message was whole, in Unix nanoseconds; 0: none yet
+	said  atomic.Bool  // a message of it was whole
+	used  atomic.Int64 // when it was used last, in Unix nanoseconds
 	idle  time.Duration
 	ready atomic.Bool // it can be sent releases
 
 	open, calls int // set-ups without an answer, and all calls; guarded by the desk
 }
 
-// worth orders connections by how much they would be missed.
-type worth struct {
-	rank int
-	said int64
-}
-
-func (w worth) before(v worth) bool {
-	return cmp.Or(cmp.Compare(w.rank, v.rank), cmp.Compare(w.said, v.said)) < 0
-}
-
-func (p *Peer) missed() worth {
-	w := worth{said: p.said.Load()}
-	switch {
-	case w.said == 0:
-		w.said = p.born.UnixNano()
-	case p.calls == 0:
-		w.rank = 1
-	default:
-		w.rank = 2
+// before orders connections without a call by how little they would be missed.
+func (p *Peer) before(q *Peer) bool {
+	if p.said.Load() != q.said.Load() {
+		return q.said.Load()
 	}
-	return w
+	return p.used.Load() < q.used.Load()
 }
 
 func newPeer(d *Desk, conn net.Conn) *Peer {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	return &Peer{desk: d, conn: conn, born: time.Now(), host: host, In: bufio.NewReaderSize(conn, 4<<10),
+	p := &Peer{desk: d, conn: conn, born: time.Now(), host: host, In: bufio.NewReaderSize(conn, 4<<10),
 		box: mailbox.New[Item](d.MaxWaiting)}
+	p.touch()
+	return p
 }
 
 // Send queues a message. A caller too slow to take its messages is cut off.
@@ -110,7 +97,7 @@
 // begun is to be read whole within MessageTime. All that a connection says first has
 // FirstTime: who only holds it open is told apart from a caller between two calls.
 func (p *Peer) Await() error {
-	if p.said.Load() == 0 {
+	if !p.said.Load() {
 		p.conn.SetReadDeadline(p.born.Add(p.desk.FirstTime))
 		_, err := p.In.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -128,7 +115,15 @@
 }
 
 // Said notes that a message was read whole.
-func (p *Peer) Said() { p.said.Store(time.Now().UnixNano()) }
+func (p *Peer) Said() {
+	p.said.Store(true)
+	p.touch()
+}
+
+func (p *Peer) touch() { p.used.Store(time.Now().UnixNano()) }
+
+// quiet is how long the connection has not been used.
+func (p *Peer) quiet() time.Duration { return time.Duration(time.Now().UnixNano() - p.used.Load()) }
 
 // Busy tells whether a set-up is open on the connection.
 func (p *Peer) Busy() bool { return p.desk.busy(p) }
