Call a set-up off sooner once a later one was answered; one alone late is no queue

At fault: Controller.callOff, which waits two targets (260 ms of an aim of 380 ms) also for a set-up that a later one has overtaken, so that no other attempt could stand in time, and Controller.answer, which read a queue from any late answer. A processor serves set-ups in order: an overtaken one was held up alone. Ruled out: a jam, where the oldest is not overtaken; there nothing changes.

--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -352,6 +352,28 @@
 	}
 }
 
+// TestAloneLate: an answer that comes after that of a later set-up was held up alone. It tells
+// of no queue, and while it is missing there is time for another attempt within the aim.
+func TestAloneLate(t *testing.T) {
+	b := newBench(t, testSettings(), up(1)...)
+	s := b.c.servers[0]
+	s.base, s.delay, s.room = 50*ms, 50*ms, 4
+	b.c.retries = 3
+	b.call("late")
+	b.now += 20 * ms
+	b.call("2")
+	b.now += 50 * ms
+	b.do(Standing{ID: "2", Server: s.ID})
+	if off := pick[Cancel](b.after(300 * ms)); len(off) != 1 || off[0].ID != "late" {
+		t.Errorf("called off within a quarter of the aim: %v", off)
+	}
+	b.now += 600 * ms
+	b.do(Standing{ID: "late", Server: s.ID}) // it crosses the cancel
+	if s.room < 4 || s.queue > 0 || s.delay > 60*ms {
+		t.Errorf("one answer alone late: room %v, queue %v, delay %v", s.room, s.queue, s.delay)
+	}
+}
+
 // TestJamIsNotARestart: a release from a server that answers no set-ups shows that it
 // lives, so that its next answer does not put it under a cold budget.
 func TestJamIsNotARestart(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,8 @@
 	trialShare  = 0.05 // of a server's capacity, or
 	trialFlow   = 0.25 // of the flow it shows: what all senders' trials together may take
 	lostTargets = 2    // a set-up unanswered for so many targets
-	lostDelays  = 3    // and for so many delays is taken for lost
+	lostDelays  = 3    // and for so many delays is taken for lost,
+	overPart    = 0.15 // or for this part of the shortest aim when a later one was answered before it
 
 	logSpan = 5 * time.Second // a server that was suspect for longer is told of when it is trusted again
 
@@ -706,8 +707,13 @@
 	dead := s.suspect && s.flow < 1 &&
 		slices.ContainsFunc(c.servers, func(o *server) bool { return o != s && !o.suspect && c.open(o) })
 	for _, cl := range s.waiting {
-		if !cl.off && c.now-cl.sentAt > c.lost(s) && (cl.sentAt < s.overtaken || c.serves(s) || dead) &&
-			c.now+c.set.Rules.ClearWait+c.target(s) <= cl.at+cl.group.class.Aim && c.retries >= 1 {
+		over := cl.sentAt < s.overtaken
+		after, next := c.lost(s), c.target(s)
+		if over { // no queue holds it back, nor will one hold the next
+			after, next = max(time.Duration(overPart*float64(c.aim)), lostDelays*s.delay), 2*s.delay
+		}
+		if !cl.off && c.now-cl.sentAt > after && (over || c.serves(s) || dead) &&
+			c.now+c.set.Rules.ClearWait+next <= cl.at+cl.group.class.Aim && c.retries >= 1 {
 			cl.off = true
 			c.do(Cancel{cl.id, cl.attempts - 1})
 		}
@@ -778,6 +784,12 @@
 	c.settle(cl)
 	silent := c.now - max(s.answered, s.heard)
 	s.answered = c.now
+	if cl.sentAt < s.overtaken && d > c.target(s) { // it alone was late: no sign of a queue
+		if s.suspect {
+			c.trust(s, silent)
+		}
+		return
+	}
 	s.overtaken = max(s.overtaken, cl.sentAt)
 	if s.base == 0 || d < s.base {
 		s.base = d
