Let a replaced connection linger 1 s; doubt one only after four usual delays

At fault: trunk.settled closed the old connection at its last answer, which the server took for giving the set-up up; and a server whose answers take 130 ms was doubted after 76 ms. Now a replaced connection closes 1 s after its last answer, the doubt waits for four usual delays, and a probe's report counts only if it came fast itself. TestStalled had passed on the end of the wrong call; it now asks for the answer.

--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -58,6 +58,7 @@
 	}
 	t.settled(a.link)
 	a.stands, a.since = true, time.Now()
+	t.delay += (a.since.Sub(a.sent) - t.delay) / 4
 	description, _ := m.Get(isup.Description)
 	t.core.Stands(m.Call.String(), a.n, description)
 	if l == t.link && l == a.link {
@@ -137,8 +138,9 @@
 	if cause != isup.Passed {
 		result = policy.Faulted
 	}
+	took := time.Since(t.probes[m.Call])
 	t.probeEnded(m.Call, result, report)
-	if wait := time.Duration(report.Wait * float64(time.Second)); result == policy.OK && wait >= 0 && wait < t.cfg.Stall/2 {
+	if result == policy.OK && report.Wait >= 0 && max(took, time.Duration(report.Wait*float64(time.Second))) < t.cfg.Stall/2 {
 		t.overtaken()
 	}
 	return nil
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -32,6 +32,7 @@
 	MessageTime    time.Duration // a message that has begun goes on within twice this, and is whole within four times
 	Stall          time.Duration // a set-up waits so long without a word: another connection is tried
 	Speak          time.Duration // a new connection on which nothing is said by then is mute
+	Linger         time.Duration // a connection that was replaced stays so long after its last answer
 	Silence        time.Duration // without a word for so long, a server that holds calls is looked for anew
 	Redial         time.Duration // between connections tried without a set-up that waits
 	CutGrace       time.Duration // between a refused connection and the end of the calls it proves dead
@@ -55,6 +56,7 @@
 		{&c.MessageTime, quarter},
 		{&c.Stall, fifth},
 		{&c.Speak, 3 * quarter},
+		{&c.Linger, time.Second},
 		{&c.Silence, 3 * time.Second},
 		{&c.Redial, 500 * time.Millisecond},
 		{&c.CutGrace, 100 * time.Millisecond},
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -41,6 +41,7 @@
 // attempt is a set-up that is out, or a call that stands.
 type attempt struct {
 	n      int
+	sent   time.Time
 	link   *link
 	stands bool
 	since  time.Time // when it came to stand
@@ -83,6 +84,7 @@
 	over     recent.Set[isup.CallID] // attempts that ended without a word of the server
 	unsaid   []isup.CallID           // releases for the next connection
 	heard    time.Time               // latest message on any connection
+	delay    time.Duration           // of answers lately
 	probes   map[isup.CallID]time.Time
 	probeNo  isup.CallID
 	failures int // dials in a row that brought no connection
@@ -181,7 +183,13 @@
 	t.core.Ended(id.String(), a.n, err, r)
 }
 
-// discard closes a retired connection.
+// linger closes a retired connection a while after its last answer: to a server that sees the
+// end before it knows that its answer has arrived, the set-up is given up, and it cuts the call.
+func (t *trunk) linger(l *link) {
+	time.AfterFunc(t.cfg.Linger, func() { t.post(func() { t.discard(l) }) })
+}
+
+// discard closes a connection, and counts a retired one off.
 func (t *trunk) discard(l *link) {
 	if l.retired {
 		l.retired = false
@@ -193,7 +201,7 @@
 // settled counts a set-up off its connection.
 func (t *trunk) settled(l *link) {
 	if l.out--; l.out == 0 && l.retired {
-		t.discard(l)
+		t.linger(l)
 	}
 }
 
@@ -246,7 +254,7 @@
 	if err != nil && n <= 0 {
 		unwritten(policy.NotSent, err)
 	} else { // a part of it may have been enough: its end comes with the connection's
-		t.open[id] = &attempt{n: a.N, link: link}
+		t.open[id] = &attempt{n: a.N, sent: time.Now(), link: link}
 		if link.out++; link.out == 1 {
 			link.since = time.Now()
 		}
@@ -345,7 +353,7 @@
 	if old := t.link; old != nil {
 		old.retired, old.left = true, time.Now()
 		if t.retired++; old.out == 0 {
-			t.discard(old)
+			t.linger(old)
 		}
 	}
 	t.link = l
@@ -466,7 +474,7 @@
 // lost ends a connection. The set-ups out on it are given up with it; calls that stand
 // outlive it, and the next dial tells whether their server does.
 func (t *trunk) lost(l *link, err error) {
-	l.conn.Close()
+	t.discard(l)
 	if t.link == l {
 		t.link = nil
 		t.log.Info("connection to setup server ended", "error", err)
@@ -480,6 +488,13 @@
 	t.connectAgain()
 }
 
+// stallDelays is how many times its usual delay an answer may take before its connection is
+// doubted: a server under load is slow on every connection.
+const stallDelays = 4
+
+// stall is how long a set-up may wait without a word on its connection.
+func (t *trunk) stall() time.Duration { return max(t.cfg.Stall, stallDelays*t.delay) }
+
 // overtaken ends the retired connections on which nothing was heard since: the server has
 // shown that it keeps no set-up waiting for so long, so what is out on them is lost.
 func (t *trunk) overtaken() {
@@ -507,7 +522,7 @@
 		t.unreached(errMute)
 		return
 	case !l.spoke || t.retired >= mostRetired || time.Since(t.tried) < t.cfg.Redial:
-	case l.stalled(t.cfg.Stall), len(t.open) > 0 && silent >= t.cfg.Silence:
+	case l.stalled(t.stall()), len(t.open) > 0 && silent >= t.cfg.Silence:
 		t.log.Info("setup server silent: trying a new connection", "for", silent, "out", l.out)
 		t.tried = time.Now()
 		t.dial()
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -285,14 +285,18 @@
 	p.SetUp(attemptFor(one, 30*time.Second))
 	g := s.Await(t, isup.SetUp)
 	require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
-	other := stand(t, p, c, s, two)
-	assert.NotSame(t, g.Conn, other.Conn)
+	p.SetUp(attemptFor(two, 30*time.Second))
+	assert.NotSame(t, g.Conn, s.Await(t, isup.SetUp).Conn)
 	g.Answer("")
-	assert.Equal(t, one, c.await(t).id, "and its answer still counts")
+	told := c.await(t)
+	assert.Equal(t, []any{true, one}, []any{told.stands, told.id}, "and its answer still counts")
+	answered := time.Now()
 	require.Eventually(t, func() bool {
 		_, err := g.Conn.Write([]byte("\x00\x09\x06\x00\x00\x00\x00\x00\x00\x00\x01")) // means nothing
 		return err != nil
 	}, standin.Patience, ms, "then the old connection ends")
+	// The server must not see the end before its answer is known to have come.
+	assert.GreaterOrEqual(t, time.Since(answered), p.cfg.Linger)
 }
 
 // TestDeath: nobody tells of the calls of a process that has died. A refused connection,
