Forget servers that are gone in the module, but for the latest eight

Read: Controller.list never dropped a server, and each event walks over all of them. A test with 200 replacements keeps 201 before, 9 after.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,8 @@
 	lostDelays  = 3    // and for so many delays is taken for lost,
 	overPart    = 0.15 // or for this part of the shortest aim when a later one was answered before it
 
+	goneMost = 8 // servers that are gone are remembered
+
 	logSpan = 5 * time.Second // a server that was suspect for longer is told of when it is trusted again
 
 	coldUse = 0.4 // of the fall multiple: what all senders spend of a cold server's budget
@@ -377,6 +379,27 @@
 			c.logf("server %s has left the list", s.ID)
 		}
 	}
+	c.forget()
+}
+
+// forget drops servers that are gone, oldest first, where ids never come again. A few stay:
+// what they carried is the guide for a new one.
+func (c *Controller) forget() {
+	gone := func(s *server) bool { return s.State == Gone && len(s.waiting) == 0 }
+	n := -goneMost
+	for _, s := range c.servers {
+		if gone(s) {
+			n++
+		}
+	}
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
+		if n <= 0 || !gone(s) {
+			return false
+		}
+		n--
+		delete(c.byID, s.ID)
+		return true
+	})
 }
 
 func (c *Controller) probed(e Probed) {
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -236,6 +236,31 @@
 	}
 }
 
+// TestReplacedForGood: where new servers take the place of old ones under new ids for ever,
+// those that are gone must not stay; a call that stands at one still ends.
+func TestReplacedForGood(t *testing.T) {
+	b := newBench(t, testSettings(), up(1)...)
+	b.call("1")
+	b.do(Standing{ID: "1", Server: up(1)[0].ID})
+	old := up(1)[0]
+	for i := range 200 {
+		s := Server{ID: fmt.Sprint("s-", i)}
+		old.State = Gone
+		b.do(List{Servers: []Server{s, old}})
+		old = s
+	}
+	if n := len(b.c.servers); n > goneMost+1 || n != len(b.c.byID) {
+		t.Errorf("%d servers are kept, %d by their ids", n, len(b.c.byID))
+	}
+	b.do(Ended{ID: "1", Server: up(1)[0].ID, Result: Cut, Complete: true, Report: NoReport()})
+	if len(b.c.calls) != 0 {
+		t.Error("the call at the first server is not forgotten")
+	}
+	if sent := pick[Send](b.call("2")); len(sent) != 1 || sent[0].Server != old.ID {
+		t.Errorf("sent to %v, the only one up is %s", sent, old.ID)
+	}
+}
+
 // TestOddFleets: no list, one server, far more servers than senders, one sender or
 // thousands: calls are answered or sent, and no figure turns NaN.
 func TestOddFleets(t *testing.T) {
