--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -182,6 +182,19 @@
 	f.conn = nil
 }
 
+func (f *Follower) connect(ctx context.Context, address string) error {
+	if f.conn != nil {
+		return nil
+	}
+	d := net.Dialer{Timeout: f.Grace}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	f.conn, f.in = conn, bufio.NewReader(conn)
+	return nil
+}
+
 // poll asks once. The whole call has one limit: an answer that stops half-way, on a
 // connection that stays open, must not keep the list from what comes after it.
 func (f *Follower) poll(ctx context.Context, address string) (err error) {
@@ -191,13 +204,8 @@
 		}
 	}()
 	until := time.Now().Add(f.Patience + f.Grace)
-	if f.conn == nil {
-		d := net.Dialer{Timeout: f.Grace}
-		if f.conn, err = d.DialContext(ctx, "tcp", address); err != nil {
-			f.conn = nil
-			return err
-		}
-		f.in = bufio.NewReader(f.conn)
+	if err := f.connect(ctx, address); err != nil {
+		return err
 	}
 	stop := context.AfterFunc(ctx, func(c net.Conn) func() { return func() { c.Close() } }(f.conn))
 	defer stop()
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -47,26 +47,6 @@
 	since  time.Time // when it came to stand
 }
 
-// link is one connection to the server.
-type link struct {
-	conn    net.Conn
-	heard   time.Time // latest message
-	spoke   bool      // a server tells of its group first; one that hangs is connected to by its kernel alone
-	out     int       // set-ups unanswered on it
-	since   time.Time // when they began to be any
-	retired bool      // another has taken its place; it ends with its last set-up
-	left    time.Time // when it was retired
-}
-
-// stalled tells whether set-ups have waited on a connection for so long without a word on it.
-func (l *link) stalled(span time.Duration) bool {
-	return l.out > 0 && time.Since(l.heard) >= span && time.Since(l.since) >= span
-}
-
-// mostRetired bounds the connections to a server: with the one in use and the one on its way
-// there are four at most.
-const mostRetired = 2
-
 // trunk is the actor of one setup server. Its fields belong to its goroutine.
 type trunk struct {
 	cfg      Config
@@ -183,28 +163,6 @@
 	t.core.Ended(id.String(), a.n, err, r)
 }
 
-// linger closes a retired connection a while after its last answer: to a server that sees the
-// end before it knows that its answer has arrived, the set-up is given up, and it cuts the call.
-func (t *trunk) linger(l *link) {
-	time.AfterFunc(t.cfg.Linger, func() { t.post(func() { t.discard(l) }) })
-}
-
-// discard closes a connection, and counts a retired one off.
-func (t *trunk) discard(l *link) {
-	if l.retired {
-		l.retired = false
-		t.retired--
-	}
-	l.conn.Close()
-}
-
-// settled counts a set-up off its connection.
-func (t *trunk) settled(l *link) {
-	if l.out--; l.out == 0 && l.retired {
-		t.linger(l)
-	}
-}
-
 func (t *trunk) setUp(a agent.Attempt) {
 	if t.link == nil && t.server.State == policy.Up && !t.stopped {
 		t.waiting = append(t.waiting, a)
@@ -488,48 +446,6 @@
 	t.connectAgain()
 }
 
-// stallDelays is how many times its usual delay an answer may take before its connection is
-// doubted: a server under load is slow on every connection.
-const stallDelays = 4
-
-// stall is how long a set-up may wait without a word on its connection.
-func (t *trunk) stall() time.Duration { return max(t.cfg.Stall, stallDelays*t.delay) }
-
-// overtaken ends the retired connections on which nothing was heard since: the server has
-// shown that it keeps no set-up waiting for so long, so what is out on them is lost.
-func (t *trunk) overtaken() {
-	for _, a := range t.open {
-		if l := a.link; l.retired && l.heard.Before(l.left) {
-			t.lost(l, errStalled)
-			t.overtaken() // what was open has changed
-			return
-		}
-	}
-}
-
-// listen looks whether the connection in use still serves. A server speaks first on a new
-// one, at once. Later, an answer may be lost with all that would follow it on its connection,
-// a machine that vanished leaves its connections open, and a quiet one has nothing to say: a
-// second connection tells these apart, and takes over.
-func (t *trunk) listen(l *link) {
-	if t.link != l {
-		return
-	}
-	silent := time.Since(l.heard)
-	switch {
-	case !l.spoke && silent >= t.cfg.Speak:
-		t.lost(l, errMute)
-		t.unreached(errMute)
-		return
-	case !l.spoke || t.retired >= mostRetired || time.Since(t.tried) < t.cfg.Redial:
-	case l.stalled(t.stall()), len(t.open) > 0 && silent >= t.cfg.Silence:
-		t.log.Info("setup server silent: trying a new connection", "for", silent, "out", l.out)
-		t.tried = time.Now()
-		t.dial()
-	}
-	time.AfterFunc(t.cfg.Stall/4, func() { t.post(func() { t.listen(l) }) })
-}
-
 // stop ends the connection; what is out on it is not waited for.
 func (t *trunk) stop() {
 	t.stopped = true
@@ -540,4 +456,9 @@
 	if t.link != nil {
 		t.link.conn.Close()
 	}
+	for _, a := range t.open {
+		if a.link.retired {
+			a.link.conn.Close()
+		}
+	}
 }
