Take callers on an inherited socket, so that a new version starts beside the old one

The log of the second process names the cause: listen address already in use. At fault: Daemon.Run bound `listen` whatever PROXY_FD named, and nothing answered at the console, which the platform asks before it ends the old process. Now the inherited socket is used, READY is answered by a console that waits for no actor, and at SIGTERM the old process closes its copy first and ends connections as they come out of use. Design: only the socket is shared. Not taken: handing calls that stand or the module's state over by a Unix socket in $TMPDIR, as that ties versions to each other's forms and saves nothing: ends of calls reach the new process as after a restart. The test of the hand-over first failed 1 time in 3: the old process still accepted after it had said no; the listener is closed before that now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/internal/mailbox"
@@ -55,6 +56,7 @@
 	open    int      // calls without a final answer
 	recent  recent.Set[string]
 	unknown pace
+	held    atomic.Bool
 }
 
 // unknownMost is how many releases of unknown calls a second go to the servers: more than
@@ -139,6 +141,12 @@
 	}
 }
 
+// Hold has calls that come from now on refused, or taken again. What is open goes on.
+func (a *Agent) Hold(on bool) { a.held.Store(on) }
+
+// heldAway is told to callers while the agent takes no calls: others take them at once.
+const heldAway = 200 * time.Millisecond
+
 // Stop lets no further events in.
 func (a *Agent) Stop() { a.box.Close() }
 
@@ -240,6 +248,10 @@
 		return
 	}
 	a.recent.Add(in.ID)
+	if a.held.Load() {
+		f.Refused(in, min(heldAway, a.cfg.Settings.Limits.CoolDown))
+		return
+	}
 	if a.open >= cmp.Or(a.cfg.MaxOpen, 4096) {
 		f.Refused(in, a.cfg.Settings.Limits.CoolDown)
 		return
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -22,8 +22,10 @@
 	Bulletin string          `json:"bulletin"`
 	Known    bulletin.Batch  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Console  string          `json:"console"` // where operators connect; "": nowhere
 
-	State string `json:"-"` // path of the second front's state; "": that front is off
+	State   string `json:"-"` // path of the second front's state; "": that front is off
+	Callers string `json:"-"` // descriptor of the callers' listening socket; "": Listen is bound
 
 	path string // of the file this was read from; "": none
 	seed uint64
@@ -68,6 +70,11 @@
 	if _, _, err = net.SplitHostPort(c.Bulletin); err != nil {
 		return bad("bulletin", err)
 	}
+	if c.Console != "" {
+		if _, _, err = net.SplitHostPort(c.Console); err != nil {
+			return bad("console", err)
+		}
+	}
 	if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 		return bad("seed", err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,9 +52,13 @@
 	front    *isupfront.Front
 	second   second
 	follower *bulletin.Follower
+	serving  atomic.Bool
 	stopping atomic.Bool
 }
 
+// ready tells whether callers may come.
+func (d *Daemon) ready() bool { return d.serving.Load() && !d.stopping.Load() }
+
 // New puts a call agent together. Its list holds what the configuration knows.
 func New(cfg Config, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: log}
@@ -69,7 +73,7 @@
 		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Log: log}, d.core)
 	d.core.Attach(d.pool)
 	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
-		func() bool { return !d.stopping.Load() })
+		d.ready)
 	d.second = second{d: d, front: callapi.New(desk.Config{Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, Patience: listPatience, Grace: listGrace,
 		Retry: listRetry}
@@ -93,15 +97,20 @@
 
 // Run serves until ctx ends, then answers what is open and returns.
 func (d *Daemon) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", d.cfg.Listen)
+	ln, err := callersListener(d.cfg.Listen, d.cfg.Callers)
 	if err != nil {
-		return fmt.Errorf("configuration: field listen: %w", err)
+		return err
 	}
 	return d.Serve(ctx, ln)
 }
 
 // Serve is Run on a listener of the caller's.
 func (d *Daemon) Serve(ctx context.Context, ln net.Listener) error {
+	shut, err := d.openConsole()
+	if err != nil {
+		return err
+	}
+	defer shut()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ran := make(chan struct{})
@@ -109,17 +118,17 @@
 	go d.follower.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- d.front.Serve(ln) }()
+	d.serving.Store(true)
 	if d.cfg.State != "" {
 		if err := d.second.reload(d.cfg.State); err != nil {
 			return err
 		}
 	}
 	d.log.Info("serving", "name", d.cfg.Name, "listen", ln.Addr().String())
-	var err error
 	select {
 	case err = <-served:
 	case <-ctx.Done():
-		d.drain()
+		d.drain(ln)
 	}
 	ln.Close()
 	d.second.close()
@@ -174,21 +183,48 @@
 	return max(min(longest, killMost)+killSpare-stopMargin, stopServing)
 }
 
-// drain keeps serving while callers still come, then waits for what is open.
-func (d *Daemon) drain() {
+// drain answers what is open, and what still comes, until the stop must end.
+func (d *Daemon) drain(ln net.Listener) {
 	d.log.Info("stopping: serving on, then answering what is open")
-	d.stopping.Store(true)
 	last := time.After(d.stopMost())
+	if d.cfg.Callers != "" {
+		ln.Close() // before the no: whoever connects after it meets the other process
+		d.stopping.Store(true)
+		d.handOver(last)
+		return
+	}
+	d.stopping.Store(true)
 	time.Sleep(stopServing)
 	idle := make(chan struct{})
 	d.core.Idle(func() { close(idle) })
 	select {
 	case <-idle:
 	case <-last:
-		d.log.Warn("stopping: refusing what is still open")
-		refused := make(chan struct{})
-		d.core.RefuseAll(time.Second)
-		d.core.Idle(func() { close(refused) })
-		<-refused
+		d.refuseOpen()
+	}
+}
+
+func (d *Daemon) refuseOpen() {
+	d.log.Warn("stopping: refusing what is still open")
+	refused := make(chan struct{})
+	d.core.RefuseAll(time.Second)
+	d.core.Idle(func() { close(refused) })
+	<-refused
+}
+
+// handOver leaves the callers to the process that accepts from the same socket: whoever
+// connects from now on is its. The connections there are end one by one, each when nothing
+// is open on it; a process that ended sooner would reset those in use.
+func (d *Daemon) handOver(last <-chan time.Time) {
+	began, tick := time.Now(), time.NewTicker(emptyTick)
+	defer tick.Stop()
+	for d.endIdle(time.Since(began)) > 0 {
+		select {
+		case <-tick.C:
+		case <-last:
+			d.core.Hold(true)
+			d.refuseOpen()
+			return
+		}
 	}
 }
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -58,7 +59,8 @@
 	if err != nil {
 		return err
 	}
-	cfg.State = env("WOODROUTER_STATE")
+	cfg.State, cfg.Callers = env("WOODROUTER_STATE"), env("PROXY_FD")
+	cfg.Console = cmp.Or(cfg.Console, env("PROXY_CONSOLE"))
 	level := slog.LevelInfo
 	if env("WOODROUTER_LOG") == "debug" {
 		level = slog.LevelDebug
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -143,11 +143,31 @@
 		return false
 	}
 	d.Log.Warn("caller's connection ended for a new one", "most", d.MaxPeers, "caller", least.conn.RemoteAddr())
-	delete(d.peers, least)
-	least.leave()
+	d.dismiss(least)
 	return true
 }
 
+// dismiss ends a connection on which nothing is open: a set-up that crosses its end is not
+// taken, so that its caller may send it again elsewhere.
+func (d *Desk) dismiss(p *Peer) {
+	delete(d.peers, p)
+	p.leave()
+}
+
+// EndIdle ends the connections on which no set-up is open and that were not used for quiet,
+// and tells how many are left. What has just come keeps the time that it has for its first
+// message if spareNew is set.
+func (d *Desk) EndIdle(quiet time.Duration, spareNew bool) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p := range d.peers {
+		if p.open == 0 && p.quiet() >= quiet && (p.said.Load() || !spareNew) {
+			d.dismiss(p)
+		}
+	}
+	return len(d.peers)
+}
+
 // Limit sets the bounds of connections that come from now on.
 func (d *Desk) Limit(maxPeers int, idle time.Duration) {
 	d.mu.Lock()
