Give operators the figures and a way to empty an agent: STATS, DRAIN and UNDRAIN

Not taken: asking the core's actor for figures (behind the calls under load); counting in each front (two counts to keep true). Ruled out: memory (6 MB of 64), descriptors (20 of 384). SIGHUPs that took effect or not are counted too (reconfig_ok, reconfig_failed).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -54,9 +54,29 @@
 	origin  policy.Time
 	idle    []func() // told when no set-up is open
 	open    int      // calls without a final answer
+	stand   int      // calls that stand
 	recent  recent.Set[string]
 	unknown pace
 	held    atomic.Bool
+	tallies map[string]*Tally // by class; the map itself never changes
+	figures figures
+}
+
+// Tally counts the outcomes of one class's calls. It may be read at any time.
+type Tally struct{ Served, Refused, Failed atomic.Int64 }
+
+// figures are what the actor tells of itself without being asked.
+type figures struct{ inFlight, listed, avoided atomic.Int64 }
+
+// Tallies returns what has come of the calls so far, by class.
+func (a *Agent) Tallies() map[string]*Tally { return a.tallies }
+
+// InFlight is how many calls are open or stand.
+func (a *Agent) InFlight() int64 { return a.figures.inFlight.Load() }
+
+// Hosts is how many setup servers are listed, and how many of them get no calls now.
+func (a *Agent) Hosts() (listed, avoided int64) {
+	return a.figures.listed.Load(), a.figures.avoided.Load()
 }
 
 // unknownMost is how many releases of unknown calls a second go to the servers: more than
@@ -108,12 +128,13 @@
 		return nil, err
 	}
 	a := &Agent{cfg: cfg, ctrl: ctrl, box: mailbox.New[event](cmp.Or(cfg.Mailbox, 8192)),
-		calls: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, start: time.Now()}
+		calls: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, tallies: map[string]*Tally{}, start: time.Now()}
 	// The module compares its time with the Unix milliseconds of a server's start, and
 	// must never see it run backwards: the wall clock once, then the monotonic one.
 	a.origin = policy.Time(a.start.UnixNano())
 	for _, c := range cfg.Settings.Classes {
 		a.classes[c.Name] = c
+		a.tallies[c.Name] = &Tally{}
 	}
 	for _, t := range cfg.Settings.Tenants {
 		a.tenants[t.Name] = true
@@ -161,6 +182,10 @@
 		}
 	}()
 	e.do()
+	a.figures.inFlight.Store(int64(a.open + a.stand))
+	listed, avoided := a.ctrl.Hosts()
+	a.figures.listed.Store(int64(listed))
+	a.figures.avoided.Store(int64(avoided))
 }
 
 func (a *Agent) post(id string, do func()) { a.box.Post(event{id, do}) }
@@ -170,7 +195,40 @@
 // Offer hands a call in. It reports false when the agent is too busy to take it; the
 // front then refuses the call itself.
 func (a *Agent) Offer(f Front, c Call) bool {
-	return a.box.Offer(event{c.ID, func() { a.offer(f, c) }})
+	if a.box.Offer(event{c.ID, func() { a.offer(f, c) }}) {
+		return true
+	}
+	a.tally(c).Refused.Add(1)
+	return false
+}
+
+// tally returns the counts of a call's class; those of a class unknown are nobody's.
+func (a *Agent) tally(c Call) *Tally {
+	if t := a.tallies[c.Class]; t != nil {
+		return t
+	}
+	return &Tally{}
+}
+
+// The ways in which a front hears of a final answer, counted.
+func (a *Agent) answer(f Front, c Call, description []byte) {
+	a.tally(c).Served.Add(1)
+	f.Answered(c, description)
+}
+
+func (a *Agent) refuse(f Front, c Call, stayAway time.Duration) {
+	a.tally(c).Refused.Add(1)
+	f.Refused(c, stayAway)
+}
+
+func (a *Agent) fail(f Front, c Call, err error) {
+	a.tally(c).Failed.Add(1)
+	f.Failed(c, err)
+}
+
+func (a *Agent) reject(f Front, c Call, err error) {
+	a.tally(c).Failed.Add(1)
+	f.Rejected(c, err)
 }
 
 // Withdraw tells that the caller has left: it gave the set-up up, released the call that
@@ -231,7 +289,7 @@
 		for _, c := range a.calls {
 			if !c.resolved {
 				a.resolve(c)
-				c.front.Refused(c.Call, stayAway)
+				a.refuse(c.front, c.Call, stayAway)
 				a.depart(c)
 			}
 		}
@@ -240,20 +298,20 @@
 
 func (a *Agent) offer(f Front, in Call) {
 	if a.calls[in.ID] != nil {
-		f.Rejected(in, ErrDuplicate)
+		a.reject(f, in, ErrDuplicate)
 		return
 	}
 	if err := a.check(in); err != nil {
-		f.Rejected(in, err)
+		a.reject(f, in, err)
 		return
 	}
 	a.recent.Add(in.ID)
 	if a.held.Load() {
-		f.Refused(in, min(heldAway, a.cfg.Settings.Limits.CoolDown))
+		a.refuse(f, in, min(heldAway, a.cfg.Settings.Limits.CoolDown))
 		return
 	}
 	if a.open >= cmp.Or(a.cfg.MaxOpen, 4096) {
-		f.Refused(in, a.cfg.Settings.Limits.CoolDown)
+		a.refuse(f, in, a.cfg.Settings.Limits.CoolDown)
 		return
 	}
 	c := &call{Call: in, front: f}
@@ -315,7 +373,7 @@
 func (a *Agent) abandon(c *call, err error) {
 	if !c.resolved {
 		a.resolve(c)
-		c.front.Failed(c.Call, err)
+		a.fail(c.front, c.Call, err)
 	}
 	a.depart(c)
 }
@@ -388,8 +446,9 @@
 	}
 	c.expiry.Stop()
 	c.stands, c.Description = true, nil
+	a.stand++
 	a.resolve(c)
-	c.front.Answered(c.Call, description)
+	a.answer(c.front, c.Call, description)
 	a.act(a.ctrl.Handle(a.now(), policy.Standing{ID: id, Attempt: n, Server: c.server,
 		Delay: a.now() - c.sentAt}))
 }
@@ -401,6 +460,9 @@
 	}
 	c.out = false
 	c.expiry.Stop()
+	if c.stands {
+		a.stand--
+	}
 	if c.stands && !c.left {
 		c.left = true
 		c.front.Ended(c.Call, plain(err))
@@ -445,13 +507,13 @@
 		case policy.Refuse:
 			if c := a.calls[d.ID]; c != nil && !c.resolved {
 				a.resolve(c)
-				c.front.Refused(c.Call, d.CoolDown)
+				a.refuse(c.front, c.Call, d.CoolDown)
 				a.drop(c)
 			}
 		case policy.Fail:
 			if c := a.calls[d.ID]; c != nil && !c.resolved {
 				a.resolve(c)
-				c.front.Failed(c.Call, c.overdue())
+				a.fail(c.front, c.Call, c.overdue())
 				a.drop(c)
 			}
 		case policy.Probe:
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -360,3 +360,43 @@
 	require.NoError(t, err)
 	require.InDelta(t, time.Now().UnixNano(), int64(a.now()), float64(time.Minute))
 }
+
+// TestFigures: each final answer is counted once in its class, however it came about; what
+// stands is in flight until its end, and the list's servers are counted.
+func TestFigures(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 3*time.Second)
+		a.Stands("c", 0, nil)
+		offer(a, s, "c", 3*time.Second)          // a second one under its id: failed
+		offer(a, s, "d", 500*ms)                 // nobody answers it: refused or failed in its time
+		a.Offer(s, Call{ID: "x", Class: "none"}) // of no class that is counted
+		after(time.Second)
+		require.EqualValues(t, 1, a.InFlight(), "one stands")
+		listed, _ := a.Hosts()
+		require.EqualValues(t, 1, listed)
+		tally := a.Tallies()["voice"]
+		require.EqualValues(t, 1, tally.Served.Load())
+		require.EqualValues(t, 2, tally.Refused.Load()+tally.Failed.Load())
+		a.Ended("c", 0, nil, policy.NoReport())
+		synctest.Wait()
+		require.Zero(t, a.InFlight())
+	})
+}
+
+// TestHold: an agent that is to be empty refuses what comes, with a time, and goes on with
+// what is open; then it takes calls again.
+func TestHold(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		offer(a, s, "c", 3*time.Second)
+		a.Hold(true)
+		offer(a, s, "d", 3*time.Second)
+		require.Equal(t, []string{"refused d"}, s.heard())
+		require.Equal(t, heldAway, s.wait)
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		require.Contains(t, s.heard(), "answered c ")
+		a.Hold(false)
+		offer(a, s, "e", 3*time.Second)
+		require.Contains(t, s.did(), "set up e.0 at s")
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,10 +54,13 @@
 	follower *bulletin.Follower
 	serving  atomic.Bool
 	stopping atomic.Bool
+	drained  atomic.Bool // an operator has callers go elsewhere
+	emptying emptying
+	reloads  struct{ taken, refused atomic.Int64 }
 }
 
 // ready tells whether callers may come.
-func (d *Daemon) ready() bool { return d.serving.Load() && !d.stopping.Load() }
+func (d *Daemon) ready() bool { return d.serving.Load() && !d.stopping.Load() && !d.drained.Load() }
 
 // New puts a call agent together. Its list holds what the configuration knows.
 func New(cfg Config, log *slog.Logger) (*Daemon, error) {
@@ -147,24 +150,32 @@
 		d.log.Warn("nothing to reload: neither a configuration file nor a state file was named at the start")
 		return
 	}
+	taken := true
 	if d.cfg.path != "" {
-		d.reconfigure()
+		if err := d.reconfigure(); err != nil {
+			taken = false
+			d.log.Error("configuration not taken; the former one stays", "error", err)
+		}
 	}
-	if d.cfg.State == "" {
-		return
+	if d.cfg.State != "" {
+		if err := d.second.reload(d.cfg.State); err != nil {
+			taken = false
+			d.log.Error("state not taken; the former settings stay", "error", err)
+		}
 	}
-	if err := d.second.reload(d.cfg.State); err != nil {
-		d.log.Error("state not taken; the former settings stay", "error", err)
+	if taken {
+		d.reloads.taken.Add(1)
+	} else {
+		d.reloads.refused.Add(1)
 	}
 }
 
 // reconfigure moves the list's follower to the bulletin that the file names now. All else
 // in the file is what a process starts with; a change there is told and left to the next.
-func (d *Daemon) reconfigure() {
+func (d *Daemon) reconfigure() error {
 	next, err := ReadConfig(d.cfg.path)
 	if err != nil {
-		d.log.Error("configuration not taken; the former one stays", "error", err)
-		return
+		return err
 	}
 	d.follower.Move(next.Bulletin)
 	d.log.Info("configuration taken", "bulletin", next.Bulletin)
@@ -172,6 +183,7 @@
 		!bytes.Equal(next.Settings, d.cfg.Settings) {
 		d.log.Warn("configuration: name, listen, limits and settings hold from the next start")
 	}
+	return nil
 }
 
 // stopMost is when a stop must have answered everything.
@@ -218,7 +230,7 @@
 func (d *Daemon) handOver(last <-chan time.Time) {
 	began, tick := time.Now(), time.NewTicker(emptyTick)
 	defer tick.Stop()
-	for d.endIdle(time.Since(began)) > 0 {
+	for d.endIdle(time.Since(began), desk.Spare{New: true}) > 0 {
 		select {
 		case <-tick.C:
 		case <-last:
--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -73,13 +73,18 @@
 	return ln.Addr().String(), fds
 }
 
+// setting is what processes with one setup server and one socket for the callers need.
+func setting(t *testing.T, processes int) (server *standin.Server, cfg Config, address string, fds []string) {
+	server = standin.NewServer(t, "")
+	address, fds = inherited(t, processes)
+	return server, config(t, standin.NewBulletin(t, standin.Endpoint("s0", server.Addr, 0, "up"))), address, fds
+}
+
 // TestHandOver: two processes serve one inherited socket. The one that stops leaves
 // newcomers to the other, answers what is open with it, and ends a connection only when
 // nothing is open there.
 func TestHandOver(t *testing.T) {
-	server := standin.NewServer(t, "")
-	cfg := config(t, standin.NewBulletin(t, standin.Endpoint("s0", server.Addr, 0, "up")))
-	address, fds := inherited(t, 2)
+	server, cfg, address, fds := setting(t, 2)
 	cfg.Callers = fds[0]
 	first, stop, done := process(t, cfg)
 	served := standin.NewCaller(t, address)
@@ -113,3 +118,83 @@
 		assert.ErrorContains(t, err, "PROXY_FD", fd)
 	}
 }
+
+// TestStats: the figures are those of what has passed, and end with their last line.
+func TestStats(t *testing.T) {
+	server, cfg, address, fds := setting(t, 1)
+	cfg.Callers = fds[0]
+	d, _, _ := process(t, cfg)
+	c := standin.NewCaller(t, address)
+	c.SetUp(0x10, "voice", 5*time.Second, 0)
+	server.Await(t, isup.SetUp).Answer("room")
+	c.Await(t, isup.Answer, 0x10)
+	c.SetUp(0x20, "voice", 5*time.Second, 0)
+	server.Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
+	c.Await(t, isup.Release, 0x20)
+	c.SetUp(0x10, "voice", 5*time.Second, 7) // no such server: failed
+	assert.Equal(t, `svc.calls.voice.success:1|c
+svc.calls.voice.busy:1|c
+svc.calls.voice.failure:0|c
+svc.backend_calls:2|c
+svc.inflight:1|g
+svc.hosts_listed:1|g
+svc.hosts_down:0|g
+svc.reconfig_ok:0|c
+svc.reconfig_failed:0|c
+EOT
+`, asked(d.cfg.Console, "STATS"))
+}
+
+// TestEmptied: a drained agent says no, to the console and on the wire, ends connections that
+// hold no call, and refuses what comes after a while; what is open is answered, and the end
+// of what stands is told. Then it takes callers again.
+func TestEmptied(t *testing.T) {
+	server, cfg, address, fds := setting(t, 1)
+	cfg.Callers = fds[0]
+	d, _, _ := process(t, cfg)
+	idle, busy := standin.NewCaller(t, address), standin.NewCaller(t, address)
+	test := func(c *standin.Caller, id isup.CallID) isup.Cause {
+		c.Send(isup.Message{Type: isup.Test, Call: id}.WithCause(isup.NotPassed))
+		cause, err := c.Await(t, isup.TestResult, id).Cause()
+		require.NoError(t, err)
+		return cause
+	}
+	assert.Equal(t, isup.Passed, test(idle, 1))
+	busy.SetUp(0x10, "voice", 5*time.Second, 0)
+	g := server.Await(t, isup.SetUp)
+	require.True(t, yes(d.cfg.Console, "DRAIN"))
+	require.True(t, yes(d.cfg.Console, "DRAIN"), "again")
+	assert.False(t, yes(d.cfg.Console, "READY"))
+	assert.Equal(t, isup.NotPassed, test(busy, 2))
+	_, err := idle.Next()
+	assert.ErrorIs(t, err, io.EOF)
+	g.Answer("room")
+	busy.Await(t, isup.Answer, 0x10)
+	outcome := func(id isup.CallID) isup.Message { // of a set-up that the server, asked, answers
+		busy.SetUp(id, "voice", 5*time.Second, 0)
+		heard := make(chan isup.Message, 1)
+		go func() { m, _ := busy.Next(); heard <- m }()
+		for {
+			select {
+			case m := <-heard:
+				return m
+			case g := <-server.Got:
+				if g.Type == isup.SetUp {
+					g.Answer("room")
+				}
+			}
+		}
+	}
+	require.Equal(t, isup.Answer, outcome(0x20).Type, "served for a while")
+	id := isup.CallID(0x20)
+	require.Eventually(t, func() bool {
+		id++
+		m := outcome(id)
+		return m.Call == id && m.Type == isup.Release && m.Text(isup.StayAway) != ""
+	}, standin.Patience, 50*time.Millisecond, "then refused")
+	g.Release(isup.Normal, "")
+	busy.Await(t, isup.Release, 0x10)
+	require.True(t, yes(d.cfg.Console, "UNDRAIN"))
+	assert.True(t, yes(d.cfg.Console, "READY"))
+	assert.Equal(t, isup.Answer, outcome(0x1000).Type)
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -154,14 +154,20 @@
 	p.leave()
 }
 
-// EndIdle ends the connections on which no set-up is open and that were not used for quiet,
-// and tells how many are left. What has just come keeps the time that it has for its first
-// message if spareNew is set.
-func (d *Desk) EndIdle(quiet time.Duration, spareNew bool) int {
+// Spare tells which connections are in use though no set-up is open on them.
+type Spare struct {
+	Used     time.Duration // those used within this,
+	New      bool          // those whose first message may be on its way,
+	Standing bool          // those with a call that stands, whose end is to be told there
+}
+
+// EndIdle ends the connections that are not in use, and tells how many are left.
+func (d *Desk) EndIdle(spare Spare) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for p := range d.peers {
-		if p.open == 0 && p.quiet() >= quiet && (p.said.Load() || !spareNew) {
+		used := p.open > 0 || p.quiet() < spare.Used || spare.New && !p.said.Load() || spare.Standing && p.calls > 0
+		if !used {
 			d.dismiss(p)
 		}
 	}
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/agent"
@@ -85,8 +86,12 @@
 	core   Core
 	trunks map[string]*trunk
 	group  sync.WaitGroup
+	sent   atomic.Int64
 }
 
+// Sent counts the set-ups that were written whole. It may be read at any time.
+func (p *Pool) Sent() int64 { return p.sent.Load() }
+
 // NewPool returns a pool without servers that reports to core.
 func NewPool(cfg Config, core Core) *Pool {
 	cfg.complete()
@@ -103,7 +108,7 @@
 			if s.State == policy.Gone {
 				continue
 			}
-			t = newTrunk(p.cfg, p.core, s)
+			t = newTrunk(p.cfg, p.core, s, &p.sent)
 			p.trunks[s.ID] = t
 			p.group.Go(t.run)
 		}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -67,7 +67,8 @@
 	delay    time.Duration           // of answers lately
 	probes   map[isup.CallID]time.Time
 	probeNo  isup.CallID
-	failures int // dials in a row that brought no connection
+	failures int           // dials in a row that brought no connection
+	sent     *atomic.Int64 // the pool's count of set-ups written whole
 	stopped  bool
 	finished atomic.Bool // gone, with nothing open: the pool may forget it
 	buf      []byte
@@ -75,8 +76,8 @@
 	withdrawn bool // the pool's: it is gone by the latest news
 }
 
-func newTrunk(cfg Config, core Core, s agent.Server) *trunk {
-	return &trunk{cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s,
+func newTrunk(cfg Config, core Core, s agent.Server, sent *atomic.Int64) *trunk {
+	return &trunk{cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s, sent: sent,
 		box: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{},
 		probes: map[isup.CallID]time.Time{}, heard: time.Now()}
 }
@@ -217,6 +218,9 @@
 			link.since = time.Now()
 		}
 	}
+	if err == nil {
+		t.sent.Add(1)
+	}
 	if err != nil && n >= 0 {
 		t.lost(link, err)
 	}
--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -324,6 +324,17 @@
 	}
 }
 
+// TestHosts: those on the list are counted, and of these the ones that get no calls.
+func TestHosts(t *testing.T) {
+	servers := up(4)
+	servers[1].State, servers[2].State = Draining, Gone
+	b := newBench(t, testSettings(), servers...)
+	b.c.servers[3].suspect = true
+	if listed, avoided := b.c.Hosts(); listed != 3 || avoided != 2 {
+		t.Errorf("%d listed, %d avoided; want 3 and 2", listed, avoided)
+	}
+}
+
 // TestOvertaken: a set-up that a later one has overtaken is called off in time for
 // another attempt, and its server stays trusted.
 func TestOvertaken(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -402,6 +402,19 @@
 	})
 }
 
+// Hosts tells how many servers are listed, and how many of these get no calls but trials.
+func (c *Controller) Hosts() (listed, avoided int) {
+	for _, s := range c.servers {
+		if s.State != Gone {
+			listed++
+		}
+		if s.State == Draining || s.State == Up && s.suspect {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 func (c *Controller) probed(e Probed) {
 	s := c.byID[e.Server]
 	if s == nil {
