Bound the doubt of a silent server at 0.6 s, and let a half release end its call

Checked by log lines of each answer, release and end: a silent connection swallows ends, which the server says on the next connection (4 to 26 of them within 30 ms of it), so that they are late by as long as the silence goes unnoticed: 82 to 596 ms, and link.go's stall() had no bound (four usual delays; answers of 250 ms would have broken the rule). Of 169 releases said on new connections none had been heard before: what was written is not said again, so a half release would be lost. Ruled out: draining (n1 drains at 9.8 s), callers' releases that cross the answer (1 seen, rules kept), slow pieces (with 1 s of patience no message that paused for 30 ms ever went on). Not proven: the half messages caught with their first bytes, 11 at least, were all answers.

--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"woodrouter/agent"
@@ -80,6 +81,31 @@
 	return nil
 }
 
+// leastCall is how many hex digits must have come of a call's id to know it among those that
+// stand at one server.
+const leastCall = 6
+
+// cutOff takes what came of a message that its connection ended in the middle of. A release
+// whose cause is missing still says that its call is over, and it may not be said again: the
+// server has written it. The call's caller is owed the end, and a release makes sure of it at
+// the server.
+func (t *trunk) cutOff(begun opening) {
+	kind, prefix, ok := isup.Half(begun)
+	if !ok || kind != isup.Release || len(prefix) < leastCall {
+		return
+	}
+	for id, a := range t.open {
+		if a.stands && strings.HasPrefix(id.String(), prefix) {
+			t.log.Info("release cut off half-way: call taken for over", "call", id)
+			t.release(t.link, id)
+			if t.open[id] == a {
+				t.end(id, a, failure(t.server.ID, agent.Stood, policy.Cut, errHalf), policy.NoReport())
+			}
+			return
+		}
+	}
+}
+
 // verdict words a release; nil: the call has come to its end.
 func verdict(server string, cause isup.Cause, note string, stood bool) *agent.Failure {
 	f := failure(server, agent.Spoken, policy.Faulted, fmt.Errorf("released with cause %d %s", cause, note))
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -55,8 +55,15 @@
 // doubted: a server under load is slow on every connection.
 const stallDelays = 4
 
+// stallMost bounds the doubt: the ends of calls come by a connection too, and those that it
+// swallowed are said on the next. They are owed to the callers within 1 s, however slow the
+// answers are.
+const stallMost = 600 * time.Millisecond
+
 // stall is how long a set-up may wait without a word on its connection.
-func (t *trunk) stall() time.Duration { return max(t.cfg.Stall, stallDelays*t.delay) }
+func (t *trunk) stall() time.Duration {
+	return min(max(t.cfg.Stall, stallDelays*t.delay), max(t.cfg.Stall, stallMost))
+}
 
 // overtaken ends the retired connections on which nothing was heard since: the server has
 // shown that it keeps no set-up waiting for so long, so what is out on them is lost.
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -54,7 +54,7 @@
 		{&c.ConnectTimeout, 500 * time.Millisecond},
 		{&c.WriteTimeout, 250 * time.Millisecond},
 		{&c.ProbeTimeout, 250 * time.Millisecond},
-		{&c.MessageTime, quarter},
+		{&c.MessageTime, min(quarter, stallMost/2)},
 		{&c.Stall, fifth},
 		{&c.Speak, 3 * quarter},
 		{&c.Linger, time.Second},
--- a/internal/trunk/source.go
+++ b/internal/trunk/source.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"woodrouter/isup"
 )
 
 // mostSteps bounds the time of one message: a server that sends it byte by byte ends too.
@@ -37,3 +39,11 @@
 	s.conn.SetReadDeadline(time.Now().Add(s.step))
 	return s.conn.Read(b)
 }
+
+// opening keeps the first bytes of a message, which tell what it is.
+type opening []byte
+
+func (s *opening) Write(b []byte) (int, error) {
+	*s = append(*s, b[:min(len(b), isup.Head-len(*s))]...)
+	return len(b), nil
+}
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -402,11 +403,16 @@
 
 // read is the connection's goroutine.
 func (t *trunk) read(l *link) {
-	err := t.readAll(l)
-	t.post(func() { t.lost(l, err) })
+	var latest opening
+	err := t.readAll(l, &latest)
+	t.post(func() {
+		t.lost(l, err)
+		t.cutOff(latest)
+	})
 }
 
-func (t *trunk) readAll(l *link) (err error) {
+// readAll reads messages until the connection ends; latest is how the last one began.
+func (t *trunk) readAll(l *link, latest *opening) (err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("panic: %v", r)
@@ -420,13 +426,15 @@
 			return err
 		}
 		from.begin()
-		m, err := isup.Read(in)
+		*latest = (*latest)[:0]
+		m, err := isup.Read(io.TeeReader(in, latest))
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return errHalf
 		}
 		if err != nil {
 			return err
 		}
+		*latest = (*latest)[:0]
 		if !t.box.Admit(func() { t.hear(l, m) }) {
 			return errStopped
 		}
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -275,6 +275,47 @@
 	stand(t, p, c, s, two)
 }
 
+// TestReleaseCutOff: a release that stops half-way says which call is over, and the server has
+// said it: it may not come again. Too little of its id tells nothing.
+func TestReleaseCutOff(t *testing.T) {
+	for _, tc := range []struct {
+		said string
+		over bool
+	}{
+		{"\x00\x0d\x0c\x00\x00\x00\x00\x00\x00\x00\x01", true},  // all but the cause
+		{"\x00\x0d\x0c\x00\x00\x00\x00", true},                  // enough of its id
+		{"\x00\x0d\x0c\x00\x00", false},                         // fits any call
+		{"\x00\x0d\x0c\x00\x00\x00\x00\x00\x00\x00\x02", false}, // of another call
+		{"\x00\x0d\x09\x00\x00\x00\x00\x00\x00\x00\x01", false}, // no release
+	} {
+		p, c := start(t, Config{Aim: 400 * ms, Speak: standin.Patience, Silence: time.Hour})
+		s := standin.NewServer(t, "")
+		p.news(listed(s.Addr, policy.Up, time.Time{}))
+		g := stand(t, p, c, s, one)
+		g.Conn.Write([]byte(tc.said))
+		require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms, "%q", tc.said)
+		if tc.over {
+			assert.ErrorIs(t, c.ended(t, agent.Stood, policy.Cut).err, errHalf)
+			assert.Equal(t, one, s.Await(t, isup.Release).Call.String(), "the server is told as well")
+			continue
+		}
+		stand(t, p, c, s, two) // what comes next is not the end of the first
+	}
+}
+
+// TestStallBounded: ends of calls come by the connection too and are owed within 1 s, so that
+// slow answers may not put the doubt of a silent one off for longer.
+func TestStallBounded(t *testing.T) {
+	for _, tc := range []struct{ delay, least, want time.Duration }{
+		{0, 80 * ms, 80 * ms},
+		{100 * ms, 80 * ms, 400 * ms},
+		{2 * time.Second, 80 * ms, stallMost},
+	} {
+		a := trunk{cfg: Config{Stall: tc.least}, delay: tc.delay}
+		assert.Equal(t, tc.want, a.stall())
+	}
+}
+
 // TestStalled: a connection on which a set-up is out and nothing is heard may have lost all
 // that would follow. New set-ups go by another; the old one stays for its own, as a server
 // with a queue is as quiet.
--- a/isup/isup.go
+++ b/isup/isup.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -106,6 +107,9 @@
 
 const head = 9 // type and call
 
+// Head is how many bytes of a message tell its length, type and call.
+const Head = 2 + head
+
 // Read takes one message off r. The message owns its memory. io.EOF means that r
 // ended between two messages.
 func Read(r io.Reader) (Message, error) {
@@ -130,6 +134,15 @@
 	return parse(body)
 }
 
+// Half reads what has come of a message that stopped half-way: its type, and as much of its
+// call's text form as there is. ok is false where not even the type has come.
+func Half(b []byte) (t Type, call string, ok bool) {
+	if len(b) < 3 {
+		return 0, "", false
+	}
+	return Type(b[2]), hex.EncodeToString(b[3:min(len(b), Head)]), true
+}
+
 func parse(body []byte) (Message, error) {
 	m := Message{Type: Type(body[0]), Call: CallID(binary.BigEndian.Uint64(body[1:]))}
 	for rest := body[head:]; len(rest) > 0; {
--- a/isup/isup_test.go
+++ b/isup/isup_test.go
@@ -103,3 +103,17 @@
 		require.Equal(t, in[:len(out)], out)
 	})
 }
+
+// TestHalf: what stopped half-way tells its type and the part of its call that has come.
+func TestHalf(t *testing.T) {
+	whole, err := Message{Type: Release, Call: 0x1122334455667788}.WithCause(Normal).Append(nil)
+	require.NoError(t, err)
+	for n, want := range map[int]string{0: "", 2: "", 3: "", 4: "11", 10: "11223344556677", 11: "1122334455667788", 15: "1122334455667788"} {
+		kind, call, ok := Half(whole[:n])
+		assert.Equal(t, n > 2, ok, n)
+		assert.Equal(t, want, call, n)
+		if ok {
+			assert.Equal(t, Release, kind)
+		}
+	}
+}
