Have a new version wait for the call API's address, and end the core before its servers

Read: with a state file named, a process started beside the running one ended at once, as the second front's address was taken (second.configure). It tries on now, and the old one leaves the address at SIGTERM. TestSecondHandOver fails without it. The race detector showed under that test that Daemon.Serve closed the pool while the core still ran: news of the list at that moment writes the map that Pool.Close walks over, which ends a Go program. The core stops first now. Servers' releases of unknown calls are bounded at 2,000 a second, as callers' are at 200: a restart leaves a few hundred behind at 50 calls a second and 10 s each.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,7 +56,8 @@
 	open    int      // calls without a final answer
 	stand   int      // calls that stand
 	recent  recent.Set[string]
-	unknown pace
+	unknown pace // of callers
+	strays  pace // of setup servers
 	held    atomic.Bool
 	tallies map[string]*Tally // by class; the map itself never changes
 	figures figures
@@ -79,22 +80,27 @@
 	return a.figures.listed.Load(), a.figures.avoided.Load()
 }
 
-// unknownMost is how many releases of unknown calls a second go to the servers: more than
-// the calls of a busy second, which is what a restart leaves behind of each.
-const unknownMost = 200
+// How many releases of unknown calls a second go on. Callers' cost each server a message:
+// the bound is more than the calls of a busy second, which is what a restart leaves behind of
+// each. Servers' cost one caller a message, and come all at once on the first connection
+// after a restart: the bound is the calls that stand in a busy hour.
+const (
+	unknownMost = 200
+	straysMost  = 2000
+)
 
-// pace counts what may happen unknownMost times a second.
+// pace counts what may happen so many times a second.
 type pace struct {
 	since time.Time
 	n     int
 }
 
-func (p *pace) take(now time.Time) bool {
+func (p *pace) take(now time.Time, most int) bool {
 	if now.Sub(p.since) >= time.Second {
 		*p = pace{since: now}
 	}
 	p.n++
-	return p.n <= unknownMost
+	return p.n <= most
 }
 
 // event is work for the actor; id names the call it is about, if any.
@@ -240,7 +246,7 @@
 // costs every server a message, so a caller that makes ids up is held to unknownMost a second.
 func (a *Agent) ReleaseUnknown(id string) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.Has(id) && a.unknown.take(time.Now()) {
+		if a.calls[id] == nil && !a.recent.Has(id) && a.unknown.take(time.Now(), unknownMost) {
 			a.backend.ReleaseUnknown(id)
 		}
 	})
@@ -265,7 +271,7 @@
 // Unknown tells that a server ended a call of which the backend knows nothing.
 func (a *Agent) Unknown(id string, err *Failure) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.Has(id) {
+		if a.calls[id] == nil && !a.recent.Has(id) && a.strays.take(time.Now(), straysMost) {
 			a.cfg.Stray(id, plain(err))
 		}
 	})
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -354,6 +354,27 @@
 	})
 }
 
+// TestStrayFlood: a server that ends calls nobody knows, without end, floods no caller; the next
+// second those of a restart go through again.
+func TestStrayFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := 0
+		a, err := New(Config{Settings: settings(), Stray: func(string, error) { told++ }})
+		require.NoError(t, err)
+		go a.Run()
+		defer a.Stop()
+		for i := range 2 * straysMost {
+			a.Unknown(fmt.Sprint(i), nil)
+		}
+		synctest.Wait()
+		require.Equal(t, straysMost, told)
+		after(time.Second)
+		a.Unknown("later", nil)
+		synctest.Wait()
+		require.Equal(t, straysMost+1, told)
+	})
+}
+
 // TestTime: module time is Unix time, so that the start of a server compares with it.
 func TestTime(t *testing.T) {
 	a, err := New(Config{Settings: settings()})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -123,7 +123,7 @@
 	go func() { served <- d.front.Serve(ln) }()
 	d.serving.Store(true)
 	if d.cfg.State != "" {
-		if err := d.second.reload(d.cfg.State); err != nil {
+		if err := d.openSecond(background); err != nil {
 			return err
 		}
 	}
@@ -136,9 +136,9 @@
 	ln.Close()
 	d.second.close()
 	d.front.Close()
-	d.pool.Close()
-	d.core.Stop()
+	d.core.Stop() // before the pool, whose servers are the core's: news of the list still comes
 	<-ran
+	d.pool.Close()
 	d.log.Info("stopped")
 	return err
 }
@@ -202,6 +202,7 @@
 	if d.cfg.Callers != "" {
 		ln.Close() // before the no: whoever connects after it meets the other process
 		d.stopping.Store(true)
+		d.second.leave()
 		d.handOver(last)
 		return
 	}
--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"woodrouter/internal/plan"
 	"woodrouter/internal/standin"
 	"woodrouter/isup"
 )
@@ -111,6 +113,25 @@
 	last.Await(t, isup.Answer, 0x30)
 }
 
+// TestSecondHandOver: the second front's address is not handed over. A new version serves the
+// first front without it, and takes it once the old one stops.
+func TestSecondHandOver(t *testing.T) {
+	_, cfg, _, fds := setting(t, 2)
+	cfg.State = filepath.Join(t.TempDir(), "state.json")
+	p, err := plan.Make(cfg.State, plan.Front{Enabled: true, Listen: freeAddress(t), Path: "/calls",
+		MaxConnections: 8, MaxMessage: 1 << 16, IdleS: 30})
+	require.NoError(t, err)
+	require.NoError(t, p.Apply())
+	cfg.Callers = fds[0]
+	first, stop, _ := process(t, cfg)
+	require.Eventually(t, func() bool { return first.second.address() != nil }, standin.Patience, time.Millisecond)
+	cfg.Callers = fds[1]
+	next, _, _ := process(t, cfg)
+	assert.Nil(t, next.second.address())
+	stop()
+	require.Eventually(t, func() bool { return next.second.address() != nil }, standin.Patience, time.Millisecond)
+}
+
 // TestInherited: what PROXY_FD names must be a listening socket.
 func TestInherited(t *testing.T) {
 	for _, fd := range []string{"x", "-1", "1", "65000"} {
--- a/internal/daemon/second.go
+++ b/internal/daemon/second.go
@@ -1,15 +1,18 @@
 package daemon
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"reflect"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"woodrouter/internal/callapi"
@@ -30,13 +33,14 @@
 	mu      sync.Mutex
 	applied *plan.Front // nil or not enabled: off
 	ln      net.Listener
+	closed  bool
 }
 
 // configure applies settings. On an error the former ones stay in force.
 func (s *second) configure(next *plan.Front) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if reflect.DeepEqual(s.applied, next) {
+	if s.closed || reflect.DeepEqual(s.applied, next) {
 		return nil
 	}
 	on := next != nil && next.Enabled
@@ -85,6 +89,43 @@
 	return nil
 }
 
+// secondRetry is how often a new version tries for the second front's address.
+const secondRetry = 50 * time.Millisecond
+
+// openSecond applies the state at the start. A new version beside a running one finds the
+// second front's address taken, as that is not handed over, and has it once the other stops.
+func (d *Daemon) openSecond(ctx context.Context) error {
+	err := d.second.reload(d.cfg.State)
+	if d.cfg.Callers == "" || !errors.Is(err, syscall.EADDRINUSE) {
+		return err
+	}
+	d.log.Warn("call API waits for its address", "error", err)
+	go func() {
+		for errors.Is(err, syscall.EADDRINUSE) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(secondRetry):
+			}
+			err = d.second.reload(d.cfg.State)
+		}
+		if err != nil {
+			d.log.Error("state not taken; the former settings stay", "error", err)
+		}
+	}()
+	return nil
+}
+
+// leave frees the address for good. The connections there are stay.
+func (s *second) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.ln != nil {
+		s.ln.Close()
+	}
+}
+
 // address is where the front listens; nil: it is off.
 func (s *second) address() net.Addr {
 	s.mu.Lock()
@@ -96,11 +137,7 @@
 }
 
 func (s *second) close() {
-	s.mu.Lock()
-	if s.ln != nil {
-		s.ln.Close()
-	}
-	s.mu.Unlock()
+	s.leave()
 	s.front.Close()
 }
 
