Bound the memory of calls without an answer at an eighth of the machine's

Read: 4,096 open calls and 8,192 waiting ones were allowed, each with a description of up to 16 KiB: 64 and 128 MB, where machines have 32. The core counts them by weight from the offer on, and a front refuses at once what is over. TestMaxBytes fails without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 	Slack    time.Duration // a final answer counts so long after the deadline
 	Mailbox  int           // most events that wait; 0: 8192
 	MaxOpen  int           // most calls without a final answer, as each holds memory; 0: 4096
+	MaxBytes int64         // most memory that these and the waiting ones hold, about; 0: 16 MiB
 	Log      *slog.Logger
 	// Stray hears of a call's end at a setup server when the call is none of this agent's:
 	// it stood before a restart, and its caller still waits to be told. err as for Ended.
@@ -59,6 +60,7 @@
 	unknown pace // of callers
 	strays  pace // of setup servers
 	held    atomic.Bool
+	weight  atomic.Int64      // memory of the calls offered that have no final answer
 	tallies map[string]*Tally // by class; the map itself never changes
 	figures figures
 }
@@ -201,13 +203,25 @@
 // Offer hands a call in. It reports false when the agent is too busy to take it; the
 // front then refuses the call itself.
 func (a *Agent) Offer(f Front, c Call) bool {
-	if a.box.Offer(event{c.ID, func() { a.offer(f, c) }}) {
+	if a.weight.Add(weigh(c)) <= cmp.Or(a.cfg.MaxBytes, 16<<20) && a.box.Offer(event{c.ID, func() {
+		if !a.offer(f, c) {
+			a.weight.Add(-weigh(c))
+		}
+	}}) {
 		return true
 	}
+	a.weight.Add(-weigh(c))
 	a.tally(c).Refused.Add(1)
 	return false
 }
 
+// callBytes is what a call takes beside its description: tables, timers, closures.
+const callBytes = 1 << 10
+
+// weigh tells about how much memory a call holds until it is answered. Hundreds of set-ups of
+// 16 KiB at once, from one caller, must not take a small machine's.
+func weigh(c Call) int64 { return int64(callBytes + len(c.Description)) }
+
 // tally returns the counts of a call's class; those of a class unknown are nobody's.
 func (a *Agent) tally(c Call) *Tally {
 	if t := a.tallies[c.Class]; t != nil {
@@ -302,23 +316,24 @@
 	})
 }
 
-func (a *Agent) offer(f Front, in Call) {
+// offer enters a call and tells whether it was taken.
+func (a *Agent) offer(f Front, in Call) bool {
 	if a.calls[in.ID] != nil {
 		a.reject(f, in, ErrDuplicate)
-		return
+		return false
 	}
 	if err := a.check(in); err != nil {
 		a.reject(f, in, err)
-		return
+		return false
 	}
 	a.recent.Add(in.ID)
 	if a.held.Load() {
 		a.refuse(f, in, min(heldAway, a.cfg.Settings.Limits.CoolDown))
-		return
+		return false
 	}
 	if a.open >= cmp.Or(a.cfg.MaxOpen, 4096) {
 		a.refuse(f, in, a.cfg.Settings.Limits.CoolDown)
-		return
+		return false
 	}
 	c := &call{Call: in, front: f}
 	a.calls[in.ID] = c
@@ -335,6 +350,7 @@
 	})
 	a.act(a.ctrl.Handle(a.now(), policy.Arrival{ID: in.ID, Class: in.Class, Tenant: in.Tenant,
 		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again}))
+	return true
 }
 
 // check looks at what a caller claims before anything is kept of it. A setup server answers
@@ -405,6 +421,7 @@
 // resolve marks that a call has its final answer: the one place where that is set.
 func (a *Agent) resolve(c *call) {
 	c.resolved = true
+	a.weight.Add(-weigh(c.Call))
 	c.guard.Stop()
 	a.open--
 	a.settle()
@@ -451,9 +468,10 @@
 		return
 	}
 	c.expiry.Stop()
-	c.stands, c.Description = true, nil
+	c.stands = true
 	a.stand++
 	a.resolve(c)
+	c.Description = nil
 	a.answer(c.front, c.Call, description)
 	a.act(a.ctrl.Handle(a.now(), policy.Standing{ID: id, Attempt: n, Server: c.server,
 		Delay: a.now() - c.sentAt}))
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -294,6 +294,30 @@
 	})
 }
 
+// TestMaxBytes: the memory of calls that wait is bounded, not their number alone, and each way
+// in which a call is done with gives its part back.
+func TestMaxBytes(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		one := callFor("c", 3*time.Second)
+		a.cfg.MaxBytes = weigh(one)
+		require.True(t, a.Offer(s, one))
+		require.False(t, a.Offer(s, callFor("d", 3*time.Second)), "too much at once")
+		synctest.Wait()
+		a.Stands("c", 0, nil)
+		synctest.Wait()
+		for _, id := range []string{"c", "e"} { // one that stands already, and one that is left
+			require.True(t, a.Offer(s, callFor(id, 3*time.Second)))
+			synctest.Wait()
+			a.Withdraw(s, "e")
+			synctest.Wait()
+			require.Zero(t, a.weight.Load(), id)
+		}
+		require.True(t, a.Offer(s, callFor("f", 500*ms)))
+		after(time.Second)
+		require.Zero(t, a.weight.Load(), "its time ran out")
+	})
+}
+
 // TestPanic: a panic ends the call that it came up in, and the core goes on.
 func TestPanic(t *testing.T) {
 	play(t, func(a *Agent, s *side) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,10 @@
 // memoryShare is the part of the memory limit at which the collector works harder.
 const memoryShare = 0.75
 
+// callShare is the part of the memory limit, one in so many, that calls may hold before their
+// answers.
+const callShare = 8
+
 // Daemon is a call agent with its parts.
 type Daemon struct {
 	cfg      Config
@@ -67,7 +71,7 @@
 	d := &Daemon{cfg: cfg, log: log}
 	var err error
 	d.core, err = agent.New(agent.Config{Settings: cfg.info.Policy(), Seed: cfg.seed,
-		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log,
+		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
 		Stray: func(id string, err error) { d.front.Stray(id, err) }})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
