Take no set-up on an API connection that ends as its settings change

Read: Desk.Clear asked whether a set-up was open (Peer.Busy) and ended the connection afterwards; one that came between the two was taken by the core and could not be answered there: its call was released, its client heard nothing. Both happen under the desk's lock now, as in EndIdle. TestClear fails without it; the desk has tests of its own for what counts as in use.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -193,10 +193,12 @@
 	for last := time.Now().Add(most); len(leaving) > 0; time.Sleep(20 * time.Millisecond) {
 		late := time.Now().After(last)
 		leaving = slices.DeleteFunc(leaving, func(p *Peer) bool {
-			if !late && p.Busy() {
+			d.mu.Lock() // a set-up must not come between the look and the end
+			defer d.mu.Unlock()
+			if !late && p.open > 0 {
 				return false
 			}
-			p.leave()
+			d.dismiss(p)
 			return true
 		})
 	}
