Let a setup server's stated queue explain its silence before a new connection

To blame: trunk.stall (link.go) bounds the doubt at 0.6 s whatever the server says of its queue.

Change: the trunk keeps the processor wait a server stated last (latency_ms in any report) and, while that word is fresh, waits that much longer before the doubt, up to 1.2 s (queuedMost). A stated wait is one before the server's release, so the 1 s owed for swallowed ends has not begun. TestStallQueued covers the span and its staleness.

--- a/internal/trunk/hear.go
+++ b/internal/trunk/hear.go
@@ -17,6 +17,9 @@
 	l.heard, l.spoke = time.Now(), true
 	t.heard = l.heard
 	report, err := parseReport(m)
+	if err == nil && report.Wait >= 0 {
+		t.queued, t.queuedAt = time.Duration(report.Wait*float64(time.Second)), l.heard
+	}
 	if err == nil {
 		err = t.take(l, m, report)
 	}
--- a/internal/trunk/link.go
+++ b/internal/trunk/link.go
@@ -60,9 +60,20 @@
 // answers are.
 const stallMost = 600 * time.Millisecond
 
-// stall is how long a set-up may wait without a word on its connection.
+// queuedMost bounds the silence that a stated queue explains. The ends of calls that a
+// silent connection swallowed are owed within 1 s of the server's release; one that waits
+// at the processor is not yet released.
+const queuedMost = 1200 * time.Millisecond
+
+// stall is how long a set-up may wait without a word on its connection. A server that said
+// lately that its processor keeps messages waiting is slow on every connection: a second
+// one would cost a handshake of each of the many senders and show nothing new.
 func (t *trunk) stall() time.Duration {
-	return min(max(t.cfg.Stall, stallDelays*t.delay), max(t.cfg.Stall, stallMost))
+	span := min(max(t.cfg.Stall, stallDelays*t.delay), max(t.cfg.Stall, stallMost))
+	if t.queued > 0 && time.Since(t.queuedAt) < span+t.queued {
+		span = max(span, min(t.queued+span, queuedMost))
+	}
+	return span
 }
 
 // overtaken ends the retired connections on which nothing was heard since: the server has
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -66,6 +66,8 @@
 	unsaid   []isup.CallID           // releases for the next connection
 	heard    time.Time               // latest message on any connection
 	delay    time.Duration           // of answers lately
+	queued   time.Duration           // the processor's wait that the server stated last
+	queuedAt time.Time               // when it stated it
 	probes   map[isup.CallID]time.Time
 	probeNo  isup.CallID
 	failures int           // dials in a row that brought no connection
--- a/internal/trunk/trunk_test.go
+++ b/internal/trunk/trunk_test.go
@@ -532,3 +532,19 @@
 	p.Probe("s")
 	assert.Equal(t, policy.TimedOut, (<-c.reports).Result)
 }
+
+// TestStallQueued: a server that said lately that its processor keeps messages waiting is slow
+// on every connection. The doubt waits that much longer, up to queuedMost, while the word is
+// fresh; without it the bound of TestStallBounded holds.
+func TestStallQueued(t *testing.T) {
+	for _, tc := range []struct{ queued, ago, want time.Duration }{
+		{0, 0, 80 * ms},
+		{300 * ms, 0, 380 * ms},
+		{900 * ms, 100 * ms, 980 * ms},
+		{3 * time.Second, 0, queuedMost},
+		{300 * ms, time.Second, 80 * ms}, // said too long ago
+	} {
+		a := trunk{cfg: Config{Stall: 80 * ms}, queued: tc.queued, queuedAt: time.Now().Add(-tc.ago)}
+		assert.Equal(t, tc.want, a.stall(), "queued %v, said %v ago", tc.queued, tc.ago)
+	}
+}
