Per-route limits: a checker, a trie look-up, a YAML loader, and a command line on kong

Change: internal/routes (no clock, no I/O): routes by tenant, class and prefix of the number called, limits inherited from the most specific containing route and the defaults; Check refuses 13 kinds (attempts, spacing under the 300 ms wait, a time-out past the usable deadline, attempts x time-out + spacing beyond it, share, second copies, unknown class or tenant, prefix bytes, servers the class may not use, only drained servers, duplicate, overlap with other limits, a route wider than its parent), one line each with file, line, values and rule.

Found by fuzzing (FuzzParse, 30 s): the YAML library panics on 'routes:\n ! 0000000'; Parse recovers and names the file. A further 60 s found nothing.

Corpus: 43 files, each refused for its stated rules or lawful. The daemon does not read the file yet.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +10,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/alecthomas/kong"
+
 	"woodrouter/internal/plan"
 	"woodrouter/internal/quiet"
 )
@@ -26,27 +26,32 @@
 // logMost is how many lines of one kind a second may have.
 const logMost = 20
 
-const usage = `usage:
-  woodrouter                                     run the call agent; PROXY_CONFIG names its configuration
-  woodrouter plan [-state S] -out P FILE.toml    show what applying FILE.toml would change; exit 0 none, 2 changes, 1 error
-  woodrouter apply P                             apply a plan, unless the state has changed since
-The daemon reads the state file that WOODROUTER_STATE names, at its start and on SIGHUP.
-`
-
-// Main is the program; it returns the exit code.
-func Main(args []string, env func(string) string, out, errs io.Writer) int {
-	code, err := exitOK, error(nil)
-	switch {
-	case len(args) == 0:
-		err = serve(env, errs)
-	case args[0] == "plan":
-		code, err = makePlan(args[1:], env, out, errs)
-	case args[0] == "apply":
-		err = applyPlan(args[1:], out)
-	default:
-		fmt.Fprint(errs, usage)
+// Main is the program; it returns the exit code. With no command it runs the call agent, as
+// the deploy file's `exec bin/woodrouter` does.
+func Main(args []string, env func(string) string, out, errs io.Writer) (code int) {
+	cli := commandLine{env: env, out: out, errs: errs}
+	defer func() {
+		if r := recover(); r != nil {
+			e, ok := r.(exited)
+			if !ok {
+				panic(r)
+			}
+			code = int(e)
+		}
+	}()
+	parser, err := kong.New(&cli, kong.Name("woodrouter"),
+		kong.Description("A call agent: takes lesson calls, chooses a setup server for each, and tells the caller."),
+		kong.Writers(out, errs), kong.Exit(func(c int) { panic(exited(c)) }),
+		kong.Vars{"state": cmp.Or(env("WOODROUTER_STATE"), "woodrouter.state.json"), "config": env("PROXY_CONFIG")})
+	if err != nil {
+		panic(err) // the grammar below is wrong: a program error
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errs, "woodrouter:", err)
 		return exitError
 	}
+	code, err = cli.dispatch(ctx.Command())
 	if err != nil {
 		fmt.Fprintln(errs, "woodrouter:", err)
 		return exitError
@@ -54,18 +59,22 @@
 	return code
 }
 
-func serve(env func(string) string, logs io.Writer) error {
+// exited carries kong's exit code (after --help) out of the parse.
+type exited int
+
+func serve(env func(string) string, logs io.Writer, level slog.Level, json bool) error {
 	cfg, err := ReadConfig(env("PROXY_CONFIG"))
 	if err != nil {
 		return err
 	}
 	cfg.State, cfg.Callers = env("WOODROUTER_STATE"), env("PROXY_FD")
 	cfg.Console = cmp.Or(cfg.Console, env("PROXY_CONSOLE"))
-	level := slog.LevelInfo
-	if env("WOODROUTER_LOG") == "debug" {
-		level = slog.LevelDebug
+	options := &slog.HandlerOptions{Level: level}
+	var handler slog.Handler = slog.NewTextHandler(logs, options)
+	if json {
+		handler = slog.NewJSONHandler(logs, options)
 	}
-	log := slog.New(quiet.New(slog.NewTextHandler(logs, &slog.HandlerOptions{Level: level}), logMost))
+	log := slog.New(quiet.New(handler, logMost))
 	Limit(cfg.Limits)
 	d, err := New(cfg, log)
 	if err != nil {
@@ -83,29 +92,16 @@
 	return d.Run(ctx)
 }
 
-func makePlan(args []string, env func(string) string, out, errs io.Writer) (int, error) {
-	flags := flag.NewFlagSet("plan", flag.ContinueOnError)
-	flags.SetOutput(errs)
-	file := flags.String("out", "", "where to write the plan")
-	state := flags.String("state", env("WOODROUTER_STATE"), "the state file")
-	if err := flags.Parse(args); err != nil {
-		return exitError, err
-	}
-	if *state == "" {
-		*state = "woodrouter.state.json"
-	}
-	if *file == "" || flags.NArg() != 1 {
-		return exitError, errors.New("plan needs -out and one operator's file")
-	}
-	desired, err := plan.ReadDesired(flags.Arg(0))
+func makePlan(state, file, desiredFile string, out io.Writer) (int, error) {
+	desired, err := plan.ReadDesired(desiredFile)
 	if err != nil {
 		return exitError, err
 	}
-	p, err := plan.Make(*state, desired)
+	p, err := plan.Make(state, desired)
 	if err != nil {
 		return exitError, err
 	}
-	if err := p.Write(*file); err != nil {
+	if err := p.Write(file); err != nil {
 		return exitError, err
 	}
 	for _, c := range p.Changes {
@@ -118,11 +114,8 @@
 	return exitChanges, nil
 }
 
-func applyPlan(args []string, out io.Writer) error {
-	if len(args) != 1 {
-		return errors.New("apply needs one plan")
-	}
-	p, err := plan.Read(args[0])
+func applyPlan(file string, out io.Writer) error {
+	p, err := plan.Read(file)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/standin"
 )
 
 // TestMain's name is taken by the testing package, hence TestProgram: the commands, their
@@ -20,23 +22,34 @@
 	require.NoError(t, os.WriteFile(bad, []byte("enabled = true\n"), 0o600))
 	config := filepath.Join(dir, "config.json")
 	require.NoError(t, os.WriteFile(config, []byte(`{"listen":"nowhere"}`), 0o600))
+	site, lawful, unlawful := filepath.Join(dir, "site.json"), filepath.Join(dir, "routes.yaml"), filepath.Join(dir, "bad.yaml")
+	require.NoError(t, os.WriteFile(site, configText(t, standin.NewBulletin(t)), 0o600))
+	limits := "version: 1\ndefaults: {attempt_timeout: 1500ms, attempts: 3, retry_spacing: 300ms, deadline_share: 1}\n"
+	require.NoError(t, os.WriteFile(lawful, []byte(limits+"routes:\n  - {name: exams, match: {prefix: 7f}, attempts: 2}\n"), 0o600))
+	require.NoError(t, os.WriteFile(unlawful, []byte(limits+"routes:\n  - {name: eager, match: {}, retry_spacing: 100ms}\n"), 0o600))
 	for _, tc := range []struct {
 		args []string
 		code int
 		out  string
 		errs string
 	}{
-		{[]string{"plan", "-state", state, "-out", file, good}, exitChanges, "+ enabled = true", ""},
+		{[]string{"plan", "--state", state, "--out", file, good}, exitChanges, "+ enabled = true", ""},
 		{[]string{"apply", file}, exitOK, "applied", ""},
 		{[]string{"apply", file}, exitError, "", "stale"},
-		{[]string{"plan", "-state", state, "-out", file, good}, exitOK, "no changes", ""},
-		{[]string{"plan", "-state", state, "-out", file, bad}, exitError, "", "field listen"},
-		{[]string{"plan", "-state", state, good}, exitError, "", "-out"},
-		{[]string{"plan", "-state", config, "-out", file, good}, exitError, "", "version"},
+		{[]string{"plan", "--state", state, "--out", file, good}, exitOK, "no changes", ""},
+		{[]string{"plan", "--state", state, "--out", file, bad}, exitError, "", "field listen"},
+		{[]string{"plan", "--state", state, good}, exitError, "", "--out"},
+		{[]string{"plan", "--state", config, "--out", file, good}, exitError, "", "version"},
 		{[]string{"apply", bad}, exitError, "", "plan"},
-		{[]string{"apply"}, exitError, "", "one plan"},
-		{[]string{"help"}, exitError, "", "usage"},
+		{[]string{"apply"}, exitError, "", "expected \"<plan>\""},
+		{[]string{"help"}, exitError, "", "unexpected argument"},
 		{nil, exitError, "", "field listen"},
+		{[]string{"check", "--config", site, lawful}, exitOK, "1 routes, lawful", ""},
+		{[]string{"check", "--config", site, unlawful}, exitError, `route "eager": retry_spacing 100ms`, "1 refusals"},
+		{[]string{"check", lawful}, exitError, "", "field listen"},
+		{[]string{"routes", "--config", site, "--class", "voice", "--number", "7f00000000000001", lawful}, exitOK, "route exams (line 4): attempt_timeout 1.5s, attempts 2", ""},
+		{[]string{"routes", "--config", site, "--class", "voice", "--number", "0100000000000001", lawful}, exitOK, "route defaults: attempt_timeout 1.5s, attempts 3", ""},
+		{[]string{"run", "--log-level", "loud"}, exitError, "", "--log-level"},
 	} {
 		var out, errs bytes.Buffer
 		env := func(name string) string { return map[string]string{"PROXY_CONFIG": config}[name] }
--- /dev/null
+++ b/internal/routefile/fuzz_test.go
@@ -0,0 +1,37 @@
+package routefile
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"woodrouter/internal/routes"
+)
+
+// FuzzParse: the loader never panics, and no table it reads is found lawful unless each
+// route's limits keep the rules, recomputed here apart from the checker.
+func FuzzParse(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.yaml")
+	for _, name := range files {
+		if data, err := os.ReadFile(name); err == nil {
+			f.Add(data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		table, err := Parse("fuzz.yaml", data)
+		if err != nil || len(routes.Check(table, corpusRules)) > 0 {
+			return
+		}
+		for i := -1; i < len(table.Routes); i++ {
+			l := table.Defaults
+			if i >= 0 {
+				l = table.Effective(i)
+			}
+			usable := corpusRules.Classes["group-lesson"].Deadline - corpusRules.AnswerSlack
+			if l.Attempts < 1 || l.Attempts > corpusRules.MaxAttempts || l.Attempts > 1 && l.RetrySpacing < corpusRules.ClearWait ||
+				l.AttemptTimeout <= 0 || l.Span() > usable || l.Hedge {
+				t.Fatalf("lawful, yet route %d has %+v", i, l)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/routes/check.go
@@ -0,0 +1,231 @@
+package routes
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Rules are the standing rules a table is checked against, from the settings and the
+// protocol page: the caller's deadline and the answer's slack by class, the wait after a bad
+// end (ClearWait, 300 ms on this platform), the most attempts of one call, and whether calling
+// an attempt off and second copies are allowed at all.
+type Rules struct {
+	Classes      map[string]ClassRule
+	Tenants      []string // names the settings know; nil: calls have no tenant
+	ClearWait    time.Duration
+	AnswerSlack  time.Duration // taken off every deadline: the answer must reach the caller
+	MaxAttempts  int
+	Cancel       bool           // an attempt may be given up in writing
+	SecondCopies bool           // a second copy of a set-up may be out
+	Servers      map[int]string // pool -> state ("up", "draining", "removed"); nil: not known at load
+}
+
+// ClassRule is what the settings say of one class.
+type ClassRule struct {
+	Deadline time.Duration // the caller's patience over all tries
+	Pools    []int         // pools the class may go to; nil: any
+}
+
+// Refusal is one reason a table is not lawful. String gives it as one line:
+// file:line: route "name": what, the values, and the rule.
+type Refusal struct {
+	File  string
+	Line  int
+	Route string
+	Rule  string // a short name of the rule, stable for tests and operators' pages
+	What  string
+}
+
+func (r Refusal) String() string {
+	return fmt.Sprintf("%s:%d: route %q: %s [rule %s]", r.File, r.Line, r.Route, r.What, r.Rule)
+}
+
+// The names of the rules a refusal can cite; docs/routes.md explains each.
+const (
+	RuleAttempts    = "attempts"     // 1 <= attempts <= the settings' most
+	RuleSpacing     = "spacing"      // no resend sooner than ClearWait after a give-up
+	RuleTimeout     = "timeout"      // an attempt has a time-out, within the usable deadline
+	RuleShare       = "share"        // deadline share in (0, 1]
+	RuleSpan        = "span"         // all attempts together end before the caller gives up
+	RuleSecondCopy  = "second-copy"  // no second copy where the settings forbid one
+	RuleClass       = "class"        // class and tenant are ones the settings name
+	RulePrefix      = "prefix"       // hex digits, at most 16
+	RuleServers     = "servers"      // pools the class may use and the list knows
+	RuleDrained     = "drained"      // a route with servers of which none is up
+	RuleDuplicate   = "duplicate"    // two routes with one match
+	RuleOverlap     = "overlap"      // two routes, neither within the other, that give one call two limits
+	RuleWiderParent = "wider-parent" // a route that allows more than the route it lies within
+)
+
+// Check proves every route of a table against the rules and returns all refusals, in the
+// order of the file. A table is lawful when it returns none.
+func Check(t *Table, r Rules) []Refusal {
+	var out []Refusal
+	refuse := func(i int, rule, format string, args ...any) {
+		line, name := 0, "defaults"
+		if i >= 0 {
+			line, name = t.Routes[i].Line, t.Routes[i].Name
+		}
+		out = append(out, Refusal{t.File, line, name, rule, fmt.Sprintf(format, args...)})
+	}
+	for _, class := range names(r.Classes) { // the defaults are the route of every call no route takes
+		checkLimits(t.Defaults, class, r, func(rule, f string, a ...any) { refuse(-1, rule, f, a...) })
+	}
+	parents, eff := t.resolve()
+	for i := range t.Routes {
+		checkMatch(t.Routes[i].Match, r, func(rule, f string, a ...any) { refuse(i, rule, f, a...) })
+		l := eff[i]
+		for _, class := range classesOf(t.Routes[i].Match, r) {
+			checkLimits(l, class, r, func(rule, f string, a ...any) { refuse(i, rule, f, a...) })
+		}
+	}
+	checkPairs(t, parents, eff, func(i int, rule, f string, a ...any) { refuse(i, rule, f, a...) })
+	slices.SortStableFunc(out, func(a, b Refusal) int {
+		return cmp.Or(a.Line-b.Line, strings.Compare(a.Rule, b.Rule), strings.Compare(a.What, b.What))
+	})
+	return slices.Compact(out) // a route of every class is refused once for what all share
+}
+
+type refuser func(rule, format string, args ...any)
+
+func checkMatch(m Match, r Rules, refuse refuser) {
+	if m.Class != "" {
+		if _, ok := r.Classes[m.Class]; !ok {
+			refuse(RuleClass, "class %q is not one of the settings (%s)", m.Class, strings.Join(names(r.Classes), ", "))
+		}
+	}
+	if m.Tenant != "" && !slices.Contains(r.Tenants, m.Tenant) {
+		refuse(RuleClass, "tenant %q is not one of the settings", m.Tenant)
+	}
+	if len(m.Prefix) > 16 {
+		refuse(RulePrefix, "prefix %q has %d digits, a number has 16", m.Prefix, len(m.Prefix))
+	}
+	if i := strings.IndexFunc(m.Prefix, func(c rune) bool { return !strings.ContainsRune("0123456789abcdef", c) }); i >= 0 {
+		refuse(RulePrefix, "prefix %q: byte %d (%q) is no lower-case hex digit", m.Prefix, i, m.Prefix[i])
+	}
+}
+
+// classesOf is the classes a match can take: one, or all of the settings.
+func classesOf(m Match, r Rules) []string {
+	if m.Class != "" {
+		if _, ok := r.Classes[m.Class]; ok {
+			return []string{m.Class}
+		}
+		return nil
+	}
+	return names(r.Classes)
+}
+
+func names(m map[string]ClassRule) []string {
+	var out []string
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// checkLimits proves one route's effective limits for one class.
+func checkLimits(l Limits, class string, r Rules, refuse refuser) {
+	c := r.Classes[class]
+	if l.Attempts < 1 || r.MaxAttempts > 0 && l.Attempts > r.MaxAttempts {
+		refuse(RuleAttempts, "attempts %d, the settings allow 1 to %d", l.Attempts, r.MaxAttempts)
+	}
+	if l.Attempts > 1 && l.RetrySpacing < r.ClearWait {
+		refuse(RuleSpacing, "retry_spacing %v is sooner than the %v after a give-up", l.RetrySpacing, r.ClearWait)
+	}
+	if l.DeadlineShare <= 0 || l.DeadlineShare > 1 {
+		refuse(RuleShare, "deadline_share %g is outside (0, 1]", l.DeadlineShare)
+		return
+	}
+	usable := time.Duration(float64(c.Deadline)*l.DeadlineShare) - r.AnswerSlack
+	switch {
+	case l.AttemptTimeout <= 0:
+		refuse(RuleTimeout, "attempt_timeout %v: an attempt needs a time-out", l.AttemptTimeout)
+	case l.AttemptTimeout > usable:
+		refuse(RuleTimeout, "attempt_timeout %v ends after class %s's caller gives up (%v usable of %v)",
+			l.AttemptTimeout, class, usable, c.Deadline)
+	case l.Attempts >= 1 && l.Span() > usable:
+		refuse(RuleSpan, "attempts %d x timeout %v + %d x spacing %v = %v, beyond the %v usable of class %s's %v",
+			l.Attempts, l.AttemptTimeout, l.Attempts-1, l.RetrySpacing, l.Span(), usable, class, c.Deadline)
+	}
+	if l.Hedge && !r.SecondCopies {
+		refuse(RuleSecondCopy, "hedge would have a second copy of a set-up out, which the settings forbid")
+	}
+	if l.RetryOnTimeout && l.Attempts > 1 && !r.Cancel && !r.SecondCopies {
+		refuse(RuleSecondCopy, "retry_on_timeout without calling off: the timed-out attempt may still be out")
+	}
+	checkServers(l.Servers, class, c, r, refuse)
+}
+
+func checkServers(servers []int, class string, c ClassRule, r Rules, refuse refuser) {
+	if servers == nil {
+		return
+	}
+	if len(servers) == 0 {
+		refuse(RuleServers, "servers is empty: no call could go anywhere")
+		return
+	}
+	up := 0
+	for _, p := range servers {
+		if c.Pools != nil && !slices.Contains(c.Pools, p) {
+			refuse(RuleServers, "server pool %d is not one that class %s may go to (%v)", p, class, c.Pools)
+		}
+		state, known := r.Servers[p]
+		if r.Servers != nil && !known {
+			refuse(RuleServers, "server pool %d is on no list", p)
+		}
+		if state == "up" || r.Servers == nil {
+			up++
+		}
+	}
+	if r.Servers != nil && up == 0 {
+		refuse(RuleDrained, "every server of %v is draining or removed", servers)
+	}
+}
+
+// checkPairs finds duplicates, overlaps with different limits, and routes wider than their parent.
+func checkPairs(t *Table, parents []int, eff []Limits, refuse func(i int, rule, format string, args ...any)) {
+	for i, a := range t.Routes {
+		for j := i + 1; j < len(t.Routes); j++ {
+			b := t.Routes[j]
+			switch {
+			case a.Match == b.Match:
+				refuse(j, RuleDuplicate, "takes the same calls as route %q (line %d): %v", a.Name, a.Line, a.Match)
+			case a.Match.Contains(b.Match) || b.Match.Contains(a.Match):
+			case a.Match.Overlaps(b.Match) && !eff[i].Equal(eff[j]):
+				refuse(j, RuleOverlap, "shares calls with route %q (line %d) and gives them other limits: %v and %v",
+					a.Name, a.Line, b.Match, a.Match)
+			}
+		}
+		if p := parents[i]; p >= 0 {
+			widerThan(eff[i], eff[p], t.Routes[p].Name, func(rule, f string, args ...any) {
+				refuse(i, rule, f, args...)
+			})
+		}
+	}
+}
+
+// widerThan refuses a route that allows more than its parent: a narrower match may tighten
+// limits, never loosen them, so that a rule proved for the parent holds for all within it.
+func widerThan(l, p Limits, parent string, refuse refuser) {
+	if l.Attempts > p.Attempts {
+		refuse(RuleWiderParent, "attempts %d beyond its parent %q's %d", l.Attempts, parent, p.Attempts)
+	}
+	if l.DeadlineShare > p.DeadlineShare {
+		refuse(RuleWiderParent, "deadline_share %g beyond its parent %q's %g", l.DeadlineShare, parent, p.DeadlineShare)
+	}
+	if l.Span() > p.Span() {
+		refuse(RuleWiderParent, "span %v beyond its parent %q's %v", l.Span(), parent, p.Span())
+	}
+	if p.Servers != nil {
+		for _, s := range l.Servers {
+			if !slices.Contains(p.Servers, s) {
+				refuse(RuleWiderParent, "server pool %d is not among its parent %q's %v", s, parent, p.Servers)
+			}
+		}
+	}
+}
