Take per-route limits in the core: attempts, spacing, pools and deadline share by route

The daemon reads WOODROUTER_ROUTES (off in the deploy file), proves it with routes.Check against the settings, logs 'routes taken' or 'routes not taken; the former ones stay'; at the start a refused file ends the program. attempt_timeout is proved, not yet enforced.

Two wire tests compare events with reflect.DeepEqual, as an arrival now holds a slice.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,19 @@
 	Stray func(id string, err error)
 }
 
+// Route is what a call's route gives it beyond the settings; zero fields leave the settings.
+// Routes may only narrow (package internal/routes proves a file before it is used).
+type Route struct {
+	Attempts int           // most attempts of the call
+	Spacing  time.Duration // least wait after a give-up before the next attempt
+	Share    float64       // of the caller's time that all attempts may use, in (0, 1]
+	Pools    []int         // the pools it may go to, within its class's
+}
+
+// Router finds a call's route. It is called on the core's goroutine, once for each call, and
+// must neither block nor keep the call.
+type Router func(c Call) Route
+
 // Agent is the actor that owns the decision module, the call table and the timers.
 type Agent struct {
 	cfg     Config
@@ -63,6 +76,29 @@
 	weight  atomic.Int64      // memory of the calls offered that have no final answer
 	tallies map[string]*Tally // by class; the map itself never changes
 	figures figures
+	router  atomic.Pointer[Router] // nil: every call has the settings' limits
+}
+
+// SetRouter has the calls that arrive from now on take their routes from r; nil: none.
+func (a *Agent) SetRouter(r Router) {
+	if r == nil {
+		a.router.Store(nil)
+		return
+	}
+	a.router.Store(&r)
+}
+
+// route is a call's route and the time the module may use of the caller's.
+func (a *Agent) route(in Call, left time.Duration) (Route, time.Duration) {
+	r := a.router.Load()
+	if r == nil {
+		return Route{}, left
+	}
+	route := (*r)(in)
+	if route.Share > 0 && route.Share < 1 {
+		left = time.Duration(float64(left) * route.Share)
+	}
+	return route, left
 }
 
 // Tally counts the outcomes of one class's calls. It may be read at any time.
@@ -348,8 +384,10 @@
 			}
 		})
 	})
+	route, left := a.route(in, left)
 	a.act(a.ctrl.Handle(a.now(), policy.Arrival{ID: in.ID, Class: in.Class, Tenant: in.Tenant,
-		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again}))
+		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again,
+		Attempts: route.Attempts, Spacing: route.Spacing, Pools: route.Pools}))
 	return true
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -26,6 +26,7 @@
 
 	State   string `json:"-"` // path of the second front's state; "": that front is off
 	Callers string `json:"-"` // descriptor of the callers' listening socket; "": Listen is bound
+	Routes  string `json:"-"` // path of the per-route limits (YAML); "": the settings' limits for all
 
 	path string // of the file this was read from; "": none
 	seed uint64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,6 +93,9 @@
 	if err := d.follower.Take(cfg.Known); err != nil {
 		return nil, fmt.Errorf("configuration: field known.%w", err)
 	}
+	if err := d.takeRoutes(); err != nil { // a refused file at the start: the program exits
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -150,7 +153,7 @@
 // Reload reads the configuration file and the second front's state anew. What can't be
 // used changes nothing.
 func (d *Daemon) Reload() {
-	if d.cfg.path == "" && d.cfg.State == "" {
+	if d.cfg.path == "" && d.cfg.State == "" && d.cfg.Routes == "" {
 		d.log.Warn("nothing to reload: neither a configuration file nor a state file was named at the start")
 		return
 	}
@@ -161,6 +164,10 @@
 			d.log.Error("configuration not taken; the former one stays", "error", err)
 		}
 	}
+	if err := d.takeRoutes(); err != nil {
+		taken = false
+		d.log.Error("routes not taken; the former ones stay", "error", err)
+	}
 	if d.cfg.State != "" {
 		if err := d.second.reload(d.cfg.State); err != nil {
 			taken = false
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -436,3 +436,26 @@
 	_, err := ReadConfig("")
 	assert.Error(t, err)
 }
+
+// TestRoutes: a file of per-route limits taken on SIGHUP has calls go only to its servers; a
+// refused file changes nothing and is counted; at the start it stops the program.
+func TestRoutes(t *testing.T) {
+	s := newSite(t)
+	file := filepath.Join(t.TempDir(), "routes.yaml")
+	head := "version: 1\ndefaults: {attempt_timeout: 1500ms, attempts: 2, retry_spacing: 300ms, deadline_share: 1}\n"
+	require.NoError(t, os.WriteFile(file, []byte(head+"routes:\n  - {name: second, match: {class: voice}, servers: [1]}\n"), 0o600))
+	s.d.cfg.Routes = file
+	s.d.Reload()
+	go s.binary(t)(0x10, 3*time.Second) // its first choice is pool 0
+	s.servers[1].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
+	require.NoError(t, os.WriteFile(file, []byte(head+"routes:\n  - {name: eager, match: {}, retry_spacing: 10ms}\n"), 0o600))
+	s.d.Reload()
+	assert.Equal(t, int64(1), s.d.reloads.refused.Load())
+	go s.binary(t)(0x20, 3*time.Second)
+	s.servers[1].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
+	assert.Zero(t, s.servers[0].Seen(isup.SetUp, 0), "the former routes stay")
+	cfg := config(t, s.bulletin)
+	cfg.Routes = file
+	_, err := New(cfg, slog.New(slog.DiscardHandler))
+	assert.ErrorContains(t, err, `route "eager": retry_spacing 10ms`)
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.State, cfg.Callers = env("WOODROUTER_STATE"), env("PROXY_FD")
+	cfg.State, cfg.Callers, cfg.Routes = env("WOODROUTER_STATE"), env("PROXY_FD"), env("WOODROUTER_ROUTES")
 	cfg.Console = cmp.Or(cfg.Console, env("PROXY_CONSOLE"))
 	options := &slog.HandlerOptions{Level: level}
 	var handler slog.Handler = slog.NewTextHandler(logs, options)
--- /dev/null
+++ b/internal/daemon/routes.go
@@ -0,0 +1,47 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"woodrouter/agent"
+	"woodrouter/internal/routefile"
+	"woodrouter/internal/routes"
+)
+
+// readRoutes loads and proves a file of per-route limits against the configuration's
+// settings, and returns the router the core takes calls' routes from. A refused file is an
+// error naming every refusal; nothing of it is used.
+func readRoutes(path string, cfg Config) (agent.Router, int, error) {
+	table, err := routefile.Load(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	if refused := routes.Check(table, routefile.Rules(cfg.info, nil)); len(refused) > 0 {
+		lines := make([]string, len(refused))
+		for i, r := range refused {
+			lines[i] = r.String()
+		}
+		return nil, 0, errors.New(strings.Join(lines, "; "))
+	}
+	index := routes.NewIndex(table)
+	return func(c agent.Call) agent.Route {
+		_, l, _ := index.Lookup(c.Tenant, c.Class, c.Number)
+		return agent.Route{Attempts: l.Attempts, Spacing: l.RetrySpacing, Share: l.DeadlineShare, Pools: l.Servers}
+	}, len(table.Routes), nil
+}
+
+// takeRoutes reads the routes file, if one is named, and hands it to the core.
+func (d *Daemon) takeRoutes() error {
+	if d.cfg.Routes == "" {
+		return nil
+	}
+	router, n, err := readRoutes(d.cfg.Routes, d.cfg)
+	if err != nil {
+		return fmt.Errorf("routes: %w", err)
+	}
+	d.core.SetRouter(router)
+	d.log.Info("routes taken", "file", d.cfg.Routes, "routes", n)
+	return nil
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -94,7 +95,7 @@
 		got := tc.read(f)
 		if err := f.end(); err != nil {
 			t.Errorf("%s: %v", tc.line, err)
-		} else if got != tc.want {
+		} else if !reflect.DeepEqual(got, tc.want) {
 			t.Errorf("%s:\n got %+v\nwant %+v", tc.line, got, tc.want)
 		}
 	}
@@ -125,7 +126,7 @@
 			Pool: rng.IntN(9), Number: fmt.Sprintf("%016x", rng.Uint64()), Again: rng.IntN(2) == 0}
 		_, f = split(fmt.Sprintf("ingress %s %s %s %s %d - %d 1 -1 %d", a.ID, a.Class, a.Tenant, a.Number,
 			a.Left.Microseconds(), a.Pool, 2*map[bool]int{true: 1}[a.Again]))
-		if got := f.arrival(); f.end() != nil || got != a {
+		if got := f.arrival(); f.end() != nil || !reflect.DeepEqual(got, a) {
 			t.Fatalf("got %+v (%v), want %+v", got, f.err, a)
 		}
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -131,6 +131,12 @@
 	Pool   int           // the server of first choice
 	Number string        // the number called; "": not known
 	Again  bool          // dialled again
+	// A route's limits (package routes), narrower than the settings only: most attempts
+	// (0: the settings'), least wait after a give-up (below ClearWait: ClearWait), and the
+	// pools it may go to beyond its class's (nil: any of those).
+	Attempts int
+	Spacing  time.Duration
+	Pools    []int
 }
 
 // Standing tells that a set-up was answered and the call stands.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -98,6 +98,9 @@
 	closed       bool // has its final answer, or needs none
 	clearAt      Time // no further attempt before this
 	draw         float64
+	most         int           // attempts, by the settings and its route
+	spacing      time.Duration // after a give-up, by the rules and its route
+	pools        []int         // of its route; nil: any its class may use
 }
 
 // engaged tells until when a busy number is not tried again.
@@ -269,7 +272,9 @@
 	}
 	g := &c.groups[i]
 	cl := &call{id: e.ID, group: g, pool: e.Pool, number: e.Number, at: c.now,
-		deadline: c.now + max(e.Left, 0), draw: c.rng.Float64()}
+		deadline: c.now + max(e.Left, 0), draw: c.rng.Float64(), pools: e.Pools,
+		most:    min(cmp.Or(e.Attempts, c.set.Limits.Attempts), c.set.Limits.Attempts),
+		spacing: max(e.Spacing, c.set.Rules.ClearWait)}
 	c.calls[e.ID] = cl
 	c.held = append(c.held, cl)
 	c.weigh(g)
@@ -323,7 +328,7 @@
 		cl.free = false
 		c.full(s, e.Wait)
 	case TimedOut, Cut, Cancelled:
-		cl.clearAt = c.now + c.set.Rules.ClearWait
+		cl.clearAt = c.now + cl.spacing
 	default:
 		cl.free = true
 	}
@@ -602,7 +607,8 @@
 }
 
 func (c *Controller) allows(cl *call, s *server) bool {
-	return s.State == Up && (cl.group.class.Pools == nil || slices.Contains(cl.group.class.Pools, s.Pool))
+	return s.State == Up && (cl.group.class.Pools == nil || slices.Contains(cl.group.class.Pools, s.Pool)) &&
+		(cl.pools == nil || slices.Contains(cl.pools, s.Pool))
 }
 
 // route picks a call's server; stay: none has room now but one may soon.
@@ -726,7 +732,7 @@
 }
 
 func (c *Controller) again(cl *call) bool {
-	if cl.attempts >= c.set.Limits.Attempts || c.retries < 1 && !cl.free {
+	if cl.attempts >= cl.most || c.retries < 1 && !cl.free {
 		return false
 	}
 	return max(cl.clearAt, c.now)+c.aim/8 < c.latest(cl)
@@ -749,7 +755,7 @@
 			after, next = max(time.Duration(overPart*float64(c.aim)), lostDelays*s.delay), 2*s.delay
 		}
 		if !cl.off && c.now-cl.sentAt > after && (over || c.serves(s) || dead) &&
-			c.now+c.set.Rules.ClearWait+next <= cl.at+cl.group.class.Aim && c.retries >= 1 {
+			c.now+cl.spacing+next <= cl.at+cl.group.class.Aim && c.retries >= 1 {
 			cl.off = true
 			c.do(Cancel{cl.id, cl.attempts - 1})
 		}
@@ -778,7 +784,7 @@
 // send is the only place where an attempt starts, and keeps the rules for all of them.
 func (c *Controller) send(cl *call, s *server) {
 	if cl.closed || cl.out || c.now < cl.clearAt || c.now >= cl.deadline || s.State != Up ||
-		cl.attempts >= c.set.Limits.Attempts || !c.coldRoom(s) {
+		cl.attempts >= cl.most || !c.coldRoom(s) {
 		return
 	}
 	if cl.attempts == 0 {
--- /dev/null
+++ b/policy/route_test.go
@@ -0,0 +1,55 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRouteLimits: a call's route narrows the settings: the pools it may go to, its attempts,
+// and the wait after a give-up before it goes out again.
+func TestRouteLimits(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		arrival  Arrival
+		end      Result
+		wantPool int           // of the first attempt
+		again    bool          // whether a second attempt goes out
+		notSoon  time.Duration // and not before this
+	}{
+		{"the settings", Arrival{}, Faulted, -1, true, 0},
+		{"its pools only", Arrival{Pools: []int{2}}, Faulted, 2, true, 0},
+		{"one attempt", Arrival{Attempts: 1}, Faulted, -1, false, 0},
+		{"more than the settings is the settings", Arrival{Attempts: 9}, Faulted, -1, true, 0},
+		{"its spacing after a time-out", Arrival{Spacing: 700 * ms}, TimedOut, -1, true, 700 * ms},
+		{"never below the rules' wait", Arrival{Spacing: 100 * ms}, TimedOut, -1, true, 300 * ms},
+	} {
+		b := newBench(t, testSettings(), up(3)...)
+		for i := range 8 { // first attempts earn the budget of further ones
+			id := string(rune('a' + i))
+			for _, s := range pick[Send](b.do(Arrival{ID: id, Class: "look", Left: 3 * time.Second})) {
+				b.do(Ended{ID: id, Server: s.Server, Result: OK, Delay: 5 * ms, Complete: true, Report: NoReport()})
+			}
+		}
+		a := tc.arrival
+		a.ID, a.Class, a.Left, a.Pool = "x", "look", 3*time.Second, 0
+		sent := pick[Send](append(b.do(a), b.after(20*ms)...))
+		if len(sent) == 0 {
+			t.Fatalf("%s: no attempt", tc.name)
+		}
+		first := sent[len(sent)-1]
+		if first.ID != "x" || tc.wantPool >= 0 && first.Server != up(3)[tc.wantPool].ID {
+			t.Fatalf("%s: first attempt %+v", tc.name, first)
+		}
+		got := b.do(Ended{ID: "x", Attempt: 0, Server: first.Server, Result: tc.end, Report: NoReport()})
+		var at time.Duration
+		for ; at < 2*time.Second; at += 10 * ms {
+			if again := pick[Send](got); len(again) > 0 && again[0].ID == "x" {
+				break
+			}
+			got = b.after(10 * ms)
+		}
+		if got := at < 2*time.Second; got != tc.again || tc.again && at < tc.notSoon-10*ms {
+			t.Errorf("%s: second attempt after %v, want %v (not before %v)", tc.name, at, tc.again, tc.notSoon)
+		}
+	}
+}
