--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,6 +49,9 @@
 	Spacing  time.Duration // least wait after a give-up before the next attempt
 	Share    float64       // of the caller's time that all attempts may use, in (0, 1]
 	Pools    []int         // the pools it may go to, within its class's
+	// AttemptTimeout gives each attempt up this long after it was handed on, unless the
+	// module's deadline comes first; the module then hears it timed out, and its spacing holds.
+	AttemptTimeout time.Duration
 }
 
 // Router finds a call's route. It is called on the core's goroutine, once for each call, and
@@ -159,9 +162,10 @@
 	out      bool // an attempt is unanswered or stands
 	givenUp  bool
 	sentAt   policy.Time
-	expiry   *time.Timer // of the attempt
-	guard    *time.Timer // of the call: the core's own last word
-	last     *Failure    // of its latest attempt
+	expiry   *time.Timer   // of the attempt
+	guard    *time.Timer   // of the call: the core's own last word
+	last     *Failure      // of its latest attempt
+	timeout  time.Duration // of each attempt, by its route; 0: until the module's deadline
 }
 
 // New returns an agent, or tells why the settings can't be used. The backend may be
@@ -385,6 +389,7 @@
 		})
 	})
 	route, left := a.route(in, left)
+	c.timeout = route.AttemptTimeout
 	a.act(a.ctrl.Handle(a.now(), policy.Arrival{ID: in.ID, Class: in.Class, Tenant: in.Tenant,
 		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again,
 		Attempts: route.Attempts, Spacing: route.Spacing, Pools: route.Pools}))
@@ -600,6 +605,9 @@
 	c.attempts++
 	c.server, c.out, c.givenUp, c.sentAt = d.Server, true, false, a.now()
 	left := d.Until - c.sentAt
+	if c.timeout > 0 {
+		left = min(left, c.timeout)
+	}
 	c.expiry = time.AfterFunc(left, func() {
 		a.post(c.ID, func() {
 			if a.current(c.ID, n) == c && !c.stands {
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -445,3 +445,30 @@
 		require.Contains(t, s.did(), "set up e.0 at s")
 	})
 }
+
+// TestAttemptTimeout: a route's attempt time-out gives each attempt up at that time, not at
+// the deadline, tells the server so (Until), and the next attempt waits the route's spacing.
+func TestAttemptTimeout(t *testing.T) {
+	play(t, func(a *Agent, s *side) {
+		for i := range 8 { // first attempts earn the further ones
+			id := fmt.Sprint("w", i)
+			offer(a, s, id, 3*time.Second)
+			a.Stands(id, 0, nil)
+		}
+		a.SetRouter(func(Call) Route { return Route{AttemptTimeout: 400 * ms, Spacing: 500 * ms, Attempts: 2} })
+		offer(a, s, "c", 3*time.Second)
+		after(399 * ms)
+		require.NotContains(t, s.did(), "give up c.0 at s")
+		after(2 * ms)
+		require.Contains(t, s.did(), "give up c.0 at s")
+		a.Ended("c", 0, &Failure{Stage: Written, Result: policy.TimedOut, Server: "s"}, policy.NoReport())
+		after(499 * ms)
+		require.NotContains(t, s.did(), "set up c.1 at s")
+		after(60 * ms)
+		require.Contains(t, s.did(), "set up c.1 at s")
+		after(401 * ms)
+		a.Ended("c", 1, &Failure{Stage: Written, Result: policy.TimedOut, Server: "s"}, policy.NoReport())
+		synctest.Wait()
+		require.Contains(t, s.heard(), "refused c", "two attempts were all its route allows")
+	})
+}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -28,7 +28,8 @@
 	index := routes.NewIndex(table)
 	return func(c agent.Call) agent.Route {
 		_, l, _ := index.Lookup(c.Tenant, c.Class, c.Number)
-		return agent.Route{Attempts: l.Attempts, Spacing: l.RetrySpacing, Share: l.DeadlineShare, Pools: l.Servers}
+		return agent.Route{Attempts: l.Attempts, Spacing: l.RetrySpacing, Share: l.DeadlineShare, Pools: l.Servers,
+			AttemptTimeout: l.AttemptTimeout}
 	}, len(table.Routes), nil
 }
 
