Prove routes against the configuration's known list in check and routes

Change: knownPools reads the list from the configuration's known events (up where any server of a pool is up); woodrouter check and routes prove a file against it. The daemon does not: the list moves while it runs, and a pool draining at its start is no fault of the file, nor a reason to refuse to start.

Test: TestProgram rows: a route on a draining pool is refused with the list, lawful without one.

--- a/internal/daemon/cli.go
+++ b/internal/daemon/cli.go
@@ -84,7 +84,8 @@
 	return l, l.UnmarshalText([]byte(name))
 }
 
-// loadRoutes reads a file of per-route limits and the rules of a configuration's settings.
+// loadRoutes reads a file of per-route limits and the rules of a configuration's settings and
+// of the list it knows.
 func loadRoutes(file, config string) (*routes.Table, routes.Rules, error) {
 	if config == "" {
 		return nil, routes.Rules{}, errors.New("no configuration: give --config or set PROXY_CONFIG; its settings give the rules")
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, routes.Rules{}, err
 	}
-	return table, routefile.Rules(cfg.info, nil), nil
+	return table, routefile.Rules(cfg.info, knownPools(cfg.Known)), nil
 }
 
 func checkRoutes(file, config string, out io.Writer) (int, error) {
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -27,6 +27,10 @@
 	limits := "version: 1\ndefaults: {attempt_timeout: 1500ms, attempts: 3, retry_spacing: 300ms, deadline_share: 1}\n"
 	require.NoError(t, os.WriteFile(lawful, []byte(limits+"routes:\n  - {name: exams, match: {prefix: 7f}, attempts: 2}\n"), 0o600))
 	require.NoError(t, os.WriteFile(unlawful, []byte(limits+"routes:\n  - {name: eager, match: {}, retry_spacing: 100ms}\n"), 0o600))
+	listed, drained := filepath.Join(dir, "listed.json"), filepath.Join(dir, "drained.yaml")
+	require.NoError(t, os.WriteFile(listed, configText(t, standin.NewBulletin(t, standin.Endpoint("s0", "127.0.0.1:1", 0, "up"),
+		standin.Endpoint("s1", "127.0.0.1:2", 1, "draining"))), 0o600))
+	require.NoError(t, os.WriteFile(drained, []byte(limits+"routes:\n  - {name: second, match: {}, servers: [1]}\n"), 0o600))
 	for _, tc := range []struct {
 		args []string
 		code int
@@ -47,6 +51,8 @@
 		{[]string{"check", "--config", site, lawful}, exitOK, "1 routes, lawful", ""},
 		{[]string{"check", "--config", site, unlawful}, exitError, `route "eager": retry_spacing 100ms`, "1 refusals"},
 		{[]string{"check", lawful}, exitError, "", "field listen"},
+		{[]string{"check", "--config", listed, drained}, exitError, "every server of [1] is draining or removed", ""},
+		{[]string{"check", "--config", site, drained}, exitOK, "lawful", ""},
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "7f00000000000001", lawful}, exitOK, "route exams (line 4): attempt_timeout 1.5s, attempts 2", ""},
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "0100000000000001", lawful}, exitOK, "route defaults: attempt_timeout 1.5s, attempts 3", ""},
 		{[]string{"run", "--log-level", "loud"}, exitError, "", "--log-level"},
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"woodrouter/agent"
+	"woodrouter/internal/bulletin"
 	"woodrouter/internal/routefile"
 	"woodrouter/internal/routes"
 )
@@ -46,3 +47,32 @@
 	d.log.Info("routes taken", "file", d.cfg.Routes, "routes", n)
 	return nil
 }
+
+// knownPools is each pool's state by the list that a configuration knows: up where any of its
+// servers is. nil for an empty list, so that nothing is refused for want of news. Only the
+// operators' commands prove a file against it: the list moves while a daemon runs, and a pool
+// that drains at its start is no fault of the file.
+func knownPools(k bulletin.Batch) map[int]string {
+	byName := map[string]bulletin.Endpoint{}
+	for _, item := range k.Items {
+		if item.Roster == nil {
+			continue
+		}
+		if item.Roster.Snapshot {
+			clear(byName)
+		}
+		for _, e := range item.Roster.Endpoints {
+			byName[e.Name] = e
+		}
+	}
+	if len(byName) == 0 {
+		return nil
+	}
+	pools := map[int]string{}
+	for _, e := range byName {
+		if e.Group != nil && pools[*e.Group] != "up" {
+			pools[*e.Group] = e.Status
+		}
+	}
+	return pools
+}
