Test a route's attempt time-out on the wire against a stand-in server

Change: TestRouteTimeout: a daemon with a routes file of 400 ms attempts, a caller with 8 s: the stand-in server reads at most 400 in parameter 17 and gets the give-up for that call well before the deadline.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -459,3 +460,22 @@
 	_, err := New(cfg, slog.New(slog.DiscardHandler))
 	assert.ErrorContains(t, err, `route "eager": retry_spacing 10ms`)
 }
+
+// TestRouteTimeout: on the wire, a route's attempt time-out is what the server is told to wait
+// and when the attempt is given up, well before the caller's deadline.
+func TestRouteTimeout(t *testing.T) {
+	s := newSite(t)
+	file := filepath.Join(t.TempDir(), "routes.yaml")
+	require.NoError(t, os.WriteFile(file, []byte("version: 1\n"+
+		"defaults: {attempt_timeout: 400ms, attempts: 1, retry_spacing: 300ms, deadline_share: 1}\nroutes: []\n"), 0o600))
+	s.d.cfg.Routes = file
+	s.d.Reload()
+	go s.binary(t)(0x10, 8*time.Second)
+	g := s.servers[0].Await(t, isup.SetUp)
+	wait, err := strconv.Atoi(g.Text(isup.Left))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, wait, 400, "the server is told the route's time-out, not the caller's 8 s")
+	given := s.servers[0].Await(t, isup.Release)
+	assert.Equal(t, g.Call, given.Call)
+	assert.Less(t, given.At.Sub(g.At), 4*time.Second, "given up at its time-out, far from the deadline")
+}
