--- /dev/null
+++ b/internal/circuit/group.go
@@ -0,0 +1,169 @@
+package circuit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Group is the circuits of one trunk group at one end, with the two signalling point codes
+// that settle glare.
+type Group struct {
+	Own, Far uint32
+	circuits map[uint16]*Circuit
+	cics     []uint16 // in the order of selection: controlled ones first
+}
+
+// NewGroup makes a group of idle circuits. CICs must be distinct.
+func NewGroup(own, far uint32, cics []uint16) (*Group, error) {
+	if own == far {
+		return nil, fmt.Errorf("circuit: both ends have point code %d: glare could not be settled", own)
+	}
+	g := &Group{Own: own, Far: far, circuits: map[uint16]*Circuit{}}
+	for _, c := range cics {
+		if g.circuits[c] != nil {
+			return nil, fmt.Errorf("circuit: CIC %d twice in the group", c)
+		}
+		g.circuits[c] = &Circuit{CIC: c}
+		g.cics = append(g.cics, c)
+	}
+	// Controlled circuits first, from the bottom; the far end's from the top, so that the two
+	// ends meet on one circuit only when few are left (Q.764 2.9.1.3, the second method).
+	slices.SortFunc(g.cics, func(a, b uint16) int {
+		ca, cb := Controls(a, own, far), Controls(b, own, far)
+		switch {
+		case ca && !cb:
+			return -1
+		case cb && !ca:
+			return 1
+		case ca:
+			return int(a) - int(b)
+		}
+		return int(b) - int(a)
+	})
+	return g, nil
+}
+
+// Circuit returns a circuit's state; nil for a CIC not in the group.
+func (g *Group) Circuit(cic uint16) *Circuit { return g.circuits[cic] }
+
+// Seize picks an idle circuit for an outgoing call, passing over those in avoid (the ones
+// a retry after glare must not meet again), and marks it outgoing. ok is false when none is free.
+func (g *Group) Seize(call string, now time.Duration, avoid ...uint16) (cic uint16, ok bool) {
+	for _, c := range g.cics {
+		k := g.circuits[c]
+		if k.State == Idle && !k.Blocked && !slices.Contains(avoid, c) {
+			g.enter(k, Outgoing, now, call)
+			return c, true
+		}
+	}
+	return 0, false
+}
+
+func (g *Group) enter(k *Circuit, s State, now time.Duration, call string) {
+	k.State, k.Since, k.Call = s, now, call
+}
+
+// Outcome is what a message means for this end: what to send back, how a dual seizure was
+// settled, which call is to be tried on another circuit, and which call has ended.
+type Outcome struct {
+	Send  []Message
+	Glare Glare
+	Retry string // this end's call that lost a dual seizure
+	Ended string // the call that the circuit carried has ended here
+}
+
+// Receive takes a message from the far end on a circuit. A message that the circuit's state
+// does not allow is an error naming both; the state is then left as it was, but for REL and
+// RSC, which any state must answer (Q.764 2.10.1: an unexpected message is met with a reset).
+func (g *Group) Receive(cic uint16, m Message, call string, now time.Duration) (Outcome, error) {
+	k := g.circuits[cic]
+	if k == nil {
+		return Outcome{}, fmt.Errorf("circuit: CIC %d is not in the group", cic)
+	}
+	switch m {
+	case IAM:
+		return g.seized(k, call, now)
+	case ACM, ANM:
+		if k.State != Outgoing && k.State != Busy {
+			return Outcome{}, unexpected(k, m)
+		}
+		g.enter(k, Busy, now, k.Call)
+		return Outcome{}, nil
+	case REL:
+		ended := k.Call
+		g.enter(k, Idle, now, "")
+		return Outcome{Send: []Message{RLC}, Ended: ended}, nil
+	case RLC:
+		if k.State != Releasing && k.State != Resetting {
+			return Outcome{}, unexpected(k, m)
+		}
+		g.enter(k, Idle, now, "")
+		return Outcome{}, nil
+	case RSC:
+		ended := k.Call
+		g.enter(k, Idle, now, "")
+		k.Blocked = false // a reset also ends blocking (Q.764 2.10.3.1)
+		return Outcome{Send: []Message{RLC}, Ended: ended}, nil
+	case BLO:
+		k.Blocked = true
+		return Outcome{}, nil
+	case UBL:
+		k.Blocked = false
+		return Outcome{}, nil
+	}
+	return Outcome{}, fmt.Errorf("circuit: CIC %d: message %v is not one of this model's", cic, m)
+}
+
+// seized takes the far end's IAM: on an idle circuit it is incoming; on one this end has
+// seized, it is a dual seizure settled by Controls.
+func (g *Group) seized(k *Circuit, call string, now time.Duration) (Outcome, error) {
+	switch {
+	case k.State == Idle && !k.Blocked:
+		g.enter(k, Incoming, now, call)
+		return Outcome{}, nil
+	case k.State == Outgoing && Controls(k.CIC, g.Own, g.Far):
+		return Outcome{Glare: KeepOwn}, nil
+	case k.State == Outgoing:
+		lost := k.Call
+		g.enter(k, Incoming, now, call)
+		return Outcome{Glare: BackOff, Retry: lost}, nil
+	}
+	return Outcome{}, unexpected(k, IAM)
+}
+
+func unexpected(k *Circuit, m Message) error {
+	return fmt.Errorf("circuit: CIC %d: %v while %v", k.CIC, m, k.State)
+}
+
+// Answer marks an incoming call answered by this end.
+func (g *Group) Answer(cic uint16, now time.Duration) error {
+	k := g.circuits[cic]
+	if k == nil || k.State != Incoming {
+		return fmt.Errorf("circuit: CIC %d: no incoming call to answer", cic)
+	}
+	g.enter(k, Busy, now, k.Call)
+	return nil
+}
+
+// Release has this end end the call on a circuit: REL goes out and the circuit waits for RLC.
+func (g *Group) Release(cic uint16, now time.Duration) (Outcome, error) {
+	k := g.circuits[cic]
+	if k == nil || k.State == Idle || k.State == Releasing || k.State == Resetting {
+		return Outcome{}, fmt.Errorf("circuit: CIC %d: nothing to release", cic)
+	}
+	ended := k.Call
+	g.enter(k, Releasing, now, "")
+	return Outcome{Send: []Message{REL}, Ended: ended}, nil
+}
+
+// Reset has this end reset a circuit: RSC goes out, and the call it carried, if any, ends.
+func (g *Group) Reset(cic uint16, now time.Duration) (Outcome, error) {
+	k := g.circuits[cic]
+	if k == nil {
+		return Outcome{}, fmt.Errorf("circuit: CIC %d is not in the group", cic)
+	}
+	ended := k.Call
+	g.enter(k, Resetting, now, "")
+	return Outcome{Send: []Message{RSC}, Ended: ended}, nil
+}
