--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -18,13 +18,13 @@
 
 // The states of a circuit.
 const (
-	Idle       State = iota
-	Outgoing         // this end sent an IAM; no answer yet
-	Incoming         // the far end's IAM came; this end has not answered yet
-	Busy             // a call is up on it (ACM or ANM seen, either way)
-	Releasing        // this end sent REL; it waits for RLC
-	Resetting        // this end sent RSC (or was in a GRS); it waits for RLC
-	Blocked          // blocked by the far end (BLO or CGB) and not in use
+	Idle      State = iota
+	Outgoing        // this end sent an IAM; no answer yet
+	Incoming        // the far end's IAM came; this end has not answered yet
+	Busy            // a call is up on it (ACM or ANM seen, either way)
+	Releasing       // this end sent REL; it waits for RLC
+	Resetting       // this end sent RSC (or was in a GRS); it waits for RLC
+	Blocked         // blocked by the far end (BLO or CGB) and not in use
 	stateCount
 )
 
