Circuit group messages: GRS, CGB and CGU with their acknowledgements

Change: Group.ReceiveGroup takes a group message for a range of CICs: GRS ends every call and blocking on them and is acknowledged by GRA; CGB and CGU block and unblock (a busy circuit stays busy, but is not seized again); GRA ends this end's own reset. A range naming a CIC outside the group changes nothing and the error names it.

Test: TestGroupMessages (blocking while busy, no seizure of a blocked circuit, a GRS with a stray CIC, GRS ending a call, GRA).

--- a/internal/circuit/circuit_test.go
+++ b/internal/circuit/circuit_test.go
@@ -108,3 +108,28 @@
 		t.Errorf("RSC is answered by RLC in any state: %+v", out)
 	}
 }
+
+// TestGroupMessages: a group reset ends the calls of every CIC it names and is acknowledged;
+// blocking keeps a busy circuit busy but out of new seizures; a CIC outside the group changes nothing.
+func TestGroupMessages(t *testing.T) {
+	g, _ := NewGroup(20, 10, []uint16{1, 2, 3})
+	g.Seize("a", 0)
+	out, err := g.ReceiveGroup(CGB, []uint16{1, 2, 3}, 0)
+	if err != nil || out.Ack != CGBA || g.Circuit(2).State != Outgoing {
+		t.Fatalf("CGB: %+v %v, CIC 2 %v", out, err, g.Circuit(2).State)
+	}
+	if _, ok := g.Seize("b", 0); ok {
+		t.Error("seized a blocked circuit")
+	}
+	if _, err := g.ReceiveGroup(GRS, []uint16{1, 9}, 0); err == nil || g.Circuit(2).Call != "a" {
+		t.Error("a GRS naming CIC 9 changed the group")
+	}
+	out, _ = g.ReceiveGroup(GRS, []uint16{1, 2, 3}, 0)
+	if out.Ack != GRA || !slices.Equal(out.Ended, []string{"a"}) || g.Circuit(2).State != Idle || g.Circuit(2).Blocked {
+		t.Errorf("GRS: %+v, CIC 2 %+v", out, g.Circuit(2))
+	}
+	g.Reset(3, 0)
+	if g.ReceiveGroup(GRA, []uint16{3}, 0); g.Circuit(3).State != Idle {
+		t.Errorf("GRA left CIC 3 %v", g.Circuit(3).State)
+	}
+}
--- a/internal/circuit/group.go
+++ b/internal/circuit/group.go
@@ -167,3 +167,74 @@
 	g.enter(k, Resetting, now, "")
 	return Outcome{Send: []Message{RSC}, Ended: ended}, nil
 }
+
+// GroupMessage is a circuit group supervision message: it names a range of CICs at once.
+type GroupMessage int
+
+// The group messages and their acknowledgements (Q.764 2.8.2, 2.10.3.2).
+const (
+	NoAck GroupMessage = iota - 1 // nothing to acknowledge
+	GRS                           // circuit group reset
+	GRA                           // its acknowledgement
+	CGB                           // circuit group blocking
+	CGBA                          // its acknowledgement
+	CGU                           // circuit group unblocking
+	CGUA                          // its acknowledgement
+)
+
+var groupNames = [...]string{"GRS", "GRA", "CGB", "CGBA", "CGU", "CGUA"}
+
+func (m GroupMessage) String() string {
+	if m < 0 || int(m) >= len(groupNames) {
+		return fmt.Sprintf("group message(%d)", int(m))
+	}
+	return groupNames[m]
+}
+
+// GroupOutcome is what a group message means for this end: the acknowledgement to send for
+// the CICs it names, and the calls that ended.
+type GroupOutcome struct {
+	Ack   GroupMessage
+	CICs  []uint16
+	Ended []string
+}
+
+// ReceiveGroup takes a group message for a range of CICs. Every CIC must be in the group, or
+// nothing changes and the error names the first that is not; an acknowledgement received is
+// taken as the end of this end's own reset or blocking, and is answered by nothing.
+func (g *Group) ReceiveGroup(m GroupMessage, cics []uint16, now time.Duration) (GroupOutcome, error) {
+	for _, c := range cics {
+		if g.circuits[c] == nil {
+			return GroupOutcome{}, fmt.Errorf("circuit: %v names CIC %d, which is not in the group", m, c)
+		}
+	}
+	out := GroupOutcome{CICs: cics}
+	for _, c := range cics {
+		k := g.circuits[c]
+		switch m {
+		case GRS: // as RSC on each: the calls end, blocking ends
+			if k.Call != "" {
+				out.Ended = append(out.Ended, k.Call)
+			}
+			g.enter(k, Idle, now, "")
+			k.Blocked = false
+			out.Ack = GRA
+		case CGB:
+			k.Blocked = true
+			out.Ack = CGBA
+		case CGU:
+			k.Blocked = false
+			out.Ack = CGUA
+		case GRA:
+			if k.State == Resetting {
+				g.enter(k, Idle, now, "")
+			}
+			out.Ack, out.CICs = NoAck, nil
+		case CGBA, CGUA:
+			out.Ack, out.CICs = NoAck, nil
+		default:
+			return GroupOutcome{}, fmt.Errorf("circuit: group message %v is not one of this model's", m)
+		}
+	}
+	return out, nil
+}
