Routes: one resolution of inherited limits, and cmp.Or for the match's text

Reading the change again: Table.Effective(i) walked parents recursively and rebuilt the prefix buckets at every step (parent -> newBuckets), work resolve() already did once for Check and NewIndex; and routes.go wrote its own cmpOr beside the standard cmp.Or the project uses elsewhere. Effective now returns resolve()'s limits for all routes; the recursive effective and the parent wrapper are gone; the fuzz target takes the slice.

--- a/internal/routefile/fuzz_test.go
+++ b/internal/routefile/fuzz_test.go
@@ -22,11 +22,7 @@
 		if err != nil || len(routes.Check(table, corpusRules)) > 0 {
 			return
 		}
-		for i := -1; i < len(table.Routes); i++ {
-			l := table.Defaults
-			if i >= 0 {
-				l = table.Effective(i)
-			}
+		for i, l := range append(table.Effective(), table.Defaults) {
 			usable := corpusRules.Classes["group-lesson"].Deadline - corpusRules.AnswerSlack
 			if l.Attempts < 1 || l.Attempts > corpusRules.MaxAttempts || l.Attempts > 1 && l.RetrySpacing < corpusRules.ClearWait ||
 				l.AttemptTimeout <= 0 || l.Span() > usable || l.Hedge {
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -6,6 +6,7 @@
 package routes
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -80,17 +81,10 @@
 }
 
 func (m Match) String() string {
-	part := func(s string) string { return cmpOr(s, "*") }
+	part := func(s string) string { return cmp.Or(s, "*") }
 	return fmt.Sprintf("tenant=%s class=%s prefix=%s", part(m.Tenant), part(m.Class), part(m.Prefix))
 }
 
-func cmpOr(s, or string) string {
-	if s == "" {
-		return or
-	}
-	return s
-}
-
 // over fills the zero fields of l from its parent p.
 func (l Limits) over(p Limits) Limits {
 	if l.AttemptTimeout == 0 {
@@ -129,11 +123,7 @@
 	return time.Duration(l.Attempts)*l.AttemptTimeout + time.Duration(l.Attempts-1)*l.RetrySpacing
 }
 
-// parent returns the index of the most specific route that contains route i, or -1.
-func (t *Table) parent(i int) int {
-	return t.parentIn(newBuckets(t), i)
-}
-
+// parentIn returns the index of the most specific route that contains route i, or -1.
 func (t *Table) parentIn(b *buckets, i int) int {
 	best, m := -1, t.Routes[i].Match
 	b.containing(m, func(j int) {
@@ -168,16 +158,9 @@
 	return parents, eff
 }
 
-// Effective returns route i's limits with everything it inherits filled in.
-func (t *Table) Effective(i int) Limits {
-	return t.effective(i, len(t.Routes))
-}
-
-// effective follows parents; depth bounds the walk, as containment has no cycles but for
-// equal matches, which parent passes over.
-func (t *Table) effective(i, depth int) Limits {
-	if i < 0 || depth < 0 {
-		return t.Defaults
-	}
-	return t.Routes[i].Limits.over(t.effective(t.parent(i), depth-1))
+// Effective returns every route's limits with everything it inherits filled in, in the
+// order of the routes.
+func (t *Table) Effective() []Limits {
+	_, eff := t.resolve()
+	return eff
 }
