--- a/internal/circuit/circuit.go
+++ b/internal/circuit/circuit.go
@@ -25,16 +25,18 @@
 	Releasing       // this end sent REL; it waits for RLC
 	Resetting       // this end sent RSC (or was in a GRS); it waits for RLC
 	Blocked         // blocked by the far end (BLO or CGB) and not in use
-	stateCount
 )
 
 var stateNames = [...]string{"idle", "outgoing", "incoming", "busy", "releasing", "resetting", "blocked"}
 
-func (s State) String() string {
-	if s < 0 || s >= stateCount {
-		return fmt.Sprintf("state(%d)", int(s))
+func (s State) String() string { return named(stateNames[:], int(s), "state") }
+
+// named is a value's name from its table, or kind(n) for one outside it.
+func named(names []string, n int, kind string) string {
+	if n < 0 || n >= len(names) {
+		return fmt.Sprintf("%s(%d)", kind, n)
 	}
-	return stateNames[s]
+	return names[n]
 }
 
 // Message is an ISUP message type, as far as a circuit's state is concerned.
@@ -54,12 +56,7 @@
 
 var messageNames = [...]string{"IAM", "ACM", "ANM", "REL", "RLC", "RSC", "BLO", "UBL"}
 
-func (m Message) String() string {
-	if m < 0 || int(m) >= len(messageNames) {
-		return fmt.Sprintf("message(%d)", int(m))
-	}
-	return messageNames[m]
-}
+func (m Message) String() string { return named(messageNames[:], int(m), "message") }
 
 // Circuit is one circuit of a group.
 type Circuit struct {
--- a/internal/circuit/group.go
+++ b/internal/circuit/group.go
@@ -184,12 +184,7 @@
 
 var groupNames = [...]string{"GRS", "GRA", "CGB", "CGBA", "CGU", "CGUA"}
 
-func (m GroupMessage) String() string {
-	if m < 0 || int(m) >= len(groupNames) {
-		return fmt.Sprintf("group message(%d)", int(m))
-	}
-	return groupNames[m]
-}
+func (m GroupMessage) String() string { return named(groupNames[:], int(m), "group message") }
 
 // GroupOutcome is what a group message means for this end: the acknowledgement to send for
 // the CICs it names, and the calls that ended.
