--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -117,6 +117,15 @@
 	synctest.Wait()
 }
 
+// earn has eight calls stand at once: first attempts earn the module's budget of further ones.
+func earn(a *Agent, s *side) {
+	for i := range 8 {
+		id := fmt.Sprint("w", i)
+		offer(a, s, id, 3*time.Second)
+		a.Stands(id, 0, nil)
+	}
+}
+
 var gone = &Failure{Stage: Written, Result: policy.Cut, Server: "s", Err: fmt.Errorf("reset")}
 
 // TestOrders plays what the two sides may do in every order that is a race on sockets;
@@ -197,11 +206,7 @@
 // what the module gives up is refused at once, with when to return.
 func TestClearWait(t *testing.T) {
 	play(t, func(a *Agent, s *side) {
-		for i := range 8 { // first attempts earn the further ones
-			id := fmt.Sprint("w", i)
-			offer(a, s, id, 3*time.Second)
-			a.Stands(id, 0, nil)
-		}
+		earn(a, s)
 		offer(a, s, "c", 3*time.Second)
 		a.Ended("c", 0, gone, policy.NoReport())
 		after(299 * ms)
@@ -450,11 +455,7 @@
 // the deadline, tells the server so (Until), and the next attempt waits the route's spacing.
 func TestAttemptTimeout(t *testing.T) {
 	play(t, func(a *Agent, s *side) {
-		for i := range 8 { // first attempts earn the further ones
-			id := fmt.Sprint("w", i)
-			offer(a, s, id, 3*time.Second)
-			a.Stands(id, 0, nil)
-		}
+		earn(a, s)
 		a.SetRouter(func(Call) Route { return Route{AttemptTimeout: 400 * ms, Spacing: 500 * ms, Attempts: 2} })
 		offer(a, s, "c", 3*time.Second)
 		after(399 * ms)
