Routes: attempt_timeout: deadline leaves an attempt to the module's own give-up

An operator who wants a route's attempts and spacing without a time-out of its own had no way to say so: every time-out was absolute.

'deadline' now names routes.UntilDeadline: no per-attempt time-out of the route's own, the module giving the call up within the usable deadline as without a file. Its span is the whole usable deadline, so a child may narrow it and no child may widen a parent with a given time-out. A missing time-out is still refused (timeout-missing.yaml).

--- a/internal/daemon/cli.go
+++ b/internal/daemon/cli.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"strings"
+	"time"
 
 	"woodrouter/internal/routefile"
 	"woodrouter/internal/routes"
@@ -131,10 +132,17 @@
 		name = fmt.Sprintf("%s (line %d)", route.Name, route.Line)
 	}
 	fmt.Fprintf(out, "route %s: attempt_timeout %v, attempts %d, retry_spacing %v, deadline_share %g, servers %v\n",
-		name, l.AttemptTimeout, l.Attempts, l.RetrySpacing, l.DeadlineShare, serversText(l.Servers))
+		name, timeoutText(l.AttemptTimeout), l.Attempts, l.RetrySpacing, l.DeadlineShare, serversText(l.Servers))
 	return exitOK, nil
 }
 
+func timeoutText(d time.Duration) string {
+	if d == routes.UntilDeadline {
+		return "deadline"
+	}
+	return d.String()
+}
+
 func serversText(s []int) string {
 	if s == nil {
 		return "those of the class"
--- a/internal/routefile/routefile.go
+++ b/internal/routefile/routefile.go
@@ -32,7 +32,7 @@
 }
 
 type Limits struct {
-	AttemptTimeout string  `yaml:"attempt_timeout"` // a Go duration, as 1500ms; read after, to name the field
+	AttemptTimeout string  `yaml:"attempt_timeout"` // a Go duration, as 1500ms, or "deadline"; read after, to name the field
 	Attempts       int     `yaml:"attempts"`
 	RetrySpacing   string  `yaml:"retry_spacing"`
 	DeadlineShare  float64 `yaml:"deadline_share"`
@@ -133,6 +133,10 @@
 		if d.text == "" {
 			continue
 		}
+		if d.text == "deadline" && d.key == "attempt_timeout" {
+			*d.to = routes.UntilDeadline
+			continue
+		}
 		if *d.to, err = time.ParseDuration(d.text); err != nil {
 			return out, fmt.Errorf("%s: %q is no duration (such as 1500ms or 2s)", d.key, d.text)
 		}
--- a/internal/routes/check.go
+++ b/internal/routes/check.go
@@ -145,6 +145,8 @@
 	switch {
 	case l.AttemptTimeout <= 0:
 		refuse(RuleTimeout, "attempt_timeout %v: an attempt needs a time-out", l.AttemptTimeout)
+	case l.AttemptTimeout == UntilDeadline:
+		// no time-out of the route's own: the module gives the call up within the usable deadline
 	case l.AttemptTimeout > usable:
 		refuse(RuleTimeout, "attempt_timeout %v ends after class %s's caller gives up (%v usable of %v)",
 			l.AttemptTimeout, class, usable, c.Deadline)
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -21,6 +22,11 @@
 	Prefix string
 }
 
+// UntilDeadline is an AttemptTimeout that gives an attempt no time-out of its own: it ends at
+// the module's give-up, within the usable deadline, as without a routes file. In the file it
+// is written `attempt_timeout: deadline`; a route under such a parent may still give one.
+const UntilDeadline = time.Duration(math.MaxInt64)
+
 // Limits are what a route gives its calls. A zero field is inherited from the route's parent,
 // and at the top from the table's defaults.
 type Limits struct {
@@ -120,6 +126,9 @@
 	if l.Attempts <= 0 {
 		return 0
 	}
+	if l.AttemptTimeout == UntilDeadline {
+		return UntilDeadline // the module ends the last attempt at the usable deadline
+	}
 	return time.Duration(l.Attempts)*l.AttemptTimeout + time.Duration(l.Attempts-1)*l.RetrySpacing
 }
 
