--- a/internal/daemon/cli.go
+++ b/internal/daemon/cli.go
@@ -15,11 +15,12 @@
 // commandLine is the program's grammar, read by kong. Each command's help is its docstring
 // for operators; docs/operators.md has the same in full.
 type commandLine struct {
-	Run    runCommand    `cmd:"" default:"1" help:"Run the call agent; PROXY_CONFIG names its configuration."`
-	Plan   planCommand   `cmd:"" help:"Show what applying an operators' file would change; exit 0 none, 2 changes, 1 error."`
-	Apply  applyCommand  `cmd:"" help:"Apply a plan, unless the state has changed since it was made."`
-	Check  checkCommand  `cmd:"" help:"Check a file of per-route limits against the standing rules; exit 0 lawful, 1 refused."`
-	Routes routesCommand `cmd:"" help:"Tell which route and limits a call would get."`
+	Run     runCommand     `cmd:"" default:"1" help:"Run the call agent; PROXY_CONFIG names its configuration."`
+	Plan    planCommand    `cmd:"" help:"Show what applying an operators' file would change; exit 0 none, 2 changes, 1 error."`
+	Apply   applyCommand   `cmd:"" help:"Apply a plan, unless the state has changed since it was made."`
+	Check   checkCommand   `cmd:"" help:"Check a file of per-route limits against the standing rules; exit 0 lawful, 1 refused."`
+	Routes  routesCommand  `cmd:"" help:"Tell which route and limits a call would get."`
+	Replica replicaCommand `cmd:"" help:"Run a member of a group that replicates promises (docs/replication.md)."`
 
 	env       func(string) string
 	out, errs io.Writer
@@ -69,6 +70,8 @@
 		return checkRoutes(c.Check.File, c.Check.Config, c.out)
 	case "routes":
 		return lookUpRoute(c.Routes, c.out)
+	case "replica":
+		return exitOK, runReplica(c.Replica, c.errs)
 	}
 	return exitError, fmt.Errorf("no command %q", command)
 }
--- /dev/null
+++ b/internal/faultnet/proc.go
@@ -0,0 +1,118 @@
+package faultnet
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// Build compiles the program into dir and returns its path. It runs from the module's root,
+// which go itself names.
+func Build(dir string) (string, error) {
+	mod, err := exec.Command("go", "env", "GOMOD").Output()
+	if err != nil {
+		return "", fmt.Errorf("go env GOMOD: %w", err)
+	}
+	root := filepath.Dir(strings.TrimSpace(string(mod)))
+	bin := filepath.Join(dir, "woodrouter")
+	cmd := exec.Command("go", "build", "-o", bin, "./cmd/woodrouter")
+	cmd.Dir = root
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("go build: %v\n%s", err, out)
+	}
+	return bin, nil
+}
+
+// Proc is one process of the program, started, killed and started again with the same
+// arguments. Its log is kept across lives, each life headed by a line.
+type Proc struct {
+	Name string
+	Bin  string
+	Args []string
+	Data string // its data directory, for Wipe
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  bytes.Buffer
+	life int
+}
+
+// Start starts a new life of the process; an error where it runs already.
+func (p *Proc) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return fmt.Errorf("%s: runs already", p.Name)
+	}
+	p.life++
+	fmt.Fprintf(&p.log, "--- %s, life %d\n", p.Name, p.life)
+	cmd := exec.Command(p.Bin, p.Args...)
+	cmd.Stdout, cmd.Stderr = &locked{p}, &locked{p}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.done = cmd, make(chan struct{})
+	go func(done chan struct{}) {
+		cmd.Wait()
+		p.mu.Lock()
+		if p.cmd == cmd {
+			p.cmd = nil
+		}
+		p.mu.Unlock()
+		close(done)
+	}(p.done)
+	return nil
+}
+
+// Kill ends the process with SIGKILL and waits for it; nothing of it is asked to stop well.
+func (p *Proc) Kill() { p.signal(syscall.SIGKILL) }
+
+// Stop ends the process with SIGTERM and waits for it.
+func (p *Proc) Stop() { p.signal(syscall.SIGTERM) }
+
+func (p *Proc) signal(s syscall.Signal) {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Signal(s) // only the process this Proc started, by its id
+	<-done
+}
+
+// Running tells whether a life is under way.
+func (p *Proc) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
+// Wipe removes the data directory, as a lost disk; the process must not run.
+func (p *Proc) Wipe() error {
+	if p.Running() {
+		return fmt.Errorf("%s: wipe while it runs", p.Name)
+	}
+	return os.RemoveAll(p.Data)
+}
+
+// Log is what the process wrote in all its lives.
+func (p *Proc) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+type locked struct{ p *Proc }
+
+func (l *locked) Write(b []byte) (int, error) {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.p.log.Write(b)
+}
--- /dev/null
+++ b/internal/faultnet/proxy.go
@@ -0,0 +1,244 @@
+// Package faultnet is the project's fault harness: a loopback proxy for each directed link
+// between processes that passes, delays and jitters, drops or resets what crosses it, and a
+// supervisor that builds the program, starts processes, kills them with SIGKILL, restarts
+// them and wipes their data. Faults come from a seeded schedule, so a run is reproduced by
+// its seed. Loopback only.
+package faultnet
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a link does with what crosses it.
+type Mode int
+
+const (
+	Pass Mode = iota // forward, after the link's delay
+	Drop             // take nothing further across: bytes are read and thrown away, as a cut cable
+)
+
+// Link is a proxy from a listener on loopback to one target: the traffic of one process to
+// another. Connections made through it carry both directions of that process's requests.
+type Link struct {
+	ln     net.Listener
+	target string
+
+	mu     sync.Mutex
+	mode   Mode
+	delay  time.Duration
+	jitter time.Duration
+	rng    *rand.Rand
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// NewLink listens on a free loopback port and forwards to target. seed draws its jitter.
+func NewLink(target string, seed uint64) (*Link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{ln: ln, target: target, rng: rand.New(rand.NewPCG(seed, 0x6661756c74)), conns: map[net.Conn]bool{}}
+	go l.accept()
+	return l, nil
+}
+
+// Addr is where to dial to go through the link.
+func (l *Link) Addr() string { return l.ln.Addr().String() }
+
+// Set gives the link a mode, a delay and a jitter (uniform in [0, jitter)) for each chunk.
+func (l *Link) Set(mode Mode, delay, jitter time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mode, l.delay, l.jitter = mode, delay, jitter
+}
+
+// Reset ends every connection across the link at once with a TCP reset; new ones may follow.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if tc, ok := c.(*net.TCPConn); ok {
+			tc.SetLinger(0)
+		}
+		c.Close()
+		delete(l.conns, c)
+	}
+}
+
+// Close ends the link and its connections.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.ln.Close()
+	l.Reset()
+}
+
+func (l *Link) accept() {
+	for {
+		in, err := l.ln.Accept()
+		if err != nil {
+			return
+		}
+		go l.join(in)
+	}
+}
+
+// join dials the target for a new connection; a dropped link takes the connection and
+// answers nothing, as a far end behind a cut does.
+func (l *Link) join(in net.Conn) {
+	if !l.track(in) {
+		return
+	}
+	if l.now() == Drop {
+		io.Copy(io.Discard, in)
+		l.untrack(in)
+		return
+	}
+	out, err := net.DialTimeout("tcp", l.target, time.Second)
+	if err != nil {
+		in.Close()
+		l.untrack(in)
+		return
+	}
+	if !l.track(out) {
+		in.Close()
+		return
+	}
+	go l.pump(in, out)
+	l.pump(out, in)
+}
+
+func (l *Link) track(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		c.Close()
+		return false
+	}
+	l.conns[c] = true
+	return true
+}
+
+func (l *Link) untrack(c net.Conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	c.Close()
+}
+
+func (l *Link) now() Mode {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mode
+}
+
+// wait is one chunk's delay, drawn under the lock so that a seed gives one sequence.
+func (l *Link) wait() (Mode, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.delay
+	if l.jitter > 0 {
+		d += time.Duration(l.rng.Int64N(int64(l.jitter)))
+	}
+	return l.mode, d
+}
+
+// pump copies one direction, chunk by chunk, each after its delay and in order; while the
+// link drops, chunks are thrown away.
+func (l *Link) pump(from, to net.Conn) {
+	defer l.untrack(from)
+	defer l.untrack(to)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			mode, d := l.wait()
+			if mode == Drop {
+				continue
+			}
+			if d > 0 {
+				time.Sleep(d) // the delay itself is the fault; order is kept as one goroutine writes
+			}
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				to.Close()
+			}
+			return
+		}
+	}
+}
+
+// Mesh is a link for each ordered pair of members: Mesh[from][to] carries from's traffic to to.
+type Mesh map[string]map[string]*Link
+
+// NewMesh makes the links between members, given each member's real address.
+func NewMesh(addrs map[string]string, seed uint64) (Mesh, error) {
+	m := Mesh{}
+	i := uint64(0)
+	for from := range addrs {
+		m[from] = map[string]*Link{}
+		for to, addr := range addrs {
+			if from == to {
+				continue
+			}
+			i++
+			l, err := NewLink(addr, seed+i)
+			if err != nil {
+				m.Close()
+				return nil, err
+			}
+			m[from][to] = l
+		}
+	}
+	return m, nil
+}
+
+// Partition cuts every link between a member of side and one outside it, both ways, and
+// heals every other link.
+func (m Mesh) Partition(side ...string) {
+	in := map[string]bool{}
+	for _, s := range side {
+		in[s] = true
+	}
+	for from, tos := range m {
+		for to, l := range tos {
+			mode := Pass
+			if in[from] != in[to] {
+				mode = Drop
+			}
+			l.Set(mode, 0, 0)
+			if mode == Drop {
+				l.Reset()
+			}
+		}
+	}
+}
+
+// Heal lets everything pass again, without delay.
+func (m Mesh) Heal() { m.Partition() }
+
+// Delay slows both directions between a and b.
+func (m Mesh) Delay(a, b string, d, jitter time.Duration) {
+	m[a][b].Set(Pass, d, jitter)
+	m[b][a].Set(Pass, d, jitter)
+}
+
+// Close ends all links.
+func (m Mesh) Close() {
+	for _, tos := range m {
+		for _, l := range tos {
+			l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/harness.go
@@ -0,0 +1,221 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"woodrouter/internal/faultnet"
+)
+
+// Group is a group of members, each its own process of the program, with a fault proxy on
+// every directed link between them: the harness of the fault tests and of the operators'
+// long runs (docs/replication.md). Loopback only.
+type Group struct {
+	Dir     string
+	Procs   map[string]*faultnet.Proc
+	Mesh    faultnet.Mesh
+	raft    map[string]string // id -> real log address
+	client  map[string]string // id -> client address
+	configs map[string]Config
+}
+
+// reserve holds a free loopback port until release: a member's addresses must outlive its
+// lives, so port 0 alone can't serve, and the proxies' own ports must not take them.
+func reserve(held *[]net.Listener) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	*held = append(*held, ln)
+	return ln.Addr().String(), nil
+}
+
+// StartGroup starts n members named n1..nN from bin under dir, bootstrapped together.
+func StartGroup(bin, dir string, n int, seed uint64) (*Group, error) {
+	g := &Group{Dir: dir, Procs: map[string]*faultnet.Proc{}, raft: map[string]string{},
+		client: map[string]string{}, configs: map[string]Config{}}
+	var boot []Peer
+	var held []net.Listener
+	release := func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}
+	for i := 1; i <= n; i++ {
+		id := fmt.Sprintf("n%d", i)
+		r, err := reserve(&held)
+		if err != nil {
+			release()
+			return nil, err
+		}
+		c, err := reserve(&held)
+		if err != nil {
+			release()
+			return nil, err
+		}
+		g.raft[id], g.client[id] = r, c
+		boot = append(boot, Peer{ID: id, Raft: r})
+	}
+	var err error
+	g.Mesh, err = faultnet.NewMesh(g.raft, seed)
+	release() // the members take their ports from here
+	if err != nil {
+		return nil, err
+	}
+	for id := range g.raft {
+		if err := g.add(bin, id, id, boot); err != nil {
+			g.Close()
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// add writes a member's file and starts it; name is the process (and its links), id its
+// id in the group, which a member with a wiped disk takes anew.
+func (g *Group) add(bin, name, id string, boot []Peer) error {
+	links := map[string]string{}
+	for to, l := range g.Mesh[name] {
+		links[g.raft[to]] = l.Addr()
+	}
+	c := Config{ID: id, Raft: g.raft[name], Client: g.client[name], Data: filepath.Join(g.Dir, id),
+		Bootstrap: boot, Links: links, Snapshot: SnapshotConfig{Entries: 64}}
+	data, err := yaml.Marshal(c)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(g.Dir, id+".yaml")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	g.configs[name] = c
+	p := &faultnet.Proc{Name: name, Bin: bin, Args: []string{"replica", path}, Data: c.Data}
+	g.Procs[name] = p
+	return p.Start()
+}
+
+// Replace gives a member whose disk was wiped a new id, with no bootstrap, so that it can't
+// vote twice in a term it forgot; the leader removes the old id and adds the new one.
+func (g *Group) Replace(ctx context.Context, name, newID string) error {
+	old := g.configs[name]
+	g.Procs[name].Kill()
+	if err := g.Procs[name].Wipe(); err != nil {
+		return err
+	}
+	if _, err := g.Leader(ctx); err != nil { // the member may have led: wait for the next
+		return err
+	}
+	admin := g.Client()
+	defer admin.Close()
+	if err := admin.member(ctx, "Replica.Remove", MemberArgs{ID: old.ID}); err != nil {
+		return fmt.Errorf("remove %s: %w", old.ID, err)
+	}
+	if err := g.add(g.Procs[name].Bin, name, newID, nil); err != nil {
+		return err
+	}
+	return admin.member(ctx, "Replica.Join", MemberArgs{ID: newID, Raft: g.raft[name]})
+}
+
+func (c *Client) member(ctx context.Context, method string, args MemberArgs) error {
+	return c.each(ctx, func(id string) (*Reply, error) {
+		var r Reply
+		return &r, c.call(ctx, id, method, args, &r)
+	})
+}
+
+// Client reaches the group through every member.
+func (g *Group) Client() *Client { return NewClient(g.client) }
+
+// ClientOf reaches the group through one member only, as a caller on its side of a cut.
+func (g *Group) ClientOf(name string) *Client {
+	return NewClient(map[string]string{name: g.client[name]})
+}
+
+// Status asks one member for its view.
+func (g *Group) Status(name string) (StatusReply, error) {
+	c := g.ClientOf(name)
+	defer c.Close()
+	var s StatusReply
+	return s, c.call(context.Background(), name, "Replica.Status", struct{}{}, &s)
+}
+
+// Leader waits until the running members agree on one leader, and names its process.
+func (g *Group) Leader(ctx context.Context) (string, error) {
+	for {
+		if name, ok := g.agreed(); ok {
+			return name, nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("no leader agreed: %w", ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (g *Group) agreed() (string, bool) {
+	leaders := map[string]bool{}
+	leader := ""
+	for name, p := range g.Procs {
+		if !p.Running() {
+			continue
+		}
+		s, err := g.Status(name)
+		if err != nil || s.Leader == "" {
+			return "", false
+		}
+		leaders[s.Leader] = true
+		if s.State == "Leader" {
+			leader = name
+		}
+	}
+	return leader, len(leaders) == 1 && leader != ""
+}
+
+// CaughtUp waits until a member has applied at least index.
+func (g *Group) CaughtUp(ctx context.Context, name string, index uint64) error {
+	for {
+		if s, err := g.Status(name); err == nil && s.Applied >= index {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s not caught up to %d: %w", name, index, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Names are the members' process names, in order.
+func (g *Group) Names() []string {
+	out := make([]string, 0, len(g.Procs))
+	for n := range g.Procs {
+		out = append(out, n)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Logs is every member's log, for a failed test.
+func (g *Group) Logs() string {
+	out := ""
+	for _, n := range g.Names() {
+		out += g.Procs[n].Log()
+	}
+	return out
+}
+
+// Close kills every member and ends the links.
+func (g *Group) Close() {
+	for _, p := range g.Procs {
+		p.Kill()
+	}
+	g.Mesh.Close()
+}
