--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -1,12 +1,15 @@
 package replica_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -299,3 +302,18 @@
 	m.Range(func(any, any) bool { n++; return true })
 	return n
 }
+
+// TestCorruptData: a member whose log store is not one stops at the start, naming the file,
+// and leaves the file as it was.
+func TestCorruptData(t *testing.T) {
+	dir := t.TempDir()
+	junk := []byte("not a bolt file, but long enough to be read as one's header....")
+	os.WriteFile(dir+"/raft.db", junk, 0o600)
+	cfg := fmt.Sprintf("id: n1\nraft: 127.0.0.1:0\nclient: 127.0.0.1:0\ndata: %s\n", dir)
+	os.WriteFile(dir+"/m.yaml", []byte(cfg), 0o600)
+	out, err := exec.Command(bin, "replica", dir+"/m.yaml").CombinedOutput()
+	kept, _ := os.ReadFile(dir + "/raft.db")
+	if err == nil || !strings.Contains(string(out), "raft.db") || !bytes.Equal(kept, junk) {
+		t.Fatalf("exit %v, said %q; file kept: %v", err, out, bytes.Equal(kept, junk))
+	}
+}
