Replication: random fault schedules from a seed, as the operators' long run

TestSchedules (skipped without -schedules N) plays N schedules of six faults drawn from each seed out of the same five as TestFaults; a wiped disk picks its member from the seed and gives it a new id each time, so that no id comes back with a forgotten vote.

--- a/internal/replica/fault_test.go
+++ b/internal/replica/fault_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -112,8 +113,12 @@
 // the leader cut off in a minority, a 200 ms link, a disk wiped and its member replaced, a
 // rolling restart of all. Then every promise acknowledged is read back, and the history is
 // checked for linearizability.
-func TestFaults(t *testing.T) {
-	seed := uint64(7)
+func TestFaults(t *testing.T) { playSchedule(t, 7, 0) }
+
+// playSchedule plays the faults in turn where steps is 0, else steps of them drawn from the
+// seed, with writes under way; then it reads every acknowledged promise back and checks the
+// history.
+func playSchedule(t *testing.T, seed uint64, steps int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
 	defer cancel()
 	g, err := replica.StartGroup(bin, t.TempDir(), 3, seed)
@@ -141,6 +146,7 @@
 		}()
 	}
 
+	pick, replaced := rand.New(rand.NewPCG(seed, 2)), 0
 	faults := []struct {
 		name string
 		do   func() error
@@ -151,10 +157,22 @@
 			g.Mesh.Delay("n1", "n2", 200*time.Millisecond, 20*time.Millisecond)
 			return pause(ctx, g)
 		}},
-		{"disk wiped", func() error { g.Mesh.Heal(); return replace(ctx, g, "n3") }},
+		{"disk wiped", func() error { g.Mesh.Heal(); replaced++; return replace(ctx, g, g.Names()[pick.IntN(3)], replaced) }},
 		{"rolling restart", func() error { return rolling(ctx, g) }},
 	}
-	for _, f := range faults {
+	order := make([]int, len(faults))
+	for i := range order {
+		order[i] = i
+	}
+	if steps > 0 {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		order = order[:0]
+		for range steps {
+			order = append(order, rng.IntN(len(faults)))
+		}
+	}
+	for _, i := range order {
+		f := faults[i]
 		progress(ctx, promised, 25) // writes under way before each fault
 		if err := f.do(); err != nil {
 			t.Fatalf("%s: %v", f.name, err)
@@ -256,8 +274,8 @@
 }
 
 // replace wipes a member's disk, gives it a new id, and waits for it to catch up.
-func replace(ctx context.Context, g *replica.Group, name string) error {
-	if err := g.Replace(ctx, name, name+"b"); err != nil {
+func replace(ctx context.Context, g *replica.Group, name string, n int) error {
+	if err := g.Replace(ctx, name, fmt.Sprintf("%s-%d", name, n)); err != nil {
 		return err
 	}
 	leader, err := g.Leader(ctx)
@@ -317,3 +335,22 @@
 		t.Fatalf("exit %v, said %q; file kept: %v", err, out, bytes.Equal(kept, junk))
 	}
 }
+
+var (
+	schedules = flag.Int("schedules", 0, "random fault schedules for TestSchedules; 0: skip (an operators' long run)")
+	firstSeed = flag.Uint64("seed", 1, "the first schedule's seed; schedule i has seed+i")
+)
+
+// TestSchedules plays random fault schedules, each from its seed, and fails on any promise
+// lost or any history that is not linearizable. The operators' long run:
+//
+//	go test ./internal/replica -run TestSchedules -schedules 200 -timeout 2h
+func TestSchedules(t *testing.T) {
+	if *schedules == 0 {
+		t.Skip("an operators' run: give -schedules N")
+	}
+	for i := range *schedules {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { playSchedule(t, seed, 6) })
+	}
+}
