--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -152,20 +153,13 @@
 	c.ElectionTimeout = n.timing.Election
 	c.CommitTimeout = n.timing.Commit
 	c.LeaderLeaseTimeout = n.timing.Lease
-	c.SnapshotThreshold = cmpOr(n.cfg.Snapshot.Entries, 8192)
+	c.SnapshotThreshold = cmp.Or(n.cfg.Snapshot.Entries, 8192)
 	c.TrailingLogs = c.SnapshotThreshold / 2
 	c.SnapshotInterval = 5 * time.Second
 	c.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: os.Stderr})
 	return c
 }
 
-func cmpOr(v, d uint64) uint64 {
-	if v == 0 {
-		return d
-	}
-	return v
-}
-
 // bootstrap gives a new group its first members, once: a member with state of its own, or
 // with no bootstrap list, waits to be added by the leader.
 func (n *Node) bootstrap(snaps raft.SnapshotStore) error {
