--- a/agent/agent.go
+++ b/agent/agent.go
@@ -40,6 +40,8 @@
 	// Stray hears of a call's end at a setup server when the call is none of this agent's:
 	// it stood before a restart, and its caller still waits to be told. err as for Ended.
 	Stray func(id string, err error)
+	// Keeper copies promises to further agents; nil: this agent keeps them for itself alone.
+	Keeper Keeper
 }
 
 // Route is what a call's route gives it beyond the settings; zero fields leave the settings.
@@ -80,6 +82,7 @@
 	tallies map[string]*Tally // by class; the map itself never changes
 	figures figures
 	router  atomic.Pointer[Router] // nil: every call has the settings' limits
+	echoes  map[string]*call       // calls that stand by another agent's answer, told here
 }
 
 // SetRouter has the calls that arrive from now on take their routes from r; nil: none.
@@ -166,6 +169,12 @@
 	guard    *time.Timer   // of the call: the core's own last word
 	last     *Failure      // of its latest attempt
 	timeout  time.Duration // of each attempt, by its route; 0: until the module's deadline
+
+	claimed  bool     // further agents know that this one alone sends it, and no answer of it
+	keeping  bool     // its claim or its answer is on the way to further agents
+	promised bool     // further agents hold that it stands
+	ended    bool     // it stood, and ended while its answer was being kept
+	end      *Failure // how
 }
 
 // New returns an agent, or tells why the settings can't be used. The backend may be
@@ -176,7 +185,7 @@
 		return nil, err
 	}
 	a := &Agent{cfg: cfg, ctrl: ctrl, box: mailbox.New[event](cmp.Or(cfg.Mailbox, 8192)),
-		calls: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, tallies: map[string]*Tally{}, start: time.Now()}
+		calls: map[string]*call{}, echoes: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, tallies: map[string]*Tally{}, start: time.Now()}
 	// The module compares its time with the Unix milliseconds of a server's start, and
 	// must never see it run backwards: the wall clock once, then the monotonic one.
 	a.origin = policy.Time(a.start.UnixNano())
@@ -325,7 +334,7 @@
 // Unknown tells that a server ended a call of which the backend knows nothing.
 func (a *Agent) Unknown(id string, err *Failure) {
 	a.post(id, func() {
-		if a.calls[id] == nil && !a.recent.Has(id) && a.strays.take(time.Now(), straysMost) {
+		if a.calls[id] == nil && !a.echoEnded(id, err) && !a.recent.Has(id) && a.strays.take(time.Now(), straysMost) {
 			a.cfg.Stray(id, plain(err))
 		}
 	})
@@ -350,6 +359,7 @@
 			if !c.resolved {
 				a.resolve(c)
 				a.refuse(c.front, c.Call, stayAway)
+				a.disclaim(c, Promised{Outcome: Refused, ComeBack: stayAway})
 				a.depart(c)
 			}
 		}
@@ -388,12 +398,22 @@
 			}
 		})
 	})
-	route, left := a.route(in, left)
+	if a.cfg.Keeper != nil {
+		a.claim(c)
+	} else {
+		a.arrive(c)
+	}
+	return true
+}
+
+// arrive tells the module of a call, with its route's limits.
+func (a *Agent) arrive(c *call) {
+	in := c.Call
+	route, left := a.route(in, max(time.Until(in.Deadline), 0))
 	c.timeout = route.AttemptTimeout
 	a.act(a.ctrl.Handle(a.now(), policy.Arrival{ID: in.ID, Class: in.Class, Tenant: in.Tenant,
 		Left: left, Pool: in.Pool, Number: in.Number, Again: in.Again,
 		Attempts: route.Attempts, Spacing: route.Spacing, Pools: route.Pools}))
-	return true
 }
 
 // check looks at what a caller claims before anything is kept of it. A setup server answers
@@ -424,12 +444,17 @@
 
 func (a *Agent) withdraw(f Front, id string) {
 	c := a.calls[id]
-	if c == nil || c.front != f || c.left { // a release may cross the call's end
+	if c == nil {
+		a.echoReleased(f, id)
+		return
+	}
+	if c.front != f || c.left { // a release may cross the call's end
 		return
 	}
 	c.left = true
 	if !c.resolved {
 		a.resolve(c)
+		a.disclaim(c, Promised{Outcome: Failed})
 	}
 	a.depart(c)
 }
@@ -439,6 +464,7 @@
 	if !c.resolved {
 		a.resolve(c)
 		a.fail(c.front, c.Call, err)
+		a.disclaim(c, Promised{Outcome: Failed})
 	}
 	a.depart(c)
 }
@@ -507,15 +533,16 @@
 func (a *Agent) stood(id string, n int, description []byte) {
 	c := a.current(id, n)
 	// Once given up, the answer comes too late: the backend releases it at the server.
-	if c == nil || c.givenUp || c.resolved {
+	if c == nil || c.givenUp || c.resolved || c.keeping {
 		return
 	}
 	c.expiry.Stop()
 	c.stands = true
 	a.stand++
-	a.resolve(c)
-	c.Description = nil
-	a.answer(c.front, c.Call, description)
+	a.final(c, Promised{Outcome: Served, Description: description}, func() {
+		c.Description = nil
+		a.answer(c.front, c.Call, description)
+	})
 	a.act(a.ctrl.Handle(a.now(), policy.Standing{ID: id, Attempt: n, Server: c.server,
 		Delay: a.now() - c.sentAt}))
 }
@@ -530,12 +557,17 @@
 	if c.stands {
 		a.stand--
 	}
-	if c.stands && !c.left {
-		c.left = true
-		c.front.Ended(c.Call, plain(err))
+	switch {
+	case c.stands && c.keeping:
+		c.ended, c.end = true, err
+	case c.stands && !c.left:
+		a.tellEnd(c, err)
+	}
+	if c.promised {
+		a.cfg.Keeper.Over(id)
 	}
 	e := policy.Ended{ID: id, Attempt: n, Server: c.server, Delay: a.now() - c.sentAt,
-		Complete: c.resolved, Report: r}
+		Complete: c.resolved || c.keeping, Report: r}
 	if err != nil {
 		c.last = err
 		e.Result, e.Wait = err.Result, err.Wait
@@ -572,16 +604,12 @@
 				a.giveUp(c, policy.Cancelled)
 			}
 		case policy.Refuse:
-			if c := a.calls[d.ID]; c != nil && !c.resolved {
-				a.resolve(c)
-				a.refuse(c.front, c.Call, d.CoolDown)
-				a.drop(c)
+			if c := a.calls[d.ID]; c != nil && !c.resolved && !c.keeping {
+				a.final(c, Promised{Outcome: Refused, ComeBack: d.CoolDown}, func() { a.refuse(c.front, c.Call, d.CoolDown) })
 			}
 		case policy.Fail:
-			if c := a.calls[d.ID]; c != nil && !c.resolved {
-				a.resolve(c)
-				a.fail(c.front, c.Call, c.overdue())
-				a.drop(c)
+			if c := a.calls[d.ID]; c != nil && !c.resolved && !c.keeping {
+				a.final(c, Promised{Outcome: Failed}, func() { a.fail(c.front, c.Call, c.overdue()) })
 			}
 		case policy.Probe:
 			a.backend.Probe(d.Server)
@@ -597,7 +625,7 @@
 
 func (a *Agent) send(d policy.Send) {
 	c := a.calls[d.ID]
-	if c == nil || c.resolved || c.out {
+	if c == nil || c.resolved || c.out || c.keeping {
 		a.cfg.Log.Error("set-up for a call that is over or out", "call", d.ID, "server", d.Server)
 		return
 	}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -24,9 +24,10 @@
 	Settings json.RawMessage `json:"settings"`
 	Console  string          `json:"console"` // where operators connect; "": nowhere
 
-	State   string `json:"-"` // path of the second front's state; "": that front is off
-	Callers string `json:"-"` // descriptor of the callers' listening socket; "": Listen is bound
-	Routes  string `json:"-"` // path of the per-route limits (YAML); "": the settings' limits for all
+	State    string `json:"-"` // path of the second front's state; "": that front is off
+	Callers  string `json:"-"` // descriptor of the callers' listening socket; "": Listen is bound
+	Promises string `json:"-"` // path of the file of promises (YAML); "": kept by this process alone
+	Routes   string `json:"-"` // path of the per-route limits (YAML); "": the settings' limits for all
 
 	path string // of the file this was read from; "": none
 	seed uint64
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,7 @@
 	pool     *trunk.Pool
 	front    *isupfront.Front
 	second   second
+	promises *promises // nil: what is promised is kept by this process alone
 	follower *bulletin.Follower
 	serving  atomic.Bool
 	stopping atomic.Bool
@@ -70,7 +71,14 @@
 func New(cfg Config, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, log: log}
 	var err error
-	d.core, err = agent.New(agent.Config{Settings: cfg.info.Policy(), Seed: cfg.seed,
+	var kept agent.Keeper
+	if cfg.Promises != "" {
+		if d.promises, err = newPromises(cfg, log); err != nil {
+			return nil, err
+		}
+		kept = d.promises.keeper
+	}
+	d.core, err = agent.New(agent.Config{Keeper: kept, Settings: cfg.info.Policy(), Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
 		Stray: func(id string, err error) { d.front.Stray(id, err) }})
 	if err != nil {
@@ -123,6 +131,11 @@
 	defer shut()
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	leave, err := d.openPromises(background)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	ran := make(chan struct{})
 	go func() { d.core.Run(); close(ran) }()
 	go d.follower.Run(background)
@@ -153,7 +166,7 @@
 // Reload reads the configuration file and the second front's state anew. What can't be
 // used changes nothing.
 func (d *Daemon) Reload() {
-	if d.cfg.path == "" && d.cfg.State == "" && d.cfg.Routes == "" {
+	if d.cfg.path == "" && d.cfg.State == "" && d.cfg.Routes == "" && d.promises == nil {
 		d.log.Warn("nothing to reload: neither a configuration file nor a state file was named at the start")
 		return
 	}
@@ -168,6 +181,13 @@
 		taken = false
 		d.log.Error("routes not taken; the former ones stay", "error", err)
 	}
+	if d.promises != nil {
+		if err := d.promises.reload(d.cfg.Promises); err != nil {
+			taken = false
+			d.log.Error("promises file not taken; the former one stays", "error", err)
+		}
+		d.keepVersions()
+	}
 	if d.cfg.State != "" {
 		if err := d.second.reload(d.cfg.State); err != nil {
 			taken = false
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -23,7 +23,7 @@
 		return nil, fmt.Errorf("configuration: field console: %w", err)
 	}
 	c := &console.Console{Log: d.log, Calls: map[string]func() string{
-		"READY": d.sayReady, "STATS": d.stats, "DRAIN": d.empty, "UNDRAIN": d.refill,
+		"READY": d.sayReady, "STATS": d.stats, "DRAIN": d.keepDrain(true, d.empty), "UNDRAIN": d.keepDrain(false, d.refill), "PROMISES": d.sayPromises,
 	}}
 	go c.Serve(ln)
 	d.log.Info("console open", "listen", ln.Addr().String())
@@ -55,6 +55,9 @@
 	line("g", avoided, "hosts_down")
 	line("c", d.reloads.taken.Load(), "reconfig_ok")
 	line("c", d.reloads.refused.Load(), "reconfig_failed")
+	if d.promises != nil {
+		d.promises.figures(line)
+	}
 	return b.String() + console.End
 }
 
--- /dev/null
+++ b/internal/daemon/promises.go
@@ -0,0 +1,177 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"woodrouter/internal/console"
+	"woodrouter/internal/keeper"
+	"woodrouter/internal/replica"
+)
+
+// promises is the part of an agent that copies what it promises to further agents, and keeps
+// what others promise where it is a member of a group (docs/replication.md). Off unless
+// WOODROUTER_PROMISES names its file.
+type promises struct {
+	cfg    keeper.Config
+	keeper *keeper.Keeper
+	log    *slog.Logger
+}
+
+func newPromises(cfg Config, log *slog.Logger) (*promises, error) {
+	file, err := keeper.LoadConfig(cfg.Promises)
+	if err != nil {
+		return nil, err
+	}
+	p := &promises{cfg: file, keeper: keeper.New(cmp.Or(file.Name, cfg.Name), log), log: log}
+	p.take(file)
+	return p, nil
+}
+
+func (p *promises) take(file keeper.Config) {
+	for _, found := range file.Ring.Spread() {
+		p.log.Warn("ring: a zone's loss would stop a group", "found", found)
+	}
+	p.keeper.Move(file.Ring, file.Previous)
+	p.log.Info("ring taken", "version", file.Ring.Version, "groups", len(file.Ring.Groups), "replaces", file.Previous != nil)
+}
+
+// reload takes a changed file: its rings at once, the rest at the next start. A ring older
+// than the one in force is refused, as claims by it may be fenced off.
+func (p *promises) reload(path string) error {
+	next, err := keeper.LoadConfig(path)
+	if err != nil {
+		return err
+	}
+	if next.Ring.Version < p.cfg.Ring.Version {
+		return fmt.Errorf("promises: %s: field ring.version: %d is before %d, which is in force", path, next.Ring.Version, p.cfg.Ring.Version)
+	}
+	if next.Name != p.cfg.Name || !reflect.DeepEqual(next.Member, p.cfg.Member) {
+		p.log.Warn("promises: name and member hold from the next start")
+	}
+	if !reflect.DeepEqual(next.Ring, p.cfg.Ring) || !reflect.DeepEqual(next.Previous, p.cfg.Previous) {
+		p.take(next)
+	}
+	p.cfg = next
+	return nil
+}
+
+// openPromises starts the agent's part in its group and takes up an order that was kept for it.
+func (d *Daemon) openPromises(ctx context.Context) (leave func(), err error) {
+	if d.promises == nil {
+		return func() {}, nil
+	}
+	leave = d.promises.keeper.Close
+	if m := d.promises.cfg.Member; m != nil {
+		n, err := replica.Open(*m, d.log.With("member", m.ID))
+		if err != nil {
+			return nil, fmt.Errorf("promises: member: %w", err)
+		}
+		ln, err := n.Serve()
+		if err != nil {
+			n.Close()
+			return nil, fmt.Errorf("promises: member: %w", err)
+		}
+		d.log.Info("member started", "member", m.ID, "raft", m.Raft, "client", ln.Addr().String(), "data", m.Data)
+		leave = func() {
+			d.promises.keeper.Close()
+			ln.Close()
+			n.Close()
+		}
+	}
+	go d.recall(ctx)
+	return leave, nil
+}
+
+// recallEvery is how often an agent asks whether it is under an order while no group answers.
+const recallEvery = 500 * time.Millisecond
+
+// recall drains this agent where a drain of it was promised before its start, and keeps the
+// versions it runs by. Until a group answers, calls are refused for want of a quorum anyway.
+func (d *Daemon) recall(ctx context.Context) {
+	for {
+		drained, err := d.promises.keeper.Drained()
+		if err == nil {
+			if drained {
+				d.log.Info("drained by an order kept before this start")
+				d.empty()
+			}
+			d.keepVersions()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(recallEvery):
+		}
+	}
+}
+
+// keepVersions has the groups keep which settings, routes and second front's state this agent
+// runs by.
+func (d *Daemon) keepVersions() {
+	d.promises.keeper.Digest("settings", d.cfg.Settings)
+	for kind, path := range map[string]string{"routes": d.cfg.Routes, "plan": d.cfg.State} {
+		if path != "" {
+			d.promises.keeper.Version(kind, path)
+		}
+	}
+}
+
+// keepDrain has an order kept by the groups before it takes effect here. Where no quorum has
+// it nothing changes: an order that is not promised would be undone by the next restart.
+func (d *Daemon) keepDrain(on bool, order func() string) func() string {
+	return func() string {
+		if d.promises == nil {
+			return order()
+		}
+		if err := d.promises.keeper.Drain(on); err != nil {
+			d.log.Warn("order not kept", "drain", on, "error", err)
+			return console.Failure + " not promised, nothing changed: " + strings.ReplaceAll(err.Error(), "\n", "; ")
+		}
+		return order()
+	}
+}
+
+// figures are the lines of STATS about promises.
+func (p *promises) figures(line func(kind string, n int64, name string)) {
+	c := &p.keeper.Counts
+	line("c", c.Claimed.Load(), "promises_claimed")
+	line("c", c.Kept.Load(), "promises_kept")
+	line("c", c.Echoed.Load(), "promises_echoed")
+	line("c", c.Unkept.Load(), "promises_unkept")
+	line("c", c.Stale.Load(), "promises_stale_ring")
+	line("c", c.Ended.Load(), "promises_ended")
+	line("c", c.EndsDropped.Load(), "promises_ends_dropped")
+}
+
+// sayPromises words what each group tells through its leader.
+func (d *Daemon) sayPromises() string {
+	if d.promises == nil {
+		return console.Failure + " promises are kept by this process alone"
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	views := d.promises.keeper.Overview(ctx)
+	var b strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(views)) {
+		fmt.Fprintln(&b, sayGroup(id, views[id]))
+	}
+	return b.String() + console.End
+}
+
+// sayGroup words a group's state in a line.
+func sayGroup(id string, v keeper.View) string {
+	if v.Err != nil {
+		return fmt.Sprintf("group %s: no leader within reach: %v", id, v.Err)
+	}
+	return fmt.Sprintf("group %s: leader %s, applied %d, claims %d, calls %d, fence %d, drained %v, members %v",
+		id, v.ID, v.Applied, v.Claims, v.Calls, v.Fence, v.Drained, v.Members)
+}
--- a/internal/faultnet/proxy.go
+++ b/internal/faultnet/proxy.go
@@ -242,3 +242,12 @@
 		}
 	}
 }
+
+// DelayAll slows every link, both ways.
+func (m Mesh) DelayAll(d time.Duration) {
+	for _, tos := range m {
+		for _, l := range tos {
+			l.Set(Pass, d, 0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,310 @@
+// Package keeper copies what a call agent promises to further agents: it is the agent.Keeper
+// that claims and resolves calls in the replicated logs of package replica, at the groups that
+// package shard names. It is the thin part: which entry stands is decided by package promise,
+// which group by package shard, and what is sent and answered by package agent.
+package keeper
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/internal/replica"
+	"woodrouter/promise"
+	"woodrouter/shard"
+)
+
+// group is what the keeper needs of a group's client; *replica.Client is one.
+type group interface {
+	Propose(context.Context, promise.Entry) (promise.Result, error)
+	ProposePatiently(context.Context, promise.Entry) (promise.Result, error)
+	Overview(context.Context) (replica.StatusReply, error)
+	Close()
+}
+
+// view is the rings an agent knows, and its way to their groups. It is replaced whole.
+type view struct {
+	now      shard.Ring
+	previous *shard.Ring
+	groups   map[string]group
+}
+
+// Keeper claims and resolves an agent's calls. Its methods do not wait.
+type Keeper struct {
+	name string
+	life string // tells this life's offers from those of an earlier one
+	log  *slog.Logger
+	view atomic.Pointer[view]
+
+	offers atomic.Uint64
+	slots  chan struct{} // proposals under way
+	mu     sync.Mutex
+	tokens map[string]string // of the calls this agent claims or has claimed, until resolved
+	work   sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	// Counts of what came of claims and resolutions, for the operators' figures.
+	Counts Counts
+}
+
+// Counts tell what came of promises since the start. They may be read at any time.
+type Counts struct {
+	Claimed, Kept      atomic.Int64 // claims and resolutions that a quorum has
+	Echoed             atomic.Int64 // calls answered with what another agent, or life, promised
+	Unkept             atomic.Int64 // claims and resolutions no quorum was seen to have in time
+	Stale              atomic.Int64 // claims refused as this agent's ring is older than the fence
+	Ended, EndsDropped atomic.Int64 // ends of standing calls copied, and those given up on
+}
+
+// proposalsMost bounds the proposals under way; a call beyond it is refused at once.
+const proposalsMost = 4096
+
+// claimWait bounds a claim: the caller hears of a group without quorum within it.
+const claimWait = time.Second
+
+// endWait bounds the copying of an end nobody waits for.
+const endWait = 5 * time.Second
+
+// New returns the keeper of an agent by its name. Move must name its groups before its use.
+func New(name string, log *slog.Logger) *Keeper {
+	k := &Keeper{name: name, life: rand.Text(), log: log, slots: make(chan struct{}, proposalsMost), tokens: map[string]string{}}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	return k
+}
+
+// Move has claims from now on follow these rings; what is under way goes on where it is.
+func (k *Keeper) Move(now shard.Ring, previous *shard.Ring) {
+	v := &view{now: now, previous: previous, groups: map[string]group{}}
+	rings := []shard.Ring{now}
+	if previous != nil {
+		rings = append(rings, *previous)
+	}
+	for _, r := range rings {
+		for _, g := range r.Groups {
+			if v.groups[g.ID] == nil {
+				v.groups[g.ID] = client(g)
+			}
+		}
+	}
+	if old := k.view.Swap(v); old != nil {
+		// Proposals under way may still use the old clients: they end with their own bounds.
+		time.AfterFunc(2*endWait, old.close)
+	}
+}
+
+func client(g shard.Group) *replica.Client {
+	members := map[string]string{}
+	for _, m := range g.Members {
+		members[m.ID] = m.Client
+	}
+	return replica.NewClient(members)
+}
+
+func (v *view) close() {
+	for _, g := range v.groups {
+		g.Close()
+	}
+}
+
+// closeGrace is how long proposals nobody waits for may still take as the agent stops.
+const closeGrace = 300 * time.Millisecond
+
+// Close ends what is under way, after a short grace; each proposal's done is still called.
+func (k *Keeper) Close() {
+	late := time.AfterFunc(closeGrace, k.cancel)
+	k.work.Wait()
+	late.Stop()
+	k.cancel()
+	if v := k.view.Load(); v != nil {
+		v.close()
+	}
+}
+
+// start runs one proposal in its own goroutine, or reports that too many are under way.
+func (k *Keeper) start(do func()) bool {
+	select {
+	case k.slots <- struct{}{}:
+	default:
+		return false
+	}
+	k.work.Go(func() {
+		defer func() { <-k.slots }()
+		do()
+	})
+	return true
+}
+
+// Claim claims a call along its path of groups.
+func (k *Keeper) Claim(c agent.Call, comeBack time.Duration, done func(agent.Kept)) {
+	token := fmt.Sprintf("%s/%s/%d", k.name, k.life, k.offers.Add(1))
+	k.mu.Lock()
+	k.tokens[c.ID] = token
+	k.mu.Unlock()
+	if !k.start(func() {
+		ctx, cancel := context.WithTimeout(k.ctx, min(claimWait, max(time.Until(c.Deadline), 0)))
+		defer cancel()
+		kept := k.claim(ctx, c.ID, token, comeBack)
+		if !kept.OK {
+			k.forget(c.ID, token)
+		}
+		done(kept)
+	}) {
+		k.forget(c.ID, token)
+		go done(agent.Kept{ComeBack: comeBack})
+	}
+}
+
+func (k *Keeper) forget(call, token string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.tokens[call] == token {
+		delete(k.tokens, call)
+	}
+}
+
+// claim walks the path: what stands at a step is carried to the next, so that the last step
+// has the last word on the call.
+func (k *Keeper) claim(ctx context.Context, call, token string, comeBack time.Duration) agent.Kept {
+	v := k.view.Load()
+	var stands *promise.Resolution
+	for _, step := range shard.Path(v.now, v.previous, call) {
+		r, err := proposeClaim(ctx, v.groups[step.Group], promise.Entry{Op: promise.OpClaim, Call: call, Token: token,
+			Ring: step.Ring, ComeBackUs: comeBack.Microseconds(), AtUs: time.Now().UnixMicro()})
+		if err != nil {
+			return k.unkept("claim", call, step.Group, err)
+		}
+		if r.Claimed && stands != nil {
+			r, err = v.groups[step.Group].Propose(ctx, again(call, token, *stands))
+			if err != nil {
+				return k.unkept("claim", call, step.Group, err)
+			}
+			r.Resolved = true
+		}
+		if r.Resolved {
+			stands = &r.Resolution
+		}
+	}
+	if stands != nil {
+		k.Counts.Echoed.Add(1)
+		return agent.Kept{Stands: told(*stands)}
+	}
+	k.Counts.Claimed.Add(1)
+	return agent.Kept{OK: true}
+}
+
+// proposeClaim proposes a claim. Where no quorum is known the caller is to hear so at once;
+// where the claim may stand it is proposed again, as its token makes that harmless.
+func proposeClaim(ctx context.Context, g group, e promise.Entry) (promise.Result, error) {
+	r, err := g.Propose(ctx, e)
+	if errors.Is(err, replica.ErrUnknown) {
+		return g.ProposePatiently(ctx, e)
+	}
+	return r, err
+}
+
+// Resolve keeps a claimed call's final answer along its path of groups.
+func (k *Keeper) Resolve(id string, p agent.Promised, until time.Time, done func(agent.Kept)) {
+	k.mu.Lock()
+	token := k.tokens[id]
+	delete(k.tokens, id)
+	k.mu.Unlock()
+	e := promise.Entry{Op: promise.OpResolve, Call: id, Token: token, Answer: answers[p.Outcome], Server: p.Server,
+		Description: p.Description, ComeBackUs: p.ComeBack.Microseconds(), AtUs: time.Now().UnixMicro()}
+	if !k.start(func() {
+		ctx, cancel := context.WithDeadline(k.ctx, until)
+		defer cancel()
+		done(k.resolve(ctx, e))
+	}) {
+		go done(agent.Kept{ComeBack: p.ComeBack})
+	}
+}
+
+func (k *Keeper) resolve(ctx context.Context, e promise.Entry) agent.Kept {
+	v := k.view.Load()
+	first := true
+	var stands promise.Resolution
+	for _, step := range shard.Path(v.now, v.previous, e.Call) {
+		r, err := v.groups[step.Group].ProposePatiently(ctx, e)
+		if err != nil {
+			return k.unkept("resolution", e.Call, step.Group, err)
+		}
+		stands = r.Resolution
+		// An entry proposed twice is first only once: what stands tells whether it is ours.
+		first = r.First || same(stands, e)
+		e = again(e.Call, e.Token, stands)
+	}
+	if !first {
+		k.Counts.Echoed.Add(1)
+		return agent.Kept{Stands: told(stands)}
+	}
+	k.Counts.Kept.Add(1)
+	return agent.Kept{OK: true}
+}
+
+// same tells whether a resolution is the one that an entry proposes. Of two offers of one call
+// that fail alike at the same microsecond either may be meant: both are told the same.
+func same(r promise.Resolution, e promise.Entry) bool {
+	return r.Answer == e.Answer && r.Server == e.Server && r.ComeBackUs == e.ComeBackUs && r.AtUs == e.AtUs &&
+		string(r.Description) == string(e.Description)
+}
+
+// again words what stands at one group for the next.
+func again(call, token string, r promise.Resolution) promise.Entry {
+	return promise.Entry{Op: promise.OpResolve, Call: call, Token: token, Answer: r.Answer, Server: r.Server,
+		Description: r.Description, ComeBackUs: r.ComeBackUs, AtUs: r.AtUs}
+}
+
+// Over copies that a call which stood is over.
+func (k *Keeper) Over(id string) {
+	if !k.start(func() {
+		ctx, cancel := context.WithTimeout(k.ctx, endWait)
+		defer cancel()
+		v := k.view.Load()
+		for _, step := range shard.Path(v.now, v.previous, id) {
+			if _, err := v.groups[step.Group].ProposePatiently(ctx, promise.Entry{Op: promise.OpEnd, Call: id, AtUs: time.Now().UnixMicro()}); err != nil {
+				k.Counts.EndsDropped.Add(1)
+				k.log.Warn("end of a call not copied", "call", id, "group", step.Group, "error", err)
+				return
+			}
+		}
+		k.Counts.Ended.Add(1)
+	}) {
+		k.Counts.EndsDropped.Add(1)
+	}
+}
+
+// unkept words why a proposal has no quorum's word, with when to come back.
+func (k *Keeper) unkept(what, call, group string, err error) agent.Kept {
+	k.Counts.Unkept.Add(1)
+	after := replica.Defaults.Election * 2
+	var later *replica.Later
+	switch {
+	case errors.As(err, &later):
+		after = later.After
+	case errors.Is(err, promise.ErrStale):
+		k.Counts.Stale.Add(1)
+	}
+	k.log.Warn(what+" not kept", "call", call, "group", group, "come_back", after, "error", err)
+	return agent.Kept{ComeBack: after}
+}
+
+// answers are the outcomes in the log's words; told gives them back.
+var answers = map[agent.Outcome]string{agent.Served: promise.AnswerServed, agent.Refused: promise.AnswerRefused,
+	agent.Failed: promise.AnswerFailed}
+
+func told(r promise.Resolution) *agent.Promised {
+	p := &agent.Promised{Outcome: agent.Failed, Server: r.Server, Description: r.Description,
+		ComeBack: time.Duration(r.ComeBackUs) * time.Microsecond, Over: r.Over}
+	for o, word := range answers {
+		if word == r.Answer {
+			p.Outcome = o
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/labcli/labcli.go
@@ -0,0 +1,179 @@
+// Package labcli is the command line of the laboratory, cmd/woodlab.
+package labcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/promiselab"
+)
+
+// commandLine is the grammar, read by kong.
+type commandLine struct {
+	Bin      string          `help:"The program under test; built from this module if not given." type:"existingfile"`
+	Promises promisesCommand `cmd:"" help:"Replicated promises (docs/replication.md)."`
+}
+
+type promisesCommand struct {
+	Schedules schedulesCommand `cmd:"" help:"Play random fault schedules; exit 1 if any loses a promise or is not linearizable."`
+	Measure   measureCommand   `cmd:"" help:"Measure commit latency, promises a second, time to a new leader, and catch-up."`
+}
+
+type schedulesCommand struct {
+	Count    int    `help:"Schedules to play." default:"200"`
+	Seed     uint64 `help:"The first schedule's seed; each next one has the next." default:"1"`
+	Members  int    `help:"Members of each group." default:"3"`
+	Steps    int    `help:"Faults in each schedule." default:"6"`
+	Clients  int    `help:"Clients at work." default:"3"`
+	Parallel int    `help:"Schedules at once." default:"2"`
+	JSON     string `help:"Write each schedule's report to this file, a line each."`
+}
+
+type measureCommand struct {
+	Promises int           `help:"Promises for each latency figure; ten times as many for throughput." default:"1000"`
+	Kills    int           `help:"Leaders killed." default:"10"`
+	Sizes    []int         `help:"Resolutions held when a disk is wiped." default:"1000,10000,100000"`
+	Delay    time.Duration `help:"Delay of each link, each way, for the second latency figure." default:"20ms"`
+}
+
+// Main runs the command and returns the exit code: 0 for a run that found nothing, 1 otherwise.
+func Main(args []string, out, errs io.Writer) int {
+	var cli commandLine
+	parser, err := kong.New(&cli, kong.Name("woodlab"), kong.Writers(out, errs),
+		kong.Description("Laboratory: long fault schedules and measurements of many processes on loopback."))
+	if err != nil {
+		panic(err) // the grammar above is wrong: a program error
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errs, "woodlab:", err)
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	dir, err := os.MkdirTemp("", "woodlab")
+	if err != nil {
+		fmt.Fprintln(errs, "woodlab:", err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	if cli.Bin == "" {
+		cli.Bin, err = faultnet.Build(dir)
+	}
+	if err == nil {
+		switch parsed.Command() {
+		case "promises schedules":
+			err = cli.Promises.Schedules.run(ctx, cli.Bin, dir, out)
+		case "promises measure":
+			m := cli.Promises.Measure
+			err = promiselab.Measurement{Bin: cli.Bin, Dir: dir, Promises: m.Promises, Kills: m.Kills, Sizes: m.Sizes, Delay: m.Delay}.Run(ctx, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(errs, "woodlab:", err)
+		return 1
+	}
+	return 0
+}
+
+// run plays the schedules, some at once, and tells of each as it ends and of all in the last
+// line.
+func (c schedulesCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
+	var (
+		mu     sync.Mutex
+		sum    summary
+		work   sync.WaitGroup
+		seeds  = make(chan uint64)
+		report *json.Encoder
+	)
+	if c.JSON != "" {
+		f, err := os.Create(c.JSON)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		report = json.NewEncoder(f)
+	}
+	for range max(c.Parallel, 1) {
+		work.Go(func() {
+			for seed := range seeds {
+				where := filepath.Join(dir, fmt.Sprint("seed-", seed))
+				os.MkdirAll(where, 0o750)
+				r, err := promiselab.Schedule{Seed: seed, Members: c.Members, Steps: c.Steps, Clients: c.Clients}.Play(ctx, bin, where)
+				os.RemoveAll(where)
+				mu.Lock()
+				sum.add(r, err)
+				fmt.Fprintln(out, line(seed, r, err))
+				if report != nil {
+					report.Encode(r)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range c.Count {
+		if ctx.Err() != nil {
+			break
+		}
+		seeds <- c.Seed + uint64(i)
+	}
+	close(seeds)
+	work.Wait()
+	return sum.tell(out)
+}
+
+func line(seed uint64, r promiselab.Report, err error) string {
+	if err == nil {
+		err = r.Err()
+	}
+	verdict := "ok"
+	if err != nil {
+		verdict = "FAILED: " + err.Error()
+	}
+	return fmt.Sprintf("seed %d: %d operations, %d refused, %d promised, %d lost, %v: %s",
+		seed, r.Operations, r.Refused, r.Promised, len(r.Lost), r.Took.Round(time.Millisecond), verdict)
+}
+
+// summary adds schedules up.
+type summary struct {
+	schedules, failed, operations, promised, lost int
+	faults                                        map[string]int
+}
+
+func (s *summary) add(r promiselab.Report, err error) {
+	s.schedules++
+	if err != nil || r.Err() != nil {
+		s.failed++
+	}
+	s.operations += r.Operations
+	s.promised += r.Promised
+	s.lost += len(r.Lost)
+	if s.faults == nil {
+		s.faults = map[string]int{}
+	}
+	for _, f := range r.Faults {
+		s.faults[f]++
+	}
+}
+
+func (s *summary) tell(out io.Writer) error {
+	for _, f := range promiselab.Faults() {
+		fmt.Fprintf(out, "%5d x %s\n", s.faults[f], f)
+	}
+	fmt.Fprintf(out, "%d schedules, %d operations, %d promises read back, %d lost, %d schedules failed\n",
+		s.schedules, s.operations, s.promised, s.lost, s.failed)
+	if s.failed > 0 {
+		return fmt.Errorf("%d of %d schedules failed", s.failed, s.schedules)
+	}
+	return nil
+}
--- a/internal/replica/harness.go
+++ b/internal/promiselab/group.go
@@ -1,7 +1,12 @@
-package replica
+// Package promiselab is the laboratory of replicated promises: it starts members and agents as
+// processes of the program, puts faults between them from a seed, checks what clients saw for
+// linearizability, and measures. It runs in tests and behind cmd/woodlab; the daemon does not
+// use it. Loopback only.
+package promiselab
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -12,6 +17,7 @@
 	"github.com/goccy/go-yaml"
 
 	"woodrouter/internal/faultnet"
+	"woodrouter/internal/replica"
 )
 
 // Group is a group of members, each its own process of the program, with a fault proxy on
@@ -19,11 +25,12 @@
 // long runs (docs/replication.md). Loopback only.
 type Group struct {
 	Dir     string
+	Entries uint64 // entries from snapshot to snapshot
 	Procs   map[string]*faultnet.Proc
 	Mesh    faultnet.Mesh
 	raft    map[string]string // id -> real log address
 	client  map[string]string // id -> client address
-	configs map[string]Config
+	configs map[string]replica.Config
 }
 
 // reserve holds a free loopback port until release: a member's addresses must outlive its
@@ -37,11 +44,12 @@
 	return ln.Addr().String(), nil
 }
 
-// StartGroup starts n members named n1..nN from bin under dir, bootstrapped together.
-func StartGroup(bin, dir string, n int, seed uint64) (*Group, error) {
-	g := &Group{Dir: dir, Procs: map[string]*faultnet.Proc{}, raft: map[string]string{},
-		client: map[string]string{}, configs: map[string]Config{}}
-	var boot []Peer
+// StartGroup starts n members named n1..nN from bin under dir, bootstrapped together. entries
+// is how many entries lie between snapshots; few, so that a test passes several.
+func StartGroup(bin, dir string, n int, seed, entries uint64) (*Group, error) {
+	g := &Group{Dir: dir, Entries: entries, Procs: map[string]*faultnet.Proc{}, raft: map[string]string{},
+		client: map[string]string{}, configs: map[string]replica.Config{}}
+	var boot []replica.Peer
 	var held []net.Listener
 	release := func() {
 		for _, ln := range held {
@@ -61,7 +69,7 @@
 			return nil, err
 		}
 		g.raft[id], g.client[id] = r, c
-		boot = append(boot, Peer{ID: id, Raft: r})
+		boot = append(boot, replica.Peer{ID: id, Raft: r})
 	}
 	var err error
 	g.Mesh, err = faultnet.NewMesh(g.raft, seed)
@@ -80,13 +88,13 @@
 
 // add writes a member's file and starts it; name is the process (and its links), id its
 // id in the group, which a member with a wiped disk takes anew.
-func (g *Group) add(bin, name, id string, boot []Peer) error {
+func (g *Group) add(bin, name, id string, boot []replica.Peer) error {
 	links := map[string]string{}
 	for to, l := range g.Mesh[name] {
 		links[g.raft[to]] = l.Addr()
 	}
-	c := Config{ID: id, Raft: g.raft[name], Client: g.client[name], Data: filepath.Join(g.Dir, id),
-		Bootstrap: boot, Links: links, Snapshot: SnapshotConfig{Entries: 64}}
+	c := replica.Config{ID: id, Raft: g.raft[name], Client: g.client[name], Data: filepath.Join(g.Dir, id),
+		Bootstrap: boot, Links: links, Snapshot: replica.SnapshotConfig{Entries: g.Entries}}
 	data, err := yaml.Marshal(c)
 	if err != nil {
 		return err
@@ -114,36 +122,44 @@
 	}
 	admin := g.Client()
 	defer admin.Close()
-	if err := admin.member(ctx, "Replica.Remove", MemberArgs{ID: old.ID}); err != nil {
+	if err := patiently(ctx, func() error { return admin.Remove(ctx, old.ID) }); err != nil {
 		return fmt.Errorf("remove %s: %w", old.ID, err)
 	}
 	if err := g.add(g.Procs[name].Bin, name, newID, nil); err != nil {
 		return err
 	}
-	return admin.member(ctx, "Replica.Join", MemberArgs{ID: newID, Raft: g.raft[name]})
+	return patiently(ctx, func() error { return admin.Join(ctx, newID, g.raft[name]) })
 }
 
-func (c *Client) member(ctx context.Context, method string, args MemberArgs) error {
-	return c.each(ctx, func(id string) (*Reply, error) {
-		var r Reply
-		return &r, c.call(ctx, id, method, args, &r)
-	})
+// patiently repeats a membership change, which does nothing when it stands already, while the
+// group tells when to come back: a leader may fall on the way and the end is then not known.
+func patiently(ctx context.Context, change func() error) error {
+	for {
+		err := change()
+		var later *replica.Later
+		if !errors.As(err, &later) || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(later.After / 4):
+		}
+	}
 }
 
 // Client reaches the group through every member.
-func (g *Group) Client() *Client { return NewClient(g.client) }
+func (g *Group) Client() *replica.Client { return replica.NewClient(g.client) }
 
 // ClientOf reaches the group through one member only, as a caller on its side of a cut.
-func (g *Group) ClientOf(name string) *Client {
-	return NewClient(map[string]string{name: g.client[name]})
+func (g *Group) ClientOf(name string) *replica.Client {
+	return replica.NewClient(map[string]string{name: g.client[name]})
 }
 
 // Status asks one member for its view.
-func (g *Group) Status(name string) (StatusReply, error) {
+func (g *Group) Status(name string) (replica.StatusReply, error) {
 	c := g.ClientOf(name)
 	defer c.Close()
-	var s StatusReply
-	return s, c.call(context.Background(), name, "Replica.Status", struct{}{}, &s)
+	return c.Status(context.Background(), name)
 }
 
 // Leader waits until the running members agree on one leader, and names its process.
--- /dev/null
+++ b/internal/promiselab/history.go
@@ -0,0 +1,229 @@
+package promiselab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"woodrouter/internal/replica"
+	"woodrouter/promise"
+)
+
+// op is one client's operation on one call.
+type op struct {
+	Kind   promise.Op // OpClaim, OpResolve, or "" for a read
+	Call   string
+	Token  string
+	Answer string // of a resolve
+}
+
+// seen is what a client was told of an operation.
+type seen struct {
+	Claimed bool
+	Answer  string // what stands; "" for a read or a claim that met none
+	Another bool   // a resolve of a call that another has claimed
+	Unknown bool   // not known whether it took effect
+}
+
+// history records operations with their times; of one whose end is not known the return lies
+// at the end of time, so that it may take effect at any moment, or never.
+type history struct {
+	mu       sync.Mutex
+	start    time.Time
+	ops      []porcupine.Operation
+	promised map[string]string // call -> answer, of every resolution told as promised
+	claimed  map[string]string // call -> the token told that it alone may send
+	double   []string          // calls that two tokens were told they may send
+	refused  int               // operations answered with no quorum
+}
+
+func newHistory() *history {
+	return &history{start: time.Now(), promised: map[string]string{}, claimed: map[string]string{}}
+}
+
+// do plays an operation and records it. It returns the error of one that was not taken.
+func (h *history) do(client int, in op, ask func() (seen, error)) (seen, error) {
+	begin := time.Since(h.start).Nanoseconds()
+	out, err := ask()
+	end := time.Since(h.start).Nanoseconds()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case errors.Is(err, promise.ErrEntry):
+		out = seen{Another: true}
+	case errors.Is(err, replica.ErrUnknown) && in.Kind != "":
+		out, end = seen{Unknown: true}, math.MaxInt64
+	case err != nil: // nothing happened: not taken, or a read without an answer
+		h.refused++
+		return out, err
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Call: begin, Output: out, Return: end})
+	h.note(in, out)
+	return out, err
+}
+
+// note keeps what a client was promised, for the check that none of it is lost.
+func (h *history) note(in op, out seen) {
+	if out.Answer != "" && in.Kind != "" {
+		h.promised[in.Call] = out.Answer
+	}
+	if !out.Claimed {
+		return
+	}
+	if t, ok := h.claimed[in.Call]; ok && t != in.Token {
+		h.double = append(h.double, in.Call)
+	}
+	h.claimed[in.Call] = in.Token
+}
+
+func (h *history) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.promised)
+}
+
+// model is one call as package promise promises it: free, claimed by a token, or resolved.
+var model = porcupine.NondeterministicModel{
+	Partition: byCall,
+	Init:      func() []any { return []any{""} },
+	Step: func(state, in, out any) []any {
+		s, i, o := state.(string), in.(op), out.(seen)
+		next, told := step(s, i)
+		if o.Unknown {
+			return []any{s, next}
+		}
+		if told != o {
+			return nil
+		}
+		return []any{next}
+	},
+}
+
+const claimMark = "claim "
+
+// step is the call's next state and what its client must be told.
+func step(state string, in op) (string, seen) {
+	holder, claimed := strings.CutPrefix(state, claimMark)
+	resolved := state != "" && !claimed
+	switch {
+	case in.Kind == "" && resolved:
+		return state, seen{Answer: state}
+	case in.Kind == "":
+		return state, seen{}
+	case resolved:
+		return state, seen{Answer: state}
+	case in.Kind == promise.OpClaim && claimed && holder != in.Token:
+		return promise.AnswerRefused, seen{Answer: promise.AnswerRefused}
+	case in.Kind == promise.OpClaim:
+		return claimMark + in.Token, seen{Claimed: true}
+	case claimed && holder != in.Token:
+		return state, seen{Another: true}
+	}
+	return in.Answer, seen{Answer: in.Answer}
+}
+
+func byCall(ops []porcupine.Operation) (parts [][]porcupine.Operation) {
+	by := map[string][]porcupine.Operation{}
+	for _, o := range ops {
+		c := o.Input.(op).Call
+		by[c] = append(by[c], o)
+	}
+	for _, p := range by {
+		parts = append(parts, p)
+	}
+	return parts
+}
+
+// client plays operations on calls drawn from a small set, so that clients race on the same
+// calls, until stop is closed: claims, resolutions with and without a claim, and reads.
+func (h *history) client(ctx context.Context, c *replica.Client, n int, seed uint64, stop <-chan struct{}) {
+	defer c.Close()
+	rng := rand.New(rand.NewPCG(seed, uint64(n)))
+	answers := []string{promise.AnswerServed, promise.AnswerRefused, promise.AnswerFailed}
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		in := op{Call: fmt.Sprintf("call-%d", rng.IntN(2000)), Token: fmt.Sprintf("c%d-%d", n, i), Answer: answers[rng.IntN(3)]}
+		var err error
+		switch rng.IntN(4) {
+		case 0:
+			_, err = h.read(ctx, c, n, in.Call)
+		case 1:
+			_, err = h.propose(ctx, c, n, in, promise.OpResolve)
+		default:
+			var out seen
+			if out, err = h.propose(ctx, c, n, in, promise.OpClaim); out.Claimed {
+				_, err = h.propose(ctx, c, n, in, promise.OpResolve)
+			}
+		}
+		var later *replica.Later
+		if errors.As(err, &later) {
+			time.Sleep(later.After / 4) // as told, and sooner for a busier run
+		}
+	}
+}
+
+func (h *history) read(ctx context.Context, c *replica.Client, n int, call string) (seen, error) {
+	return h.do(n, op{Call: call}, func() (seen, error) {
+		r, _, err := c.Read(ctx, call)
+		return seen{Answer: r.Answer}, err
+	})
+}
+
+func (h *history) propose(ctx context.Context, c *replica.Client, n int, in op, kind promise.Op) (seen, error) {
+	in.Kind = kind
+	e := promise.Entry{Op: kind, Call: in.Call, Token: in.Token, AtUs: time.Now().UnixMicro()}
+	if kind == promise.OpResolve {
+		e.Answer, e.Server = in.Answer, "s1"
+	} else {
+		in.Answer = ""
+	}
+	return h.do(n, in, func() (seen, error) {
+		r, err := c.Propose(ctx, e)
+		return seen{Claimed: r.Claimed, Answer: r.Resolution.Answer}, err
+	})
+}
+
+// checkMost bounds the search for an order that explains a history.
+const checkMost = 30 * time.Second
+
+// linear tells whether some order of the operations, each between its call and its return,
+// explains what every client was told (Herlihy and Wing, "Linearizability: a correctness
+// condition for concurrent objects", ACM TOPLAS 12(3), 1990).
+func (h *history) linear() porcupine.CheckResult {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	res, _ := porcupine.CheckOperationsVerbose(model.ToModel(), h.ops, checkMost)
+	return res
+}
+
+// lost reads every promised resolution back, and names those that are gone or changed.
+func (h *history) lost(ctx context.Context, c *replica.Client) (lost []string) {
+	defer c.Close()
+	for call, answer := range h.promised {
+		r, found, err := readBack(ctx, c, call)
+		if err != nil || !found || r.Answer != answer {
+			lost = append(lost, fmt.Sprintf("%s: promised %s, read %q (found %v, %v)", call, answer, r.Answer, found, err))
+		}
+	}
+	return lost
+}
+
+// readBack reads a call, again where the group asks to come back.
+func readBack(ctx context.Context, c *replica.Client, call string) (r promise.Resolution, found bool, err error) {
+	err = patiently(ctx, func() error {
+		r, found, err = c.Read(ctx, call)
+		return err
+	})
+	return r, found, err
+}
--- /dev/null
+++ b/internal/promiselab/lab_test.go
@@ -0,0 +1,40 @@
+package promiselab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	"woodrouter/internal/faultnet"
+)
+
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "promiselab")
+	if err == nil {
+		bin, err = faultnet.Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// TestFaults puts every fault between three members once, with clients at work: no promise is
+// lost, no call is claimed twice, and the history is linearizable. The operators' long run is
+// `woodlab promises schedules`.
+func TestFaults(t *testing.T) {
+	r, err := Schedule{Seed: 7, Members: 3, Clients: 3}.Play(context.Background(), bin, t.TempDir())
+	if err == nil {
+		err = r.Err()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%v: %d operations, %d promised, %d refused", r.Took, r.Operations, r.Promised, r.Refused)
+}
--- /dev/null
+++ b/internal/promiselab/measure.go
@@ -0,0 +1,269 @@
+package promiselab
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"woodrouter/internal/replica"
+	"woodrouter/promise"
+)
+
+// Measurement is what to measure. Zero fields take the defaults of docs/replication.md.
+type Measurement struct {
+	Bin      string
+	Dir      string        // a scratch directory; each group has one of its own below it
+	Promises int           // for each latency figure, and each throughput figure
+	Kills    int           // leaders killed for the time to a new one
+	Sizes    []int         // resolutions held before a member's disk is wiped
+	Delay    time.Duration // of each link, each way, for the second latency figure
+}
+
+// measureMost bounds one figure.
+const measureMost = 5 * time.Minute
+
+// Run measures and writes the tables of docs/replication.md, in Markdown, to out.
+func (m Measurement) Run(ctx context.Context, out io.Writer) error {
+	m.Promises, m.Kills = cmp.Or(m.Promises, 1000), cmp.Or(m.Kills, 10)
+	m.Delay = cmp.Or(m.Delay, 20*time.Millisecond)
+	if m.Sizes == nil {
+		m.Sizes = []int{1000, 10_000, 100_000}
+	}
+	for _, part := range []func(context.Context, io.Writer) error{m.latency, m.throughput, m.newLeader, m.catchUp} {
+		if err := part(ctx, out); err != nil {
+			return err
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
+
+// group runs do against a new group of n members with a leader.
+func (m Measurement) group(ctx context.Context, name string, n int, entries uint64, do func(context.Context, *Group) error) error {
+	ctx, cancel := context.WithTimeout(ctx, measureMost)
+	defer cancel()
+	dir := filepath.Join(m.Dir, name)
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return err
+	}
+	g, err := StartGroup(m.Bin, dir, n, 1, entries)
+	if err != nil {
+		return err
+	}
+	defer g.Close()
+	if _, err := g.Leader(ctx); err != nil {
+		return err
+	}
+	if err := do(ctx, g); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// newHistogram holds microseconds up to a minute with three digits.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) { _ = h.RecordValue(d.Microseconds()) } // beyond a minute: the context ended
+
+func millis(us int64) string { return fmt.Sprintf("%.1f ms", float64(us)/1000) }
+
+func resolution(call string) promise.Entry {
+	return promise.Entry{Op: promise.OpResolve, Call: call, Answer: promise.AnswerServed, Server: "s1",
+		Description: make([]byte, 200), AtUs: time.Now().UnixMicro()}
+}
+
+// latency is the commit latency of one promise at a time.
+func (m Measurement) latency(ctx context.Context, out io.Writer) error {
+	fmt.Fprintln(out, "| members | link delay, each way | p50 | p99 |\n| --- | --- | --- | --- |")
+	for _, n := range []int{3, 5} {
+		for _, delay := range []time.Duration{0, m.Delay} {
+			err := m.group(ctx, fmt.Sprintf("latency-%d-%v", n, delay), n, 8192, func(ctx context.Context, g *Group) error {
+				g.Mesh.DelayAll(delay)
+				c, h := g.Client(), newHistogram()
+				defer c.Close()
+				for i := range m.Promises {
+					began := time.Now()
+					if _, err := c.Propose(ctx, resolution(fmt.Sprint("l", i))); err != nil {
+						return err
+					}
+					record(h, time.Since(began))
+				}
+				fmt.Fprintf(out, "| %d | %v | %s | %s |\n", n, delay, millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)))
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// throughput is the promises a second that many proposers get from one group together.
+func (m Measurement) throughput(ctx context.Context, out io.Writer) error {
+	fmt.Fprintln(out, "| members | proposers | promises a second | p50 | p99 |\n| --- | --- | --- | --- | --- |")
+	for _, n := range []int{3, 5} {
+		for _, proposers := range []int{16, 128} {
+			err := m.group(ctx, fmt.Sprintf("throughput-%d-%d", n, proposers), n, 8192, func(ctx context.Context, g *Group) error {
+				h, took, err := many(ctx, g, proposers, 10*m.Promises)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(out, "| %d | %d | %.0f | %s | %s |\n", n, proposers, float64(10*m.Promises)/took.Seconds(),
+					millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)))
+				return nil
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// many resolves total calls through proposers at once.
+func many(ctx context.Context, g *Group, proposers, total int) (*hdrhistogram.Histogram, time.Duration, error) {
+	var (
+		next  atomic.Int64
+		mu    sync.Mutex
+		all   = newHistogram()
+		first error
+		work  sync.WaitGroup
+	)
+	began := time.Now()
+	for range proposers {
+		work.Go(func() {
+			c, h := g.Client(), newHistogram()
+			defer c.Close()
+			var err error
+			for i := next.Add(1); i <= int64(total) && err == nil; i = next.Add(1) {
+				t0 := time.Now()
+				_, err = c.Propose(ctx, resolution(fmt.Sprint("t", i)))
+				record(h, time.Since(t0))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all.Merge(h)
+			if first == nil {
+				first = err
+			}
+		})
+	}
+	work.Wait()
+	return all, time.Since(began), first
+}
+
+// newLeader is the time from a leader's SIGKILL to the next promise.
+func (m Measurement) newLeader(ctx context.Context, out io.Writer) error {
+	fmt.Fprintln(out, "| members | leaders killed | p50 | longest |\n| --- | --- | --- | --- |")
+	for _, n := range []int{3, 5} {
+		err := m.group(ctx, fmt.Sprintf("leader-%d", n), n, 8192, func(ctx context.Context, g *Group) error {
+			h := newHistogram()
+			for i := range m.Kills {
+				took, err := g.failOver(ctx, fmt.Sprint("k", i))
+				if err != nil {
+					return err
+				}
+				record(h, took)
+			}
+			fmt.Fprintf(out, "| %d | %d | %s | %s |\n", n, m.Kills, millis(h.ValueAtQuantile(50)), millis(h.Max()))
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// failOver kills the leader, takes the time to the next promise, and restarts the member.
+func (g *Group) failOver(ctx context.Context, call string) (time.Duration, error) {
+	leader, err := g.Leader(ctx)
+	if err != nil {
+		return 0, err
+	}
+	c := g.Client()
+	defer c.Close()
+	if _, err := c.Propose(ctx, resolution(call+"-before")); err != nil { // so that the client follows it
+		return 0, err
+	}
+	began := time.Now()
+	g.Procs[leader].Kill()
+	for {
+		if _, err = c.Propose(ctx, resolution(call)); err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			return 0, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(began)
+	return took, g.Procs[leader].Start()
+}
+
+// catchUp is the time a member with an empty disk takes to hold what the group holds, from
+// the start of its process.
+func (m Measurement) catchUp(ctx context.Context, out io.Writer) error {
+	fmt.Fprintln(out, "| resolutions held | snapshot | caught up after |\n| --- | --- | --- |")
+	for _, size := range m.Sizes {
+		err := m.group(ctx, fmt.Sprintf("catchup-%d", size), 3, 4096, func(ctx context.Context, g *Group) error {
+			if _, _, err := many(ctx, g, 128, size); err != nil {
+				return err
+			}
+			leader, err := g.Leader(ctx)
+			if err != nil {
+				return err
+			}
+			held, err := g.Status(leader)
+			if err != nil {
+				return err
+			}
+			name := "n1"
+			if leader == name {
+				name = "n2"
+			}
+			began := time.Now()
+			if err := g.Replace(ctx, name, name+"-new"); err != nil {
+				return err
+			}
+			if err := g.CaughtUp(ctx, name, held.Applied); err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "| %d | %.1f MB | %s |\n", size, g.snapshotMB(leader), millis(time.Since(began).Microseconds()))
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// snapshotMB is the size of a member's newest snapshot.
+func (g *Group) snapshotMB(name string) float64 {
+	files, _ := filepath.Glob(filepath.Join(g.configs[name].Data, "snapshots", "*", "state.bin"))
+	most := int64(0)
+	for _, f := range files {
+		if info, err := os.Stat(f); err == nil {
+			most = max(most, info.Size())
+		}
+	}
+	return float64(most) / (1 << 20)
+}
+
+// Propose is one promise through a client of the group's, for benchmarks.
+func (g *Group) Propose(ctx context.Context, c *replica.Client, call string) error {
+	_, err := c.Propose(ctx, resolution(call))
+	return err
+}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/rpc"
 	"slices"
@@ -20,24 +22,39 @@
 // the first resolution that stands is the answer.
 var ErrUnknown = errors.New("replica: not known whether it stands")
 
-// Client reaches a group through its members' client addresses, following the leader.
+// Client reaches a group through its members' client addresses, following the leader. It may
+// be used from many goroutines.
 type Client struct {
 	mu      sync.Mutex
-	members map[string]string // id -> client address
-	order   []string
+	members map[string]*line
+	order   []string // who is asked next while no leader is known
 	leader  string
-	conns   map[string]*rpc.Client
 	// CallTimeout bounds one call to one member; 0: 3 s.
 	CallTimeout time.Duration
 }
 
+// line is the connection to one member. Its lock is held while it is dialled, so that a
+// member that does not answer keeps nobody who asks another waiting.
+type line struct {
+	addr  string
+	mu    sync.Mutex
+	conn  *rpc.Client
+	heard time.Time // of the last answer, or of the dial
+}
+
+// deafAfter is how long a connection may bring no answer before a call that ran out of time
+// on it ends it: one caller's short time must not cut what others wait for.
+const deafAfter = time.Second
+
+// dialMost bounds a dial to one member.
+const dialMost = time.Second
+
 // NewClient knows the members by id and client address.
 func NewClient(members map[string]string) *Client {
-	c := &Client{members: members, conns: map[string]*rpc.Client{}}
-	for id := range members {
-		c.order = append(c.order, id)
+	c := &Client{members: map[string]*line{}, order: slices.Sorted(maps.Keys(members))}
+	for id, addr := range members {
+		c.members[id] = &line{addr: addr}
 	}
-	slices.Sort(c.order)
 	return c
 }
 
@@ -52,6 +69,32 @@
 	return r.Result, err
 }
 
+// ProposePatiently proposes until a quorum has the entry, the group refuses it, or the
+// context ends: for entries that do nothing when proposed again (a claim and a resolution of
+// one token, an end, a drain). While no leader is known it asks again in a quarter of the
+// time told, and at least every 20 ms.
+func (c *Client) ProposePatiently(ctx context.Context, e promise.Entry) (promise.Result, error) {
+	unknown := false
+	for {
+		r, err := c.Propose(ctx, e)
+		var later *Later
+		if err == nil || !errors.As(err, &later) {
+			return r, err
+		}
+		unknown = unknown || errors.Is(err, ErrUnknown)
+		wait := time.NewTimer(max(later.After/4, 20*time.Millisecond))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			if unknown && !errors.Is(err, ErrUnknown) { // an earlier try of the same entry may stand
+				return r, &Later{ErrUnknown, later.After, later.Message}
+			}
+			return r, err
+		}
+	}
+}
+
 // Read is a call's resolution, read through the leader after a barrier.
 func (c *Client) Read(ctx context.Context, call string) (promise.Resolution, bool, error) {
 	var r ReadReply
@@ -62,6 +105,48 @@
 	return r.Resolution, r.Found, err
 }
 
+// Join has the leader add a member as a voter; Remove has it take one out.
+func (c *Client) Join(ctx context.Context, id, raft string) error {
+	return c.member(ctx, "Replica.Join", MemberArgs{ID: id, Raft: raft})
+}
+
+// Remove has the leader take a member out of the group.
+func (c *Client) Remove(ctx context.Context, id string) error {
+	return c.member(ctx, "Replica.Remove", MemberArgs{ID: id})
+}
+
+func (c *Client) member(ctx context.Context, method string, args MemberArgs) error {
+	return c.each(ctx, func(id string) (*Reply, error) {
+		var r Reply
+		return &r, c.call(ctx, id, method, args, &r)
+	})
+}
+
+// Status is one member's view of the group.
+func (c *Client) Status(ctx context.Context, id string) (StatusReply, error) {
+	var s StatusReply
+	return s, c.call(ctx, id, "Replica.Status", struct{}{}, &s)
+}
+
+// Overview is a status read through the leader: what the group holds.
+func (c *Client) Overview(ctx context.Context) (StatusReply, error) {
+	var s StatusReply
+	err := c.each(ctx, func(id string) (*Reply, error) {
+		s = StatusReply{}
+		err := c.call(ctx, id, "Replica.Status", struct{}{}, &s)
+		switch {
+		case err != nil:
+			return nil, err
+		case s.State == "Leader":
+			return &Reply{Outcome: Promised}, nil
+		case s.Leader != "" && s.Leader != id:
+			return &Reply{Outcome: NotLeader, Leader: s.Leader}, nil
+		}
+		return &Reply{Outcome: NoQuorum}, nil
+	})
+	return s, err
+}
+
 // Later is a refusal with when to come back.
 type Later struct {
 	Err     error
@@ -77,42 +162,48 @@
 // each asks members, the leader first, until one answers for the group. A member that can't
 // be reached and one that names no leader are passed for the next; the last refusal stands.
 func (c *Client) each(ctx context.Context, ask func(id string) (*Reply, error)) error {
-	var last error = ErrNoQuorum
+	last := &Later{ErrNoQuorum, comeBackUnknown, "no member asked"}
 	sent := false // a member may have taken it without answering: the end is then unknown
 	for range 2 * len(c.order) {
 		if ctx.Err() != nil {
-			return errors.Join(last, ctx.Err())
+			last.Message += ": " + ctx.Err().Error()
+			break
 		}
 		id := c.next()
 		r, err := ask(id)
 		if err != nil {
-			var dial *net.OpError
-			sent = sent || !errors.As(err, &dial) || dial.Op != "dial"
+			sent = sent || !errors.Is(err, errUnsent)
+			last = &Later{ErrNoQuorum, comeBackUnknown, fmt.Sprintf("member %s: %v", id, err)}
 			c.forget(id)
-			last = fmt.Errorf("member %s: %w", id, err)
 			continue
 		}
+		after := time.Duration(r.ComeBackMs) * time.Millisecond
 		switch r.Outcome {
 		case Promised:
 			return nil
 		case Refused:
 			return fmt.Errorf("%w: %s", promise.ErrEntry, r.Error)
+		case Stale:
+			return fmt.Errorf("%w: %s", promise.ErrStale, r.Error)
 		case NotLeader:
 			c.follow(r.Leader)
-			continue
 		case Unknown:
-			return &Later{ErrUnknown, time.Duration(r.ComeBackMs) * time.Millisecond, r.Error}
+			return &Later{ErrUnknown, after, r.Error}
 		default:
 			c.follow("")
-			last = &Later{ErrNoQuorum, time.Duration(r.ComeBackMs) * time.Millisecond, "member " + id + " knows no leader"}
+			last = &Later{ErrNoQuorum, after, "member " + id + " knows no leader"}
 		}
 	}
 	if sent {
-		return &Later{ErrUnknown, time.Second, last.Error()}
+		last.Err = ErrUnknown
 	}
 	return last
 }
 
+// comeBackUnknown is told where no member answered that could tell: two of the default
+// elections, as a member would.
+var comeBackUnknown = 2 * Defaults.Election
+
 func (c *Client) next() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,60 +223,91 @@
 	}
 }
 
+// forget has the next call ask another member first.
 func (c *Client) forget(id string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn := c.conns[id]; conn != nil {
-		conn.Close()
-		delete(c.conns, id)
-	}
 	if c.leader == id {
 		c.leader = ""
 	}
+	c.mu.Unlock()
 }
 
+// errUnsent is a call of which nothing reached the member.
+var errUnsent = errors.New("not sent")
+
 func (c *Client) call(ctx context.Context, id, method string, args, reply any) error {
-	conn, err := c.conn(id)
+	l := c.members[id]
+	conn, err := l.open(ctx)
 	if err != nil {
-		return err
-	}
-	wait := c.CallTimeout
-	if wait == 0 {
-		wait = 3 * time.Second
+		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
-	done := conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
-	t := time.NewTimer(wait)
-	defer t.Stop()
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.CallTimeout, 3*time.Second))
+	defer cancel()
 	select {
-	case call := <-done:
+	case call := <-conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+		l.answered(conn, call.Error)
 		return call.Error
-	case <-t.C:
-		return fmt.Errorf("%s: no answer in %v", method, wait)
 	case <-ctx.Done():
-		return ctx.Err()
+		l.late(conn)
+		return fmt.Errorf("%s: no answer: %w", method, ctx.Err())
 	}
 }
 
-func (c *Client) conn(id string) (*rpc.Client, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn := c.conns[id]; conn != nil {
-		return conn, nil
+func (l *line) open(ctx context.Context) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		return l.conn, nil
 	}
-	nc, err := net.DialTimeout("tcp", c.members[id], time.Second)
+	d := net.Dialer{Timeout: dialMost}
+	nc, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
 		return nil, err
 	}
-	c.conns[id] = rpc.NewClient(nc)
-	return c.conns[id], nil
+	l.conn, l.heard = rpc.NewClient(nc), time.Now()
+	return l.conn, nil
+}
+
+// answered notes an answer; an error that is none of the member's own ends the connection.
+func (l *line) answered(conn *rpc.Client, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, said := err.(rpc.ServerError); err == nil || said {
+		l.heard = time.Now()
+		return
+	}
+	l.drop(conn)
+}
+
+// late ends a connection on which a call ran out of time, if it has been deaf for long.
+func (l *line) late(conn *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.heard) >= deafAfter {
+		l.drop(conn)
+	}
+}
+
+// drop ends a connection unless another has taken its place.
+func (l *line) drop(conn *rpc.Client) {
+	conn.Close()
+	if l.conn == conn {
+		l.conn = nil
+	}
+}
+
+func (l *line) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
 }
 
 // Close ends the client's connections.
 func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for id, conn := range c.conns {
-		conn.Close()
-		delete(c.conns, id)
+	for _, l := range c.members {
+		l.close()
 	}
 }
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -45,6 +45,7 @@
 	Election  string `yaml:"election"`
 	Commit    string `yaml:"commit"`
 	Lease     string `yaml:"lease"`
+	Keep      string `yaml:"keep"` // how long a promise is kept; no caller may ask again after it
 }
 
 // LoadConfig reads and proves a member's file. Unknown keys, wrong types and values that
@@ -107,12 +108,16 @@
 }
 
 // Timing is raft's timers as durations.
-type Timing struct{ Heartbeat, Election, Commit, Lease time.Duration }
+type Timing struct{ Heartbeat, Election, Commit, Lease, Keep time.Duration }
 
 // Defaults are the timers for members on one campus: a new leader within about a second of
 // a kill. Raft's own defaults (1 s heartbeat) suit wide-area groups.
 var Defaults = Timing{Heartbeat: 300 * time.Millisecond, Election: 300 * time.Millisecond,
-	Commit: 20 * time.Millisecond, Lease: 150 * time.Millisecond}
+	Commit: 20 * time.Millisecond, Lease: 150 * time.Millisecond, Keep: 10 * time.Minute}
+
+// keepLeast is the shortest time promises may be kept: the longest deadline that a platform
+// gives its callers (9 s), a caller's way to another agent, and clocks that differ.
+const keepLeast = 30 * time.Second
 
 func (t TimingConfig) durations() (Timing, error) {
 	out := Defaults
@@ -120,7 +125,8 @@
 		name, text string
 		to         *time.Duration
 	}{{"heartbeat", t.Heartbeat, &out.Heartbeat}, {"election", t.Election, &out.Election},
-		{"commit", t.Commit, &out.Commit}, {"lease", t.Lease, &out.Lease}} {
+		{"commit", t.Commit, &out.Commit}, {"lease", t.Lease, &out.Lease},
+		{"keep", t.Keep, &out.Keep}} {
 		if f.text == "" {
 			continue
 		}
@@ -130,6 +136,9 @@
 		}
 		*f.to = d
 	}
+	if out.Keep < keepLeast {
+		return out, fmt.Errorf("field timing.keep: %v is under %v, in which a caller may ask again", out.Keep, keepLeast)
+	}
 	if out.Lease > out.Heartbeat {
 		return out, fmt.Errorf("field timing.lease: %v beyond the heartbeat %v (raft refuses it)", out.Lease, out.Heartbeat)
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -29,6 +29,8 @@
 	store  *raftboltdb.BoltStore
 	timing Timing
 	log    *slog.Logger
+	stop   chan struct{} // closed when the member ends
+	ended  sync.WaitGroup
 }
 
 // machine adapts the pure state to raft.FSM. Raft calls Apply, Snapshot and Restore from
@@ -61,7 +63,7 @@
 func (m *machine) Snapshot() (raft.FSMSnapshot, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return image(m.state.Snapshot()), nil
+	return image{m.state.Image()}, nil
 }
 
 func (m *machine) Restore(rc io.ReadCloser) error {
@@ -87,10 +89,11 @@
 	f(m.state)
 }
 
-type image []byte
+// image is a copy of the state; raft has it written while entries go on being applied.
+type image struct{ promise.Image }
 
 func (i image) Persist(sink raft.SnapshotSink) error {
-	if _, err := sink.Write(i); err != nil {
+	if _, err := sink.Write(i.Bytes()); err != nil {
 		sink.Cancel()
 		return err
 	}
@@ -109,7 +112,7 @@
 	if err := os.MkdirAll(cfg.Data, 0o750); err != nil {
 		return nil, fmt.Errorf("data directory: %w", err)
 	}
-	n := &Node{cfg: cfg, timing: timing, log: log, fsm: &machine{state: promise.New(), log: log}}
+	n := &Node{cfg: cfg, timing: timing, log: log, stop: make(chan struct{}), fsm: &machine{state: promise.New(), log: log}}
 	dbPath := filepath.Join(cfg.Data, "raft.db")
 	n.store, err = openStore(dbPath)
 	if err != nil {
@@ -133,9 +136,35 @@
 		n.Close()
 		return nil, err
 	}
+	n.ended.Go(n.expire)
 	return n, nil
 }
 
+// expire has the leader propose, every tenth of the time that promises are kept, that older
+// ones are forgotten. Time stands in the entry alone: each member forgets the same ones.
+func (n *Node) expire() {
+	keep := n.timing.Keep
+	tick := time.NewTicker(keep / 10)
+	defer tick.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case now := <-tick.C:
+			if n.raft.State() != raft.Leader {
+				continue
+			}
+			e := promise.Entry{Op: promise.OpExpire, BeforeUs: now.Add(-keep).UnixMicro()}
+			f := n.raft.Apply(promise.Encode(e), applyTimeout)
+			if err := f.Error(); err != nil {
+				n.log.Warn("old promises not forgotten yet", "error", err)
+			} else if o := f.Response().(outcome); o.result.Forgotten > 0 {
+				n.log.Debug("old promises forgotten", "count", o.result.Forgotten)
+			}
+		}
+	}
+}
+
 // openStore opens the log and stable store; bolt waits for a lock held by another process,
 // so a time-out says which file is held.
 func openStore(path string) (*raftboltdb.BoltStore, error) {
@@ -181,9 +210,17 @@
 	return err
 }
 
-// Close ends the member's part in the group without leaving it.
+// Close ends the member's part in the group without leaving it. A leader hands its lead over
+// first, so that a planned restart costs no election's time.
 func (n *Node) Close() error {
+	close(n.stop)
+	if n.raft.State() == raft.Leader {
+		if err := n.raft.LeadershipTransfer().Error(); err != nil {
+			n.log.Info("lead not handed over", "error", err)
+		}
+	}
 	err := n.raft.Shutdown().Error()
+	n.ended.Wait()
 	n.trans.Close()
 	n.store.Close()
 	return err
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -19,6 +19,7 @@
 	NoQuorum  = "no-quorum"  // not taken: no leader is known; come back after ComeBackMs
 	Unknown   = "unknown"    // taken, but leadership was lost before a quorum was seen: it may stand
 	Refused   = "refused"    // the entry can't be applied (promise.ErrEntry), on every member alike
+	Stale     = "stale"      // a claim by a ring older than the group's fence (promise.ErrStale)
 )
 
 // ProposeArgs is an entry for the log.
@@ -50,8 +51,11 @@
 type StatusReply struct {
 	ID, State, Leader string
 	Applied           uint64
-	Calls             int
-	Members           []string // id=address, in the configuration's order
+	Calls, Claims     int
+	Fence             uint64
+	Drained           []string
+	Versions          map[string]string // by kind: plan, settings, routes
+	Members           []string          // id=address, in the configuration's order
 }
 
 // Service is a member's net/rpc service, named "Replica".
@@ -71,7 +75,11 @@
 		return nil
 	}
 	r := f.Response().(outcome)
-	if r.err != nil {
+	switch {
+	case errors.Is(r.err, promise.ErrStale):
+		reply.Outcome, reply.Error = Stale, r.err.Error()
+		return nil
+	case r.err != nil:
 		reply.Outcome, reply.Error = Refused, r.err.Error()
 		return nil
 	}
@@ -114,7 +122,10 @@
 func (s *Service) Status(_ struct{}, reply *StatusReply) error {
 	_, leader := s.n.raft.LeaderWithID()
 	reply.ID, reply.State, reply.Leader = s.n.cfg.ID, s.n.raft.State().String(), string(leader)
-	s.n.fsm.read(func(st *promise.State) { reply.Applied, reply.Calls = st.Applied(), st.Calls() })
+	s.n.fsm.read(func(st *promise.State) {
+		reply.Applied, reply.Calls, reply.Claims, reply.Fence = st.Applied(), st.Calls(), st.Claims(), st.Fence()
+		reply.Drained, reply.Versions = st.DrainedServers(), st.Versions()
+	})
 	if f := s.n.raft.GetConfiguration(); f.Error() == nil {
 		for _, m := range f.Configuration().Servers {
 			reply.Members = append(reply.Members, fmt.Sprintf("%s=%s", m.ID, m.Address))
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -3,9 +3,14 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"testing"
 )
 
+func claim(token string, ring uint64) []byte {
+	return Encode(Entry{Op: OpClaim, Call: "c1", Token: token, Ring: ring, ComeBackUs: 7, AtUs: 5})
+}
+
 func TestApply(t *testing.T) {
 	served := Entry{Op: OpResolve, Call: "c1", Answer: AnswerServed, Server: "s1", AtUs: 10}
 	cases := []struct {
@@ -25,6 +30,26 @@
 		{"versions and circuits", [][]byte{Encode(Entry{Op: OpVersion, Kind: "routes", Version: "ab"}),
 			Encode(Entry{Op: OpCircuit, CIC: 7, State: "busy"})},
 			func(s *State) bool { return s.Version("routes") == "ab" && s.Circuit(7) == "busy" }, 0},
+		{"a claim is its token's alone, and claimed again by it", [][]byte{claim("a", 0), claim("a", 0)},
+			func(s *State) bool { c, ok := s.Claimed("c1"); return ok && c.Token == "a" && s.Calls() == 0 }, 0},
+		{"a second claimant closes the call for both", [][]byte{claim("a", 0), claim("b", 0),
+			Encode(Entry{Op: OpResolve, Call: "c1", Token: "a", Answer: AnswerServed, Server: "s1", AtUs: 12})},
+			func(s *State) bool {
+				r, _ := s.Resolution("c1")
+				return r.Answer == AnswerRefused && r.ComeBackUs == 7 && r.Index == 2 && s.Claims() == 0
+			}, 0},
+		{"another's claim is not resolved", [][]byte{claim("a", 0),
+			Encode(Entry{Op: OpResolve, Call: "c1", Token: "b", Answer: AnswerFailed})},
+			func(s *State) bool { return s.Claims() == 1 && s.Calls() == 0 }, 1},
+		{"a resolved call is not claimed; its end is kept", [][]byte{Encode(served), claim("b", 0), Encode(Entry{Op: OpEnd, Call: "c1"})},
+			func(s *State) bool { r, _ := s.Resolution("c1"); return s.Claims() == 0 && r.Over && r.Server == "s1" }, 0},
+		{"a fence refuses older rings, and only rises", [][]byte{Encode(Entry{Op: OpFence, Ring: 3}),
+			Encode(Entry{Op: OpFence, Ring: 2}), claim("a", 2), claim("b", 3)},
+			func(s *State) bool { c, _ := s.Claimed("c1"); return s.Fence() == 3 && c.Token == "b" }, 0},
+		{"expire forgets claims, and spares what is younger in the same second", [][]byte{claim("a", 0),
+			Encode(Entry{Op: OpResolve, Call: "c2", Answer: AnswerFailed, AtUs: 900_000}), Encode(Entry{Op: OpExpire, BeforeUs: 500_000}),
+			Encode(Entry{Op: OpExpire, BeforeUs: 900_000})},
+			func(s *State) bool { return s.Claims() == 0 && s.Calls() == 1 }, 0},
 		{"malformed entries change nothing", [][]byte{[]byte("{"), Encode(Entry{Op: "x"}),
 			Encode(Entry{Op: OpResolve, Call: "c", Answer: AnswerServed}), Encode(Entry{Op: OpCircuit, CIC: 1 << 14})},
 			func(s *State) bool { return s.Calls() == 0 && s.Applied() == 4 }, 4},
@@ -46,9 +71,11 @@
 	s := New()
 	s.Apply(1, Encode(Entry{Op: OpResolve, Call: "c1", Answer: AnswerRefused, ComeBackUs: 500000, AtUs: 3}))
 	s.Apply(2, Encode(Entry{Op: OpDrain, Server: "s1"}))
+	s.Apply(3, Encode(Entry{Op: OpFence, Ring: 1}))
+	s.Apply(4, Encode(Entry{Op: OpClaim, Call: "c2", Token: "a", Ring: 1, AtUs: 4}))
 	snap := s.Snapshot()
 	r, err := Restore(snap)
-	if err != nil || !bytes.Equal(r.Snapshot(), snap) || r.Applied() != 2 {
+	if err != nil || !bytes.Equal(r.Snapshot(), snap) || r.Applied() != 4 || r.expire(5) != 2 || !bytes.Equal(s.Image().Bytes(), snap) {
 		t.Fatalf("restored %+v, %v", r, err)
 	}
 	flipped := bytes.Clone(snap)
@@ -59,3 +86,20 @@
 		}
 	}
 }
+
+// BenchmarkExpire forgets the oldest ten seconds of half a million records.
+func BenchmarkExpire(b *testing.B) {
+	s := New()
+	for i := range 500_000 {
+		s.stand(fmt.Sprint("c", i), Resolution{Answer: AnswerFailed, AtUs: int64(i) * 1200})
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		s.expire(10 * secondUs)
+		b.StopTimer()
+		for j := range 8333 {
+			s.stand(fmt.Sprint("c", i, "-", j), Resolution{AtUs: int64(j) * 1200})
+		}
+		b.StartTimer()
+	}
+}
--- a/promise/snapshot.go
+++ b/promise/snapshot.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"maps"
 )
 
 // snapshotMagic begins every snapshot, so that a file of something else is named as such.
@@ -18,6 +19,8 @@
 
 type image struct {
 	Applied  uint64                `json:"applied"`
+	Fence    uint64                `json:"fence,omitempty"`
+	Claims   map[string]Claim      `json:"claims,omitempty"`
 	Calls    map[string]Resolution `json:"calls"`
 	Drained  map[string]bool       `json:"drained"`
 	Versions map[string]string     `json:"versions"`
@@ -28,7 +31,11 @@
 // equal states give equal bytes), and a CRC-32C of the image, big-endian, in the last 4 bytes.
 // The log up to Applied may be dropped once a snapshot is kept.
 func (s *State) Snapshot() []byte {
-	img, _ := json.Marshal(image{s.applied, s.calls, s.drained, s.versions, s.circuits})
+	return image{s.applied, s.fence, s.claims, s.calls, s.drained, s.versions, s.circuits}.bytes()
+}
+
+func (i image) bytes() []byte {
+	img, _ := json.Marshal(i)
 	out := make([]byte, 0, len(snapshotMagic)+len(img)+4)
 	out = append(out, snapshotMagic...)
 	out = append(out, img...)
@@ -55,20 +62,32 @@
 		return nil, fmt.Errorf("%w: %v", ErrSnapshot, describe(img, err))
 	}
 	s := New()
-	s.applied = m.Applied
-	for k, v := range m.Calls {
-		s.calls[k] = v
-	}
-	for k, v := range m.Drained {
-		s.drained[k] = v
-	}
-	for k, v := range m.Versions {
-		s.versions[k] = v
+	s.applied, s.fence = m.Applied, m.Fence
+	maps.Copy(s.claims, m.Claims)
+	maps.Copy(s.calls, m.Calls)
+	maps.Copy(s.drained, m.Drained)
+	maps.Copy(s.versions, m.Versions)
+	maps.Copy(s.circuits, m.Circuits)
+	for call, c := range s.claims {
+		s.ages.add(c.AtUs, call)
 	}
-	for k, v := range m.Circuits {
-		s.circuits[k] = v
+	for call, r := range s.calls {
+		s.ages.add(r.AtUs, call)
 	}
 	return s, nil
 }
 
+// Image is a state's copy that later entries do not change, so that a snapshot can be written
+// while the log goes on. Descriptions are shared: nothing writes into one.
+type Image struct{ i image }
+
+// Image copies the state.
+func (s *State) Image() Image {
+	return Image{image{s.applied, s.fence, maps.Clone(s.claims), maps.Clone(s.calls),
+		maps.Clone(s.drained), maps.Clone(s.versions), maps.Clone(s.circuits)}}
+}
+
+// Bytes is the snapshot of the copied state, as State.Snapshot words it.
+func (i Image) Bytes() []byte { return i.i.bytes() }
+
 func head(b []byte) []byte { return b[:min(len(b), 8)] }
--- /dev/null
+++ b/shard/shard_test.go
@@ -0,0 +1,104 @@
+package shard
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func agents(n, zones int) (out []Member) {
+	for i := range n {
+		out = append(out, Member{ID: fmt.Sprintf("n%03d", i), Zone: fmt.Sprint("z", i%zones), Raft: "r:1", Client: "c:1"})
+	}
+	return out
+}
+
+func calls(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("%016x", i+1))
+	}
+	return out
+}
+
+// TestPlace: whatever the agents and zones, groups are lawful, nobody is in two, as few are
+// left over as can be, and with three even zones none holds a majority of a group.
+func TestPlace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, zones := rapid.IntRange(3, 60).Draw(t, "agents"), rapid.IntRange(1, 6).Draw(t, "zones")
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		r, left, err := Place(agents(n, zones), size)
+		if err != nil || len(r.Groups) != n/size || len(left) != n%size {
+			t.Fatalf("%d groups, %d left, %v", len(r.Groups), len(left), err)
+		}
+		if refused := r.Check(); n >= size && refused != nil {
+			t.Fatal(refused)
+		}
+		if found := r.Spread(); zones >= 3 && n%zones == 0 && found != nil {
+			t.Fatal(found)
+		}
+		gone := map[string]bool{}
+		for _, g := range r.Groups {
+			gone[g.Members[rapid.IntRange(0, size-1).Draw(t, "lost")].ID] = true
+		}
+		next, steps, stuck := Mend(r, gone, left)
+		if len(stuck) > 0 || len(steps) != 2*min(len(left), len(r.Groups)) || n >= size && next.Check() != nil {
+			t.Fatalf("%d steps, stuck %v, %v", len(steps), stuck, next.Check())
+		}
+	})
+}
+
+// TestOwner: calls spread evenly over groups, and a group more takes only its own share.
+func TestOwner(t *testing.T) {
+	small, _, _ := Place(agents(30, 3), 3)
+	big, _, _ := Place(agents(33, 3), 3)
+	all, n := calls(20_000), map[int]int{}
+	for _, c := range all {
+		n[small.Owner(c)]++
+	}
+	for i := range small.Groups {
+		if n[i] < 1800 || n[i] > 2200 {
+			t.Errorf("group %d has %d of 20000 calls", i, n[i])
+		}
+	}
+	if moved := Moved(small, big, all); moved < 0.08 || moved > 0.102 {
+		t.Errorf("one group in 11 moved %.3f of the calls", moved)
+	}
+}
+
+// TestPath: agents of the old ring and of the new meet at one group for every call.
+func TestPath(t *testing.T) {
+	old, _, _ := Place(agents(9, 3), 3)
+	next, _, _ := Place(agents(12, 3), 3)
+	next.Version = 2
+	for _, c := range calls(500) {
+		was, is := Path(old, nil, c), Path(next, &old, c)
+		if is[0].Group != was[0].Group || is[0].Ring != 2 {
+			t.Fatalf("call %s: old ring claims at %v, new at %v", c, was, is)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	m := agents(6, 3)
+	cases := []struct {
+		name string
+		ring Ring
+		want error
+	}{
+		{"no groups", Ring{}, ErrEmpty},
+		{"two members", Ring{Groups: []Group{{ID: "g", Members: m[:2]}}}, ErrSize},
+		{"a member twice", Ring{Groups: []Group{{ID: "g", Members: m[:3]}, {ID: "h", Members: m[2:5]}}}, ErrTwice},
+		{"a group twice", Ring{Groups: []Group{{ID: "g", Members: m[:3]}, {ID: "g", Members: m[3:]}}}, ErrTwice},
+		{"no address", Ring{Groups: []Group{{ID: "g", Members: append(agents(2, 2), Member{ID: "x"})}}}, ErrEmpty},
+	}
+	for _, c := range cases {
+		if err := errors.Join(c.ring.Check()...); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+	if _, _, stuck := Mend(Ring{Groups: []Group{{ID: "g", Members: m[:3]}}}, map[string]bool{"n000": true, "n001": true}, m[3:]); len(stuck) != 1 {
+		t.Errorf("a group without majority is mended: %v", stuck)
+	}
+}
