Replica client: a leader under an unknown id is found, not asked for for ever

Ruled out: links (healed), elections (none after 22:25:45).

Cause: Client.follow kept its former leader where a member named one whose id the client's file does not have (a member replaced under a new id). That member was then asked again, named the same id again, and all tries went to it. follow now forgets the leader, and all members are asked in turn.

--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -215,10 +215,14 @@
 	return id
 }
 
+// follow has the next call ask the leader that a member named. One whose id this client does
+// not know (a member replaced under a new id since its file was written) is found by asking
+// all in turn: to stay with the member that named it would be to ask that one for ever.
 func (c *Client) follow(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.members[id]; known || id == "" {
+	c.leader = ""
+	if _, known := c.members[id]; known {
 		c.leader = id
 	}
 }
