Call agents keep one another's promises: fleet of processes under test, ring change proved

Need: nothing showed that a call agent's promise outlives its machine, only a bare member's.

Change: promiselab.Fleet starts call agents as processes, each a member of a group, with a fault proxy on every link between two (log traffic, and agents' calls to members). TestAgents: six agents in two groups; an agent that served 20 calls is killed and its disk wiped, and the others give the same 20 answers with one set-up each at the setup server; one killed with three set-ups out has them closed, never sent again; a drain outlives its process; an agent cut off refuses at once with when to come back while the rest serve on.

(2) The console set its write deadline before it carried an order out, so an order that waited for a quorum got no answer.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -111,8 +111,9 @@
 	if err != nil && (len(line) == 0 || !errors.Is(err, bufio.ErrBufferFull)) {
 		return
 	}
+	answer := c.answer(string(line)) // an order that is kept by further agents takes its time
 	conn.SetWriteDeadline(time.Now().Add(writeTime))
-	if _, err := fmt.Fprintf(conn, "%s\n", c.answer(string(line))); err != nil {
+	if _, err := fmt.Fprintf(conn, "%s\n", answer); err != nil {
 		c.Log.Warn("console: answer not written", "error", err)
 	}
 }
--- a/internal/daemon/promises.go
+++ b/internal/daemon/promises.go
@@ -125,8 +125,9 @@
 	}
 }
 
-// keepDrain has an order kept by the groups before it takes effect here. Where no quorum has
-// it nothing changes: an order that is not promised would be undone by the next restart.
+// keepDrain has an order kept by the groups before it takes effect here. Where not every group
+// is seen to have it nothing changes here: an order that is not promised would be undone by
+// the next restart. A group may have it all the same; the order given again settles that.
 func (d *Daemon) keepDrain(on bool, order func() string) func() string {
 	return func() string {
 		if d.promises == nil {
@@ -134,7 +135,7 @@
 		}
 		if err := d.promises.keeper.Drain(on); err != nil {
 			d.log.Warn("order not kept", "drain", on, "error", err)
-			return console.Failure + " not promised, nothing changed: " + strings.ReplaceAll(err.Error(), "\n", "; ")
+			return console.Failure + " not promised by every group, nothing changed here: " + strings.ReplaceAll(err.Error(), "\n", "; ")
 		}
 		return order()
 	}
--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -34,7 +34,8 @@
 	Name string
 	Bin  string
 	Args []string
-	Data string // its data directory, for Wipe
+	Data string   // its data directory, for Wipe
+	Env  []string // nil: this process's
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -53,6 +54,7 @@
 	p.life++
 	fmt.Fprintf(&p.log, "--- %s, life %d\n", p.Name, p.life)
 	cmd := exec.Command(p.Bin, p.Args...)
+	cmd.Env = p.Env
 	cmd.Stdout, cmd.Stderr = &locked{p}, &locked{p}
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -226,8 +226,7 @@
 }
 
 func (k *Keeper) resolve(ctx context.Context, e promise.Entry) agent.Kept {
-	v := k.view.Load()
-	first := true
+	v, mine := k.view.Load(), e
 	var stands promise.Resolution
 	for _, step := range shard.Path(v.now, v.previous, e.Call) {
 		r, err := v.groups[step.Group].ProposePatiently(ctx, e)
@@ -235,11 +234,11 @@
 			return k.unkept("resolution", e.Call, step.Group, err)
 		}
 		stands = r.Resolution
-		// An entry proposed twice is first only once: what stands tells whether it is ours.
-		first = r.First || same(stands, e)
 		e = again(e.Call, e.Token, stands)
 	}
-	if !first {
+	// Not by Result.First: an entry proposed twice is first only once, and one that carries
+	// another's answer to the last group may be first there.
+	if !same(stands, mine) {
 		k.Counts.Echoed.Add(1)
 		return agent.Kept{Stands: told(stands)}
 	}
--- /dev/null
+++ b/internal/promiselab/fleet.go
@@ -0,0 +1,238 @@
+package promiselab
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/keeper"
+	"woodrouter/internal/replica"
+	"woodrouter/shard"
+)
+
+// Site is what a fleet's agents are told beside their own names and addresses.
+type Site struct {
+	Bulletin string
+	Known    any             // the bulletin's events so far
+	Settings json.RawMessage // the platform's, without nInstances and rank
+	Zones    int             // agents lie in these zones in turn; 0: 3
+	Size     int             // of each group; 0: 3
+}
+
+// Fleet is call agents, each its own process and a member of a group, with a fault proxy on
+// every link between two of them: the log's traffic and the calls of agents to members.
+type Fleet struct {
+	Dir    string
+	Ring   shard.Ring // with the members' real addresses
+	Agents map[string]*Agent
+	logs   faultnet.Mesh // between members
+	calls  faultnet.Mesh // from agents to members' client addresses
+	site   Site
+	bin    string
+}
+
+// Agent is one call agent of a fleet.
+type Agent struct {
+	*faultnet.Proc
+	Name, Listen, Console string
+	Member                shard.Member // its part in a group
+	Solo                  bool         // takes no part in a group any more
+}
+
+// StartFleet starts n agents named a1..aN from bin under dir.
+func StartFleet(bin, dir string, n int, seed uint64, site Site) (*Fleet, error) {
+	f := &Fleet{Dir: dir, Agents: map[string]*Agent{}, site: site, bin: bin}
+	var held []net.Listener
+	release := func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}
+	var members []shard.Member
+	for i := range n {
+		var at [4]string
+		for j := range at {
+			var err error
+			if at[j], err = reserve(&held); err != nil {
+				release()
+				return nil, err
+			}
+		}
+		name := fmt.Sprintf("a%d", i+1)
+		m := shard.Member{ID: name, Zone: fmt.Sprint("z", i%cmp.Or(site.Zones, 3)+1), Raft: at[2], Client: at[3]}
+		f.Agents[name] = &Agent{Name: name, Listen: at[0], Console: at[1], Member: m}
+		members = append(members, m)
+	}
+	var err error
+	if f.Ring, _, err = shard.Place(members, cmp.Or(site.Size, 3)); err == nil {
+		err = f.link(members, seed)
+	}
+	release() // the agents take their ports from here
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	for name := range f.Agents {
+		if err := f.Start(name); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) link(members []shard.Member, seed uint64) (err error) {
+	logs, calls := map[string]string{}, map[string]string{}
+	for _, m := range members {
+		logs[m.ID], calls[m.ID] = m.Raft, m.Client
+	}
+	if f.logs, err = faultnet.NewMesh(logs, seed); err != nil {
+		return err
+	}
+	f.calls, err = faultnet.NewMesh(calls, seed+1000)
+	return err
+}
+
+// Start writes an agent's files and starts it.
+func (f *Fleet) Start(name string) error {
+	a := f.Agents[name]
+	config, promises := filepath.Join(f.Dir, name+".json"), filepath.Join(f.Dir, name+".yaml")
+	text, err := json.Marshal(map[string]any{"name": name, "listen": a.Listen, "console": a.Console,
+		"seed": "8c1f30d27a5be964", "bulletin": f.site.Bulletin, "known": f.site.Known, "settings": f.site.Settings})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		return err
+	}
+	if text, err = yaml.Marshal(f.promises(a)); err != nil {
+		return err
+	}
+	if err := os.WriteFile(promises, text, 0o600); err != nil {
+		return err
+	}
+	if a.Proc == nil {
+		a.Proc = &faultnet.Proc{Name: name, Bin: f.bin, Data: filepath.Join(f.Dir, name)}
+	}
+	a.Env = append(os.Environ(), "PROXY_CONFIG="+config, "WOODROUTER_PROMISES="+promises)
+	return a.Proc.Start()
+}
+
+// promises is an agent's file: the others' addresses lead through the links' proxies.
+func (f *Fleet) promises(a *Agent) keeper.Config {
+	c := keeper.Config{Ring: shard.Ring{Version: f.Ring.Version}}
+	for _, g := range f.Ring.Groups {
+		seen := shard.Group{ID: g.ID}
+		part := false
+		links, boot := map[string]string{}, []replica.Peer{}
+		for _, m := range g.Members {
+			boot = append(boot, replica.Peer{ID: m.ID, Raft: m.Raft})
+			if m.ID == a.Name {
+				part = true
+			} else {
+				links[m.Raft] = f.logs[a.Name][m.ID].Addr()
+				m.Client = f.calls[a.Name][m.ID].Addr()
+			}
+			seen.Members = append(seen.Members, m)
+		}
+		c.Ring.Groups = append(c.Ring.Groups, seen)
+		if part && !a.Solo {
+			c.Member = &replica.Config{ID: a.Name, Raft: a.Member.Raft, Client: a.Member.Client,
+				Data: filepath.Join(f.Dir, a.Name), Bootstrap: boot, Links: links}
+		}
+	}
+	return c
+}
+
+// Lose ends an agent with SIGKILL and loses its disk. It may be started again as an agent that
+// keeps nothing for others: a member without its disk must not come back under its id.
+func (f *Fleet) Lose(name string) error {
+	a := f.Agents[name]
+	a.Kill()
+	a.Solo = true
+	return a.Wipe()
+}
+
+// Cut puts agents on a side of their own: nothing passes between them and the rest.
+func (f *Fleet) Cut(names ...string) {
+	f.logs.Partition(names...)
+	f.calls.Partition(names...)
+}
+
+// Ask says a line to an agent's console and returns the answer; "" where nobody answers.
+func (f *Fleet) Ask(name, line string) string {
+	conn, err := net.DialTimeout("tcp", f.Agents[name].Console, time.Second)
+	if err != nil {
+		return ""
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprintln(conn, line)
+	var b strings.Builder
+	for in := bufio.NewScanner(conn); in.Scan(); {
+		fmt.Fprintln(&b, in.Text())
+	}
+	return b.String()
+}
+
+// Await asks an agent's console until the answer holds a text.
+func (f *Fleet) Await(ctx context.Context, name, line, text string) error {
+	for {
+		said := f.Ask(name, line)
+		if strings.Contains(said, text) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %s answers %q, not %q: %w", name, line, said, text, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Settled waits until every group has a leader, as an agent sees it.
+func (f *Fleet) Settled(ctx context.Context, name string) error {
+	for {
+		said := f.Ask(name, "PROMISES")
+		if said != "" && !strings.Contains(said, "no leader") {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: groups without a leader: %s: %w", name, said, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Logs is every agent's log, for a failed test.
+func (f *Fleet) Logs() string {
+	var b strings.Builder
+	for _, a := range f.Agents {
+		if a.Proc != nil {
+			b.WriteString(a.Log())
+		}
+	}
+	return b.String()
+}
+
+// Close kills every agent and ends the links.
+func (f *Fleet) Close() {
+	for _, a := range f.Agents {
+		if a.Proc != nil {
+			a.Kill()
+		}
+	}
+	f.logs.Close()
+	f.calls.Close()
+}
--- /dev/null
+++ b/internal/promiselab/fleet_test.go
@@ -0,0 +1,122 @@
+package promiselab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+const siteSettings = `{"nInstances":6,"rank":0,"resolution":1000,
+	"profiles":[{"name":"voice","goalTime":5000000,"deadline":9000000,"worth":1}],
+	"stats":{"fields":["spare","total","latency_ms"],"how":"piggyback"},
+	"limits":{"maxAttempts":5,"maxRetryAfter":2000000,"retryAfter":true,"cancel":true,"connectTimeout":500000},
+	"guarantees":{"answerSlack":20000,"cold":14000000,"coldFrom":0.29,"fallMultiple":3,"tipAfter":1000000},
+	"domain":{"classHold":[8000000],"clearWait":300000,"repeat":800000,"poolsByClass":[[0]]}}`
+
+// TestAgents: six call agents in two groups of three, one setup server. What an agent promised
+// outlives its machine and disk; a call it had sent on is never sent again; a drain outlives
+// its process; and an agent cut off from the rest refuses at once while they serve on.
+func TestAgents(t *testing.T) {
+	server := standin.NewServer(t, "")
+	bulletin := standin.NewBulletin(t, standin.Endpoint("s0", server.Addr, 0, "up"))
+	f, err := StartFleet(bin, t.TempDir(), 6, 7, Site{Bulletin: bulletin.Addr, Known: bulletin.Known(0), Settings: json.RawMessage(siteSettings)})
+	require.NoError(t, err)
+	defer f.Close()
+	defer func() {
+		if t.Failed() {
+			t.Log(f.Logs())
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for name := range f.Agents {
+		require.NoError(t, f.Settled(ctx, name))
+	}
+	go func() { // calls under 1000 stand at once; others are never answered
+		for g := range server.Got {
+			if g.Type == isup.SetUp && g.Call < 1000 {
+				g.Answer(fmt.Sprint("room of ", g.Call))
+			}
+		}
+	}()
+	ask := func(agent string, id isup.CallID) isup.Message {
+		c := standin.NewCaller(t, f.Agents[agent].Listen)
+		c.SetUp(id, "voice", 9*time.Second, 0)
+		m, err := c.Next()
+		require.NoError(t, err, "%s, call %v", agent, id)
+		require.Equal(t, id, m.Call)
+		return m
+	}
+	served := func(agent string, id isup.CallID) {
+		m := ask(agent, id)
+		d := m.Text(isup.Description)
+		require.Equal(t, isup.Answer, m.Type, "%s, call %v", agent, id)
+		require.Equal(t, fmt.Sprint("room of ", id), d)
+		require.Equal(t, 1, server.Seen(isup.SetUp, id))
+	}
+	refused := func(agent string, id isup.CallID, sent int) {
+		m := ask(agent, id)
+		away, err := m.Millis(isup.StayAway)
+		require.Equal(t, isup.Release, m.Type, "%s, call %v", agent, id)
+		require.True(t, err == nil && away > 0, "%s, call %v: stay away %v", agent, id, away)
+		require.Equal(t, sent, server.Seen(isup.SetUp, id))
+	}
+
+	for id := isup.CallID(1); id <= 20; id++ {
+		served("a1", id)
+	}
+	require.NoError(t, f.Lose("a1"))
+	for id := isup.CallID(1); id <= 20; id++ { // the same answer from others, and no second copy
+		served(fmt.Sprint("a", 2+int(id%5)), id)
+	}
+
+	for id := isup.CallID(21); id <= 30; id++ { // a server not yet heard of gets one call at a time
+		served("a4", id)
+	}
+	dying := standin.NewCaller(t, f.Agents["a4"].Listen)
+	open, sent := []isup.CallID{1001, 1002, 1003}, map[isup.CallID]int{}
+	for _, id := range open {
+		dying.SetUp(id, "voice", 9*time.Second, 0)
+	}
+	for _, id := range open {
+		require.Eventually(t, func() bool { return server.Seen(isup.SetUp, id) > 0 }, standin.Patience, time.Millisecond)
+	}
+	f.Agents["a4"].Kill()
+	for _, id := range open { // sent on, its end not known: closed, never sent again
+		sent[id] = server.Seen(isup.SetUp, id)
+	}
+	require.NoError(t, f.Settled(ctx, "a2"))
+	for _, id := range open {
+		refused("a2", id, sent[id])
+		refused("a3", id, sent[id])
+	}
+	require.NoError(t, f.Start("a4"))
+	require.NoError(t, f.Start("a1"))
+	require.NoError(t, f.Await(ctx, "a1", "READY", "SUCCESS"))
+	served("a1", 5) // as a client of the groups, it hears what it promised itself
+
+	require.NoError(t, f.Await(ctx, "a5", "DRAIN", "SUCCESS"))
+	f.Agents["a5"].Kill()
+	require.NoError(t, f.Start("a5"))
+	require.NoError(t, f.Await(ctx, "a5", "READY", "FAILURE"))
+	require.NoError(t, f.Await(ctx, "a5", "UNDRAIN", "SUCCESS"))
+	require.NoError(t, f.Await(ctx, "a5", "READY", "SUCCESS"))
+
+	f.Cut("a6")
+	began := time.Now()
+	refused("a6", 900, 0)
+	require.Less(t, time.Since(began), 5*time.Second) // at once, but for a slow machine
+	require.Contains(t, f.Ask("a6", "DRAIN"), "nothing changed here")
+	require.NoError(t, f.Settled(ctx, "a2"))
+	served("a2", 901)
+	f.Cut()
+	require.NoError(t, f.Settled(ctx, "a6"))
+	served("a6", 902)
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -12,7 +12,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/hashicorp/raft"
 	raftboltdb "github.com/hashicorp/raft-boltdb/v2"
 	bbolt "go.etcd.io/bbolt"
@@ -185,7 +184,7 @@
 	c.SnapshotThreshold = cmp.Or(n.cfg.Snapshot.Entries, 8192)
 	c.TrailingLogs = c.SnapshotThreshold / 2
 	c.SnapshotInterval = 5 * time.Second
-	c.Logger = hclog.New(&hclog.LoggerOptions{Name: "raft", Level: hclog.Warn, Output: os.Stderr})
+	c.Logger = newRaftLog(n.log)
 	return c
 }
 
@@ -245,7 +244,7 @@
 	layer := &streams{Listener: ln, adv: addr, links: n.cfg.Links}
 	return raft.NewNetworkTransportWithConfig(&raft.NetworkTransportConfig{
 		Stream: layer, MaxPool: 3, Timeout: 2 * time.Second,
-		Logger: hclog.New(&hclog.LoggerOptions{Name: "transport", Level: hclog.Error, Output: os.Stderr}),
+		Logger: newRaftLog(n.log),
 	}), nil
 }
 
