Operators' commands for groups of agents: check, status, place, mend, fence, join, remove

Need: a lost disk was mended by hand through net/rpc calls, and nothing made a ring for a fleet.

The repeat-as-told loop of membership changes and entries is one function, replica.Patiently, for the commands, the keeper and the lab.

--- a/internal/daemon/cli.go
+++ b/internal/daemon/cli.go
@@ -22,6 +22,8 @@
 	Routes  routesCommand  `cmd:"" help:"Tell which route and limits a call would get."`
 	Replica replicaCommand `cmd:"" help:"Run a member of a group that replicates promises (docs/replication.md)."`
 
+	Promises promisesCommand `cmd:"" help:"Groups of agents that keep one another's promises."`
+
 	env       func(string) string
 	out, errs io.Writer
 }
@@ -70,6 +72,8 @@
 		return checkRoutes(c.Check.File, c.Check.Config, c.out)
 	case "routes":
 		return lookUpRoute(c.Routes, c.out)
+	case "promises":
+		return exitOK, c.Promises.run(strings.Fields(command)[1], c.out)
 	case "replica":
 		return exitOK, runReplica(c.Replica, c.errs)
 	}
--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -31,6 +31,10 @@
 	require.NoError(t, os.WriteFile(listed, configText(t, standin.NewBulletin(t, standin.Endpoint("s0", "127.0.0.1:1", 0, "up"),
 		standin.Endpoint("s1", "127.0.0.1:2", 1, "draining"))), 0o600))
 	require.NoError(t, os.WriteFile(drained, []byte(limits+"routes:\n  - {name: second, match: {}, servers: [1]}\n"), 0o600))
+	promises, agents, spares := "../../deploy/promises.yaml", filepath.Join(dir, "agents.yaml"), filepath.Join(dir, "spares.yaml")
+	require.NoError(t, os.WriteFile(agents, []byte(`[{id: a, zone: z1, raft: "r:1", client: "127.0.0.1:1"}, {id: b, zone: z2, raft: "r:2", client: "127.0.0.1:1"},
+		{id: c, zone: z1, raft: "r:3", client: "127.0.0.1:1"}, {id: d, zone: z3, raft: "r:4", client: "127.0.0.1:1"}]`), 0o600))
+	require.NoError(t, os.WriteFile(spares, []byte(`[{id: a9, zone: z1, raft: "r:9", client: "127.0.0.1:1"}]`), 0o600))
 	for _, tc := range []struct {
 		args []string
 		code int
@@ -55,6 +59,15 @@
 		{[]string{"check", "--config", site, drained}, exitOK, "lawful", ""},
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "7f00000000000001", lawful}, exitOK, "route exams (line 4): attempt_timeout 1.5s, attempts 2", ""},
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "0100000000000001", lawful}, exitOK, "route defaults: attempt_timeout 1.5s, attempts 3", ""},
+		{[]string{"promises", "check", promises}, exitOK, "ring 1 of 1 groups, lawful", ""},
+		{[]string{"promises", "check", lawful}, exitError, "", `unknown field "version"`},
+		{[]string{"promises", "place", agents}, exitOK, "left over, keeps nothing for others: c (z1)", ""},
+		{[]string{"promises", "place", "--size", "4", agents}, exitError, "", "--size"},
+		{[]string{"promises", "mend", "--gone", "a1", "--spares", spares, promises}, exitOK, "group g1: add a9 (z1, r:9)", ""},
+		{[]string{"promises", "mend", "--gone", "a1,a2", "--spares", spares, promises}, exitError, "", "lost their majority"},
+		{[]string{"promises", "fence", promises}, exitError, "", "field previous"},
+		{[]string{"promises", "join", "--group", "g1", "--id", "x", promises}, exitError, "", "--raft"},
+		{[]string{"promises", "remove", "--group", "g7", "--id", "x", promises}, exitError, "", `no group "g7"`},
 		{[]string{"run", "--log-level", "loud"}, exitError, "", "--log-level"},
 	} {
 		var out, errs bytes.Buffer
--- /dev/null
+++ b/internal/daemon/promisecmd.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"woodrouter/internal/keeper"
+	"woodrouter/internal/replica"
+	"woodrouter/promise"
+	"woodrouter/shard"
+)
+
+// promisesCommand is the operators' side of replicated promises (docs/replication.md).
+type promisesCommand struct {
+	Check  promisesFile  `cmd:"" help:"Check a file of promises; exit 0 if it can be used."`
+	Status promisesFile  `cmd:"" help:"Ask each group's leader what the group holds; exit 1 if any has none."`
+	Fence  promisesFile  `cmd:"" help:"Have the groups of the ring that the file replaces refuse claims by it."`
+	Place  placeCommand  `cmd:"" help:"Make a ring of groups across zones from a list of agents."`
+	Mend   mendCommand   `cmd:"" help:"Replace agents that are gone by spare ones; shows the steps, or carries them out."`
+	Remove memberCommand `cmd:"" help:"Take a member out of its group."`
+	Join   memberCommand `cmd:"" help:"Add a member to a group; its process must run, without bootstrap."`
+}
+
+type promisesFile struct {
+	File string `arg:"" help:"The file of promises (YAML), as deploy/promises.yaml."`
+}
+
+type placeCommand struct {
+	Agents string `arg:"" help:"A YAML list of agents: id, zone, raft, client."`
+	Size   int    `help:"Members of a group: 3 or 5." default:"3"`
+}
+
+type mendCommand struct {
+	File   string   `arg:"" help:"The file of promises in force."`
+	Gone   []string `help:"Agents lost with their disks." required:""`
+	Spares string   `help:"A YAML list of spare agents." required:""`
+	Apply  bool     `help:"Carry the steps out, one after another; the spare agents must run."`
+}
+
+type memberCommand struct {
+	File  string `arg:"" help:"The file of promises in force."`
+	Group string `help:"The group." required:""`
+	ID    string `help:"The member." required:""`
+	Raft  string `help:"For join: where the others reach its log (host:port)."`
+}
+
+// commandMost bounds what an operator's command waits for the groups.
+const commandMost = 30 * time.Second
+
+func (c promisesCommand) run(command string, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandMost)
+	defer cancel()
+	switch command {
+	case "check":
+		return checkPromises(c.Check.File, out)
+	case "status":
+		return tellPromises(ctx, c.Status.File, out)
+	case "fence":
+		return fencePromises(ctx, c.Fence.File, out)
+	case "place":
+		return c.Place.run(out)
+	case "mend":
+		return c.Mend.run(ctx, out)
+	case "remove":
+		return c.Remove.change(ctx, out, func(g *replica.Client) error { return g.Remove(ctx, c.Remove.ID) })
+	case "join":
+		if c.Join.Raft == "" {
+			return errors.New("join: --raft is missing")
+		}
+		return c.Join.change(ctx, out, func(g *replica.Client) error { return g.Join(ctx, c.Join.ID, c.Join.Raft) })
+	}
+	return fmt.Errorf("no command promises %q", command)
+}
+
+func checkPromises(file string, out io.Writer) error {
+	c, err := keeper.LoadConfig(file)
+	if err != nil {
+		return err
+	}
+	for _, found := range c.Ring.Spread() {
+		fmt.Fprintf(out, "%s: warning: %v\n", file, found)
+	}
+	fmt.Fprintf(out, "%s: ring %d of %d groups, lawful\n", file, c.Ring.Version, len(c.Ring.Groups))
+	return nil
+}
+
+// asking is a keeper that only asks: it takes no part in a group and claims nothing.
+func asking(file string) (*keeper.Keeper, keeper.Config, error) {
+	c, err := keeper.LoadConfig(file)
+	if err != nil {
+		return nil, c, err
+	}
+	k := keeper.New("operator", slog.New(slog.DiscardHandler))
+	k.Move(c.Ring, c.Previous)
+	return k, c, nil
+}
+
+func tellPromises(ctx context.Context, file string, out io.Writer) error {
+	k, _, err := asking(file)
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+	views, without := k.Overview(ctx), 0
+	for _, id := range slices.Sorted(maps.Keys(views)) {
+		fmt.Fprintln(out, sayGroup(id, views[id]))
+		if views[id].Err != nil {
+			without++
+		}
+	}
+	if without > 0 {
+		return fmt.Errorf("%d of %d groups have no leader within reach", without, len(views))
+	}
+	return nil
+}
+
+// fencePromises has the groups of the former ring refuse claims by agents that still follow
+// it. Claims by the new ring pass, as agents make them there first while they know both.
+func fencePromises(ctx context.Context, file string, out io.Writer) error {
+	c, err := keeper.LoadConfig(file)
+	if err != nil {
+		return err
+	}
+	if c.Previous == nil {
+		return fmt.Errorf("%s: field previous: empty; there is no former ring to fence off", file)
+	}
+	for _, g := range c.Previous.Groups {
+		client := keeper.Client(g)
+		_, err := client.ProposePatiently(ctx, promise.Entry{Op: promise.OpFence, Ring: c.Ring.Version})
+		client.Close()
+		if err != nil {
+			return fmt.Errorf("group %s: %w", g.ID, err)
+		}
+		fmt.Fprintf(out, "group %s refuses claims by rings before %d\n", g.ID, c.Ring.Version)
+	}
+	return nil
+}
+
+func readMembers(file string) ([]shard.Member, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var list []shard.Member
+	if err := yaml.UnmarshalWithOptions(text, &list, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
+		return nil, fmt.Errorf("%s: %s", file, yaml.FormatError(err, false, true))
+	}
+	return list, nil
+}
+
+func (c placeCommand) run(out io.Writer) error {
+	agents, err := readMembers(c.Agents)
+	if err != nil {
+		return err
+	}
+	ring, left, err := shard.Place(agents, c.Size)
+	if err != nil {
+		return fmt.Errorf("--size: %w", err)
+	}
+	if err := errors.Join(ring.Check()...); err != nil {
+		return fmt.Errorf("%s: %w", c.Agents, err)
+	}
+	for _, found := range ring.Spread() {
+		fmt.Fprintf(out, "# warning: %v\n", found)
+	}
+	for _, m := range left {
+		fmt.Fprintf(out, "# left over, keeps nothing for others: %s (%s)\n", m.ID, m.Zone)
+	}
+	text, err := yaml.Marshal(map[string]shard.Ring{"ring": ring})
+	if err != nil {
+		return err
+	}
+	_, err = out.Write(text)
+	return err
+}
+
+// run shows the steps that replace agents that are gone, and the ring after them. With --apply
+// each step is carried out once the one before it is committed; a step that stands already
+// does nothing, so a command that broke off is given again.
+func (c mendCommand) run(ctx context.Context, out io.Writer) error {
+	conf, err := keeper.LoadConfig(c.File)
+	if err != nil {
+		return err
+	}
+	spares, err := readMembers(c.Spares)
+	if err != nil {
+		return err
+	}
+	gone := map[string]bool{}
+	for _, id := range c.Gone {
+		gone[id] = true
+	}
+	next, steps, stuck := shard.Mend(conf.Ring, gone, spares)
+	for _, s := range steps {
+		fmt.Fprintln(out, "# "+say(s))
+		if !c.Apply {
+			continue
+		}
+		g, _ := conf.Ring.Group(s.Group)
+		if err := carryOut(ctx, g, s); err != nil {
+			return fmt.Errorf("%s: %w", say(s), err)
+		}
+	}
+	text, err := yaml.Marshal(map[string]shard.Ring{"ring": next})
+	if err != nil {
+		return err
+	}
+	if _, err := out.Write(text); err != nil {
+		return err
+	}
+	if len(stuck) > 0 {
+		return fmt.Errorf("groups %v have lost their majority: no membership change can mend them (docs/operators.md)", stuck)
+	}
+	return nil
+}
+
+func say(s shard.Change) string {
+	if s.Remove != "" {
+		return fmt.Sprintf("group %s: remove %s", s.Group, s.Remove)
+	}
+	return fmt.Sprintf("group %s: add %s (%s, %s)", s.Group, s.Add.ID, s.Add.Zone, s.Add.Raft)
+}
+
+func carryOut(ctx context.Context, g shard.Group, s shard.Change) error {
+	client := keeper.Client(g)
+	defer client.Close()
+	return replica.Patiently(ctx, func() error {
+		if s.Remove != "" {
+			return client.Remove(ctx, s.Remove)
+		}
+		return client.Join(ctx, s.Add.ID, s.Add.Raft)
+	})
+}
+
+func (c memberCommand) change(ctx context.Context, out io.Writer, do func(*replica.Client) error) error {
+	conf, err := keeper.LoadConfig(c.File)
+	if err != nil {
+		return err
+	}
+	g, ok := conf.Ring.Group(c.Group)
+	if !ok {
+		return fmt.Errorf("%s: no group %q", c.File, c.Group)
+	}
+	client := keeper.Client(g)
+	defer client.Close()
+	if err := replica.Patiently(ctx, func() error { return do(client) }); err != nil {
+		return fmt.Errorf("group %s: %w", c.Group, err)
+	}
+	fmt.Fprintf(out, "group %s: done\n", c.Group)
+	return nil
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -88,7 +88,7 @@
 	for _, r := range rings {
 		for _, g := range r.Groups {
 			if v.groups[g.ID] == nil {
-				v.groups[g.ID] = client(g)
+				v.groups[g.ID] = Client(g)
 			}
 		}
 	}
@@ -98,7 +98,8 @@
 	}
 }
 
-func client(g shard.Group) *replica.Client {
+// Client is a client of a group, through all its members.
+func Client(g shard.Group) *replica.Client {
 	members := map[string]string{}
 	for _, m := range g.Members {
 		members[m.ID] = m.Client
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +49,7 @@
 	Name, Listen, Console string
 	Member                shard.Member // its part in a group
 	Solo                  bool         // takes no part in a group any more
+	joins                 string       // the group it is to be added to; "": one it began with
 }
 
 // StartFleet starts n agents named a1..aN from bin under dir.
@@ -115,15 +118,12 @@
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		return err
 	}
-	if text, err = yaml.Marshal(f.promises(a)); err != nil {
-		return err
-	}
-	if err := os.WriteFile(promises, text, 0o600); err != nil {
-		return err
-	}
 	if a.Proc == nil {
 		a.Proc = &faultnet.Proc{Name: name, Bin: f.bin, Data: filepath.Join(f.Dir, name)}
 	}
+	if err := write(promises, f.promises(a)); err != nil {
+		return err
+	}
 	a.Env = append(os.Environ(), "PROXY_CONFIG="+config, "WOODROUTER_PROMISES="+promises)
 	return a.Proc.Start()
 }
@@ -137,23 +137,36 @@
 		links, boot := map[string]string{}, []replica.Peer{}
 		for _, m := range g.Members {
 			boot = append(boot, replica.Peer{ID: m.ID, Raft: m.Raft})
-			if m.ID == a.Name {
+			if to := f.host(m); to == a.Name {
 				part = true
 			} else {
-				links[m.Raft] = f.logs[a.Name][m.ID].Addr()
-				m.Client = f.calls[a.Name][m.ID].Addr()
+				links[m.Raft] = f.logs[a.Name][to].Addr()
+				m.Client = f.calls[a.Name][to].Addr()
 			}
 			seen.Members = append(seen.Members, m)
 		}
 		c.Ring.Groups = append(c.Ring.Groups, seen)
+		if a.joins == g.ID {
+			part, boot = true, nil
+		}
 		if part && !a.Solo {
-			c.Member = &replica.Config{ID: a.Name, Raft: a.Member.Raft, Client: a.Member.Client,
-				Data: filepath.Join(f.Dir, a.Name), Bootstrap: boot, Links: links}
+			c.Member = &replica.Config{ID: a.Member.ID, Raft: a.Member.Raft, Client: a.Member.Client,
+				Data: a.Data, Bootstrap: boot, Links: links}
 		}
 	}
 	return c
 }
 
+// host is the name of the agent that a member is a part of: its address outlives its ids.
+func (f *Fleet) host(m shard.Member) string {
+	for name, a := range f.Agents {
+		if a.Member.Raft == m.Raft {
+			return name
+		}
+	}
+	return ""
+}
+
 // Lose ends an agent with SIGKILL and loses its disk. It may be started again as an agent that
 // keeps nothing for others: a member without its disk must not come back under its id.
 func (f *Fleet) Lose(name string) error {
@@ -163,6 +176,43 @@
 	return a.Wipe()
 }
 
+func write(path string, v any) error {
+	text, err := yaml.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
+
+// Mend brings a lost agent back as a new member, by the operators' own command: it is started
+// under a new id with no bootstrap, and `woodrouter promises mend --apply` replaces the old id.
+func (f *Fleet) Mend(ctx context.Context, name string) error {
+	a := f.Agents[name]
+	lost := a.Member.ID
+	for _, g := range f.Ring.Groups {
+		if slices.ContainsFunc(g.Members, func(m shard.Member) bool { return m.ID == lost }) {
+			a.joins = g.ID
+		}
+	}
+	a.Solo, a.Member.ID = false, lost+"-new"
+	if err := f.Start(name); err != nil {
+		return err
+	}
+	file, spares := filepath.Join(f.Dir, "operator.yaml"), filepath.Join(f.Dir, "spares.yaml")
+	if err := write(file, keeper.Config{Ring: f.Ring}); err != nil {
+		return err
+	}
+	if err := write(spares, []shard.Member{a.Member}); err != nil {
+		return err
+	}
+	said, err := exec.CommandContext(ctx, f.bin, "promises", "mend", "--gone", lost, "--spares", spares, "--apply", file).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("mend: %w: %s", err, said)
+	}
+	f.Ring, _, _ = shard.Mend(f.Ring, map[string]bool{lost: true}, []shard.Member{a.Member})
+	return nil
+}
+
 // Cut puts agents on a side of their own: nothing passes between them and the rest.
 func (f *Fleet) Cut(names ...string) {
 	f.logs.Partition(names...)
--- a/internal/promiselab/fleet_test.go
+++ b/internal/promiselab/fleet_test.go
@@ -102,6 +102,14 @@
 	require.NoError(t, f.Await(ctx, "a1", "READY", "SUCCESS"))
 	served("a1", 5) // as a client of the groups, it hears what it promised itself
 
+	f.Agents["a1"].Kill() // it keeps for others again under a new id, and its group bears another loss
+	require.NoError(t, f.Mend(ctx, "a1"))
+	f.Agents["a2"].Kill()
+	require.NoError(t, f.Settled(ctx, "a3"))
+	served("a3", 4)
+	served("a3", 40)
+	require.NoError(t, f.Start("a2"))
+
 	require.NoError(t, f.Await(ctx, "a5", "DRAIN", "SUCCESS"))
 	f.Agents["a5"].Kill()
 	require.NoError(t, f.Start("a5"))
--- a/internal/promiselab/group.go
+++ b/internal/promiselab/group.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -122,29 +121,13 @@
 	}
 	admin := g.Client()
 	defer admin.Close()
-	if err := patiently(ctx, func() error { return admin.Remove(ctx, old.ID) }); err != nil {
+	if err := replica.Patiently(ctx, func() error { return admin.Remove(ctx, old.ID) }); err != nil {
 		return fmt.Errorf("remove %s: %w", old.ID, err)
 	}
 	if err := g.add(g.Procs[name].Bin, name, newID, nil); err != nil {
 		return err
 	}
-	return patiently(ctx, func() error { return admin.Join(ctx, newID, g.raft[name]) })
-}
-
-// patiently repeats a membership change, which does nothing when it stands already, while the
-// group tells when to come back: a leader may fall on the way and the end is then not known.
-func patiently(ctx context.Context, change func() error) error {
-	for {
-		err := change()
-		var later *replica.Later
-		if !errors.As(err, &later) || ctx.Err() != nil {
-			return err
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(later.After / 4):
-		}
-	}
+	return replica.Patiently(ctx, func() error { return admin.Join(ctx, newID, g.raft[name]) })
 }
 
 // Client reaches the group through every member.
--- a/internal/promiselab/history.go
+++ b/internal/promiselab/history.go
@@ -221,7 +221,7 @@
 
 // readBack reads a call, again where the group asks to come back.
 func readBack(ctx context.Context, c *replica.Client, call string) (r promise.Resolution, found bool, err error) {
-	err = patiently(ctx, func() error {
+	err = replica.Patiently(ctx, func() error {
 		r, found, err = c.Read(ctx, call)
 		return err
 	})
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -71,15 +71,25 @@
 
 // ProposePatiently proposes until a quorum has the entry, the group refuses it, or the
 // context ends: for entries that do nothing when proposed again (a claim and a resolution of
-// one token, an end, a drain). While no leader is known it asks again in a quarter of the
-// time told, and at least every 20 ms.
-func (c *Client) ProposePatiently(ctx context.Context, e promise.Entry) (promise.Result, error) {
+// one token, an end, a drain).
+func (c *Client) ProposePatiently(ctx context.Context, e promise.Entry) (r promise.Result, err error) {
+	err = Patiently(ctx, func() error {
+		r, err = c.Propose(ctx, e)
+		return err
+	})
+	return r, err
+}
+
+// Patiently repeats what does nothing when it stands already (a membership change, an entry
+// proposed again) while the group tells when to come back, in a quarter of that time, until
+// the context ends. If any try may stand, the last refusal is ErrUnknown.
+func Patiently(ctx context.Context, do func() error) error {
 	unknown := false
 	for {
-		r, err := c.Propose(ctx, e)
+		err := do()
 		var later *Later
-		if err == nil || !errors.As(err, &later) {
-			return r, err
+		if !errors.As(err, &later) {
+			return err
 		}
 		unknown = unknown || errors.Is(err, ErrUnknown)
 		wait := time.NewTimer(max(later.After/4, 20*time.Millisecond))
@@ -87,10 +97,10 @@
 		case <-wait.C:
 		case <-ctx.Done():
 			wait.Stop()
-			if unknown && !errors.Is(err, ErrUnknown) { // an earlier try of the same entry may stand
-				return r, &Later{ErrUnknown, later.After, later.Message}
+			if unknown {
+				return &Later{ErrUnknown, later.After, later.Message}
 			}
-			return r, err
+			return err
 		}
 	}
 }
