Fault lab: a run counts answered operations, not new calls; zone plans in the log

Cause: history.count told the calls promised, of which there are 2000; a fast run had them all before its last fault, and progress waited for new ones until the run's own context ended, with which the reading back ended too. It counts operations a quorum answered now, and reading back has a minute of its own. The members' logs and data showed writes to the end: no group was stuck.

Also begun, for zone failover: package failover (the pure decision, with property tests), the log entry that takes a plan only where its epoch follows the one in force, internal/members on memberlist, and the core's sights of setup servers by zone (off unless asked for).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -42,6 +42,8 @@
 	Stray func(id string, err error)
 	// Keeper copies promises to further agents; nil: this agent keeps them for itself alone.
 	Keeper Keeper
+	// Sights has the agent count what it sees of the setup servers by zone (Agent.Sights).
+	Sights bool
 }
 
 // Route is what a call's route gives it beyond the settings; zero fields leave the settings.
@@ -82,6 +84,7 @@
 	tallies map[string]*Tally // by class; the map itself never changes
 	figures figures
 	router  atomic.Pointer[Router] // nil: every call has the settings' limits
+	sights  *Sights                // nil: not counted
 	echoes  map[string]*call       // calls that stand by another agent's answer, told here
 }
 
@@ -196,6 +199,9 @@
 	for _, t := range cfg.Settings.Tenants {
 		a.tenants[t.Name] = true
 	}
+	if cfg.Sights {
+		a.sights = newSights(cfg.Settings)
+	}
 	if a.cfg.Stray == nil {
 		a.cfg.Stray = func(string, error) {}
 	}
@@ -205,6 +211,9 @@
 	return a, nil
 }
 
+// Sights is what the agent sees of the setup servers; nil where Config.Sights is not set.
+func (a *Agent) Sights() *Sights { return a.sights }
+
 // Attach names the backend.
 func (a *Agent) Attach(b Backend) { a.backend = b }
 
@@ -341,7 +350,12 @@
 }
 
 // Reported brings a report that came outside an answer, or the outcome of a probe.
-func (a *Agent) Reported(p policy.Probed) { a.post("", func() { a.act(a.ctrl.Handle(a.now(), p)) }) }
+func (a *Agent) Reported(p policy.Probed) {
+	a.post("", func() {
+		a.sights.noteReport(p)
+		a.act(a.ctrl.Handle(a.now(), p))
+	})
+}
 
 // Idle calls done once no call waits for its final answer.
 func (a *Agent) Idle(done func()) {
@@ -385,6 +399,7 @@
 		a.refuse(f, in, a.cfg.Settings.Limits.CoolDown)
 		return false
 	}
+	a.sights.noteCall(in.Class)
 	c := &call{Call: in, front: f}
 	a.calls[in.ID] = c
 	a.open++
@@ -518,6 +533,7 @@
 	for _, s := range list {
 		news.Servers = append(news.Servers, s.Server)
 	}
+	a.sights.noteList(list, whole)
 	a.backend.Servers(list, whole) // first: what the module sends next must find its server
 	a.act(a.ctrl.Handle(a.now(), news))
 }
@@ -543,6 +559,7 @@
 		c.Description = nil
 		a.answer(c.front, c.Call, description)
 	})
+	a.sights.noteTry(c.server, policy.OK, a.now()-c.sentAt, policy.NoReport())
 	a.act(a.ctrl.Handle(a.now(), policy.Standing{ID: id, Attempt: n, Server: c.server,
 		Delay: a.now() - c.sentAt}))
 }
@@ -573,6 +590,9 @@
 		e.Result, e.Wait = err.Result, err.Wait
 		a.cfg.Log.Debug("attempt ended", "call", id, "attempt", n, "error", err)
 	}
+	if !c.stands { // how a call that stood ended shows nothing of the way to its server
+		a.sights.noteTry(c.server, e.Result, e.Delay, r)
+	}
 	a.drop(c)
 	a.act(a.ctrl.Handle(a.now(), e))
 }
--- a/agent/api.go
+++ b/agent/api.go
@@ -71,6 +71,7 @@
 type Server struct {
 	policy.Server
 	Address string
+	Zone    string // where it stands; "": the list does not say
 }
 
 // Stage tells how far an attempt had come when it ended.
--- /dev/null
+++ b/failover/failover_test.go
@@ -0,0 +1,222 @@
+package failover
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = 1_000_000
+
+// four zones in two regions; a1 and a2 are near each other, as are b1 and b2.
+var four = Topology{Zones: []Zone{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}},
+	Distances: []Distance{{[2]string{"a1", "b2"}, 5}, {[2]string{"a2", "b1"}, 7}}}
+
+// world words a view: each zone's load and capacity, all servers up but in the zones named.
+func world(load, capacity map[string]float64, down ...string) View {
+	var all []Summary
+	for _, z := range four.Zones {
+		s := Summary{Agent: z.Name, Zone: z.Name, Offered: map[string]float64{"voice": load[z.Name]}, Seen: map[string]Sight{}}
+		for _, o := range four.Zones {
+			s.Seen[o.Name] = Sight{Listed: 4, Up: 4, Capacity: capacity[o.Name]}
+		}
+		for _, d := range down {
+			s.Seen[d] = Sight{Listed: 4, Up: 0}
+		}
+		all = append(all, s)
+	}
+	return Look(all, 0, second)
+}
+
+func each(n float64) map[string]float64 {
+	return map[string]float64{"a1": n, "a2": n, "b1": n, "b2": n}
+}
+
+func with(m map[string]float64, zone string, n float64) map[string]float64 { m[zone] = n; return m }
+
+func TestDecide(t *testing.T) {
+	tight := Defaults
+	tight.Budget = map[string]float64{"voice": 0.1}
+	cases := []struct {
+		name string
+		s    Settings
+		v    View
+		want string // a1's placement
+		for_ string // what is traded
+	}{
+		{"calm: all at home", Defaults, world(each(80), each(100)), "local []", ""},
+		{"capacity not known: all at home", Defaults, world(each(80), each(0)), "local []", ""},
+		{"over the margin: the rest to the region's other zone", Defaults, world(with(each(50), "a1", 100), each(100)), "spill [{a2 0.1}]", ""},
+		{"the region is full: the rest to the nearest of the other", Defaults, world(map[string]float64{"a1": 150, "a2": 80, "b1": 0, "b2": 0}, each(100)),
+			"region [{a2 0.067} {b2 0.333}]", ""},
+		{"home lost: all of it to the region's other zone", Defaults, world(each(40), each(100), "a1"), "evacuate [{a2 1}]", ""},
+		{"region lost: all of it to the nearest", Defaults, world(each(40), each(100), "a1", "a2"), "region [{b2 1}]", ""},
+		{"everything lost: home, and the module refuses", Defaults, world(each(40), each(100), "a1", "a2", "b1", "b2"), "local []", "[{a1 capacity  40} {a2 capacity  40} {b1 capacity  40} {b2 capacity  40}]"},
+		{"everything full: home", Defaults, world(each(100), each(100)), "local []", "[{a1 capacity  10} {a2 capacity  10} {b1 capacity  10} {b2 capacity  10}]"},
+		{"the budget keeps calls in a lost zone, and says so", tight, world(each(40), each(100), "a1"), "evacuate [{a2 1}] map[voice:0.1]", "[{a1 budget voice 36}]"},
+	}
+	for _, c := range cases {
+		p, changed := Decide(Plan{}, four, c.s, c.v, second, "d")
+		z := p.Zones["a1"]
+		for i := range z.Shares {
+			z.Shares[i].Part = round(z.Shares[i].Part)
+		}
+		got := fmt.Sprint(z.Mode, " ", z.Shares)
+		if z.Caps != nil {
+			got += fmt.Sprint(" ", z.Caps)
+		}
+		traded := ""
+		if p.Trades != nil {
+			traded = fmt.Sprint(p.Trades)
+		}
+		if got != c.want || traded != c.for_ || !changed || p.Epoch != 1 {
+			t.Errorf("%s: %s, trades %s; want %s, trades %s", c.name, got, traded, c.want, c.for_)
+		}
+	}
+}
+
+// TestDwell: a zone that flaps faster than the dwell gets nothing back; one that stays healthy
+// does after it, and its capacity ramps up.
+func TestDwell(t *testing.T) {
+	load, caps := each(40), each(100)
+	up, down := world(load, caps), world(load, caps, "a1")
+	p, _ := Decide(Plan{}, four, Defaults, up, 0, "d")
+	epochs := p.Epoch
+	now := int64(0)
+	for range 5 { // down 2 s, up 8 s
+		p, _ = Decide(p, four, Defaults, down, now+second, "d")
+		for i := range int64(8) {
+			p, _ = Decide(p, four, Defaults, up, now+(3+i)*second, "d")
+			if p.Zones["a1"].Mode != Evacuate {
+				t.Fatalf("at %d s a flapping zone has calls again: %+v", now/second+3+i, p.Zones["a1"])
+			}
+		}
+		now += 10 * second
+	}
+	if p.Epoch-epochs > 11 {
+		t.Errorf("%d epochs for five flaps", p.Epoch-epochs)
+	}
+	back, _ := Decide(p, four, Defaults, up, now+3*second, "d")
+	if a := back.Zones["a1"].away(); round(a) != 0.438 { // 22.5 of 40 at home: a quarter of 90
+		t.Errorf("taken back at once for all but %.2f of its calls", a)
+	}
+	warm, _ := Decide(back, four, Defaults, up, now+30*second, "d")
+	if warm.Zones["a1"].Mode != Local {
+		t.Errorf("warm and not local: %+v", warm.Zones["a1"])
+	}
+}
+
+// TestDecideHolds: what holds for every view. Equal arguments give equal plans; a plan decided
+// again on the same view stays; nothing goes to a zone that is lost or not reached; a zone's
+// planned load stays within its room unless nowhere has any; and no call leaves its region
+// while the region has room.
+func TestDecideHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load, caps := map[string]float64{}, map[string]float64{}
+		var down []string
+		for _, z := range four.Zones {
+			load[z.Name] = float64(rapid.IntRange(0, 200).Draw(t, "load"))
+			caps[z.Name] = float64(rapid.IntRange(1, 200).Draw(t, "capacity"))
+			if rapid.IntRange(0, 4).Draw(t, "down") == 0 {
+				down = append(down, z.Name)
+			}
+		}
+		v := world(load, caps, down...)
+		p, _ := Decide(Plan{}, four, Defaults, v, second, "d")
+		q, _ := Decide(Plan{}, four, Defaults, v, second, "d")
+		if !reflect.DeepEqual(p, q) {
+			t.Fatal("two decisions on one view differ")
+		}
+		if _, changed := Decide(p, four, Defaults, v, second, "e"); changed {
+			t.Fatalf("decided anew without news: %+v", p)
+		}
+		into := map[string]float64{}
+		for zone, place := range p.Zones {
+			if a := place.away(); a < 0 || a > 1+1e-9 {
+				t.Fatalf("%s sends %v away", zone, a)
+			}
+			for _, s := range place.Shares {
+				if p.States[s.Zone].Lost || s.Part <= 0 {
+					t.Fatalf("%s sends %v", zone, s)
+				}
+				into[s.Zone] += s.Part * load[zone]
+			}
+			into[zone] += (1 - place.away()) * load[zone]
+		}
+		short := map[string]float64{}
+		for _, tr := range p.Trades {
+			short[tr.Zone] += tr.PerSecond
+		}
+		over, total := 0.0, 0.0
+		for zone, n := range into {
+			if !p.States[zone].Lost {
+				over += max(n-caps[zone]*0.9, 0)
+			}
+		}
+		for _, n := range short {
+			total += n
+		}
+		if over > total+0.01 {
+			t.Fatalf("%.1f a second planned over capacity, %.1f said to be short: %+v", over, total, p)
+		}
+		for _, z := range four.Zones {
+			for _, o := range four.Zones {
+				if z.Region == o.Region && p.Zones[z.Name].Mode == Region && !p.States[o.Name].Lost && into[o.Name] < caps[o.Name]*0.9-0.01 {
+					t.Fatalf("%s leaves its region while %s has room: %+v", z.Name, o.Name, p)
+				}
+			}
+		}
+	})
+}
+
+// TestLook: the median of a zone's viewers stands, whatever one of them says, and old words
+// do not count.
+func TestLook(t *testing.T) {
+	see := func(agent string, up int, at int64) Summary {
+		return Summary{Agent: agent, Zone: "a1", AtUs: at, Offered: map[string]float64{"voice": 2}, Seen: map[string]Sight{"a1": {Listed: 4, Up: up, Capacity: 50, Tries: 4, Full: 1}}}
+	}
+	v := Look([]Summary{see("1", 4, 9*second), see("2", 4, 9*second), see("deaf", 0, 9*second), see("old", 0, 0)}, 10*second, 5*second)
+	h, ok := v.at("a1", "a1")
+	if !ok || h.Up != 1 || h.Capacity != 50 || h.Full != 0.25 || v.Agents["a1"] != 3 || v.load("a1") != 6 {
+		t.Errorf("%+v, %d agents, load %v", h, v.Agents["a1"], v.load("a1"))
+	}
+}
+
+// TestChoose: calls are shared as planned, a class's cap holds, and a larger share moves only
+// the calls it adds.
+func TestChoose(t *testing.T) {
+	plan := func(part float64) Plan {
+		return Plan{Zones: map[string]Placement{"a1": {Mode: Spill, Shares: []Share{{"a2", part}}, Caps: map[string]float64{"group": 0.05}}}}
+	}
+	n, capped := 0, 0
+	for i := range 20_000 {
+		call := fmt.Sprintf("%016x", i)
+		small, big := plan(0.2).Choose("a1", "voice", call), plan(0.3).Choose("a1", "voice", call)
+		if small == "a2" {
+			n++
+			if big != "a2" {
+				t.Fatalf("call %s came home as more were sent away", call)
+			}
+		}
+		if plan(0.2).Choose("a1", "group", call) == "a2" {
+			capped++
+		}
+	}
+	if n < 3800 || n > 4200 || capped < 900 || capped > 1100 {
+		t.Errorf("%d of 20000 sent away, %d of the capped class", n, capped)
+	}
+	if z := plan(1).Choose("b1", "voice", "x"); z != "b1" {
+		t.Errorf("a zone without placement sends to %s", z)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	bad := Defaults
+	bad.Margin, bad.Budget = 1, map[string]float64{"voice": 2}
+	refused := append(bad.Check(), Topology{Zones: []Zone{{"a", ""}, {"b", "r"}, {"b", "r"}}, Distances: []Distance{{[2]string{"b", "c"}, -1}}}.Check()...)
+	if len(refused) != 5 || len(Defaults.Check())+len(four.Check()) > 0 {
+		t.Errorf("%v", refused)
+	}
+}
--- a/internal/bulletin/bulletin.go
+++ b/internal/bulletin/bulletin.go
@@ -42,6 +42,7 @@
 type Endpoint struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	Zone    string `json:"zone"`
 	Group   *int   `json:"group"`
 	Status  string `json:"status"`
 	SinceMs int64  `json:"since_ms"`
@@ -65,7 +66,7 @@
 			return nil, fmt.Errorf("endpoints[%d].since_ms: %d", i, e.SinceMs)
 		}
 		s := agent.Server{Server: policy.Server{ID: e.Name, Pool: -1, State: state,
-			ReadyAt: policy.Time(e.SinceMs) * time.Millisecond}, Address: e.Address}
+			ReadyAt: policy.Time(e.SinceMs) * time.Millisecond}, Address: e.Address, Zone: e.Zone}
 		if e.Group != nil {
 			s.Pool = *e.Group
 		}
--- a/internal/bulletin/bulletin_test.go
+++ b/internal/bulletin/bulletin_test.go
@@ -76,10 +76,10 @@
 func TestFollow(t *testing.T) {
 	b := standin.NewBulletin(t, standin.Endpoint("a", "x:1", 0, "up"))
 	c, _ := follow(t, b.Addr)
-	assert.Contains(t, c.next(t), "true [{{a 0 0 0s} x:1}]")
+	assert.Contains(t, c.next(t), "true [{{a 0 0 0s} x:1 z}]")
 	b.Tell(false, standin.Endpoint("a", "x:1", 0, "odd"))
 	b.Tell(false, standin.Endpoint("a", "x:1", 0, "draining"))
-	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1}]")
+	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1 z}]")
 	assert.Empty(t, c)
 }
 
@@ -104,7 +104,7 @@
 		}
 	}()
 	c, _ := follow(t, ln.Addr().String())
-	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1}]")
+	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1 }]")
 }
 
 // TestMove: after a move the new address is asked at once for what follows the last event,
@@ -125,7 +125,7 @@
 	require.Eventually(t, old.Taken, standin.Patience, time.Millisecond)
 	next.Tell(false, standin.Endpoint("a", "x:1", 0, "draining"))
 	f.Move(next.Addr)
-	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1}]", "the first event is not told again")
+	assert.Contains(t, c.next(t), "false [{{a 0 1 0s} x:1 z}]", "the first event is not told again")
 	assert.Empty(t, c)
 }
 
@@ -149,6 +149,6 @@
 	}()
 	began := time.Now()
 	c, f := follow(t, ln.Addr().String())
-	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1}]")
+	assert.Contains(t, c.next(t), "[{{a -1 0 0s} x:1 }]")
 	assert.Less(t, time.Since(began), f.Patience+f.Grace+2*time.Second, "what it would have told counts as told by then")
 }
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,279 @@
+// Package members is the membership of call agents, on github.com/hashicorp/memberlist (SWIM:
+// Das, Gupta and Motivala, "SWIM: scalable weakly-consistent infection-style process group
+// membership protocol", DSN 2002, with Lifeguard's refinements). Each agent's zone and region
+// are in its metadata. Beside who is alive, agents tell one another by gossip what each sees of
+// the setup servers (failover.Summary) and which epoch is in force; the plan itself comes from
+// the replicated log. It decides nothing.
+package members
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"woodrouter/failover"
+)
+
+// Config is an agent's part in the membership.
+type Config struct {
+	Bind  string            `yaml:"bind"`  // host:port, TCP and UDP, on which the others reach it
+	Seeds []string          `yaml:"seeds"` // some others' bind addresses, to join by
+	Links map[string]string `yaml:"links"` // another's bind address -> where to send instead (a proxy)
+	// Far lengthens the time-outs for members in several regions: hundreds of milliseconds
+	// from one to another.
+	Far bool `yaml:"far"`
+}
+
+// Valid names the first field that can't be used.
+func (c Config) Valid() error {
+	if _, err := port(c.Bind); err != nil {
+		return fmt.Errorf("field bind: %w", err)
+	}
+	for i, s := range c.Seeds {
+		if _, err := port(s); err != nil {
+			return fmt.Errorf("field seeds[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func port(addr string) (int, error) {
+	host, p, err := net.SplitHostPort(addr)
+	if err != nil {
+		return 0, err
+	}
+	if net.ParseIP(host) == nil {
+		return 0, fmt.Errorf("%q: the host must be an IP address", addr)
+	}
+	return strconv.Atoi(p)
+}
+
+// Member is an agent of the membership.
+type Member struct {
+	Name, Zone, Region string
+}
+
+// meta is a member's metadata, in JSON; memberlist bounds it to 512 bytes.
+type meta struct {
+	Zone   string `json:"z"`
+	Region string `json:"r"`
+}
+
+// word is one message of gossip.
+type word struct {
+	Summary *failover.Summary `json:"s,omitempty"`
+	Epoch   uint64            `json:"e,omitempty"`
+	By      string            `json:"b,omitempty"` // who tells of the epoch
+}
+
+// Members is an agent's view of the membership. Its methods do not wait, but for Open and Leave.
+type Members struct {
+	cfg   Config
+	self  Member
+	log   *slog.Logger
+	list  *memberlist.Memberlist
+	queue memberlist.TransmitLimitedQueue
+	bad   atomic.Int64 // messages that could not be read
+	sent  atomic.Int64 // datagrams and streams begun
+	bytes atomic.Int64 // in datagrams sent
+
+	mu    sync.Mutex
+	known map[string]failover.Summary // the latest of each agent
+	epoch uint64                      // the highest heard of
+	news  chan struct{}               // holds one item where the epoch has risen
+}
+
+// Open takes part in the membership. It returns before others are met; Rejoin keeps trying.
+func Open(cfg Config, self Member, logger *slog.Logger) (*Members, error) {
+	m := &Members{cfg: cfg, self: self, log: logger, known: map[string]failover.Summary{}, news: make(chan struct{}, 1)}
+	host, text, err := net.SplitHostPort(cfg.Bind)
+	if err != nil {
+		return nil, fmt.Errorf("field bind: %w", err)
+	}
+	bindPort, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, fmt.Errorf("field bind: %w", err)
+	}
+	lines := log.New(lineLog{logger}, "", 0)
+	netTransport, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: bindPort, Logger: lines})
+	if err != nil {
+		return nil, fmt.Errorf("field bind: %w", err)
+	}
+	c := memberlist.DefaultLANConfig()
+	if cfg.Far {
+		c = memberlist.DefaultWANConfig()
+		c.GossipInterval, c.PushPullInterval = 300*time.Millisecond, 15*time.Second
+	} else {
+		c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 500*time.Millisecond, 200*time.Millisecond, 3
+		c.GossipInterval, c.PushPullInterval = 100*time.Millisecond, 10*time.Second
+	}
+	c.Name, c.BindAddr, c.BindPort = self.Name, host, netTransport.GetAutoBindPort()
+	c.AdvertiseAddr, c.AdvertisePort = host, c.BindPort
+	c.Transport = &transport{NetTransport: netTransport, m: m}
+	c.Delegate, c.Events, c.Logger, c.DeadNodeReclaimTime = m, m, lines, 10*time.Second
+	m.queue = memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: m.Size}
+	if m.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("membership: %w", err)
+	}
+	return m, nil
+}
+
+// Rejoin meets the seeds unless others are met already, and tells how many are alive. Two parts
+// of a split that each forgot the other find together by it, so it is called again and again.
+func (m *Members) Rejoin() (alive int, err error) {
+	if n := m.Size(); n > 1 && n > len(m.cfg.Seeds)/2 {
+		return n, nil
+	}
+	if len(m.cfg.Seeds) > 0 {
+		_, err = m.list.Join(m.cfg.Seeds)
+	}
+	return m.Size(), err
+}
+
+// Size is how many agents are thought alive, this one among them.
+func (m *Members) Size() int {
+	if m.list == nil { // asked while it is being made
+		return 1
+	}
+	return m.list.NumMembers()
+}
+
+// Alive are the agents thought alive.
+func (m *Members) Alive() (out []Member) {
+	for _, n := range m.list.Members() {
+		var d meta
+		if json.Unmarshal(n.Meta, &d) == nil {
+			out = append(out, Member{n.Name, d.Zone, d.Region})
+		}
+	}
+	return out
+}
+
+// Tell has the others hear what this agent sees; a later summary takes the place of one that
+// still waits to be sent.
+func (m *Members) Tell(s failover.Summary) {
+	m.hear(s)
+	m.broadcast("s/"+s.Agent, word{Summary: &s})
+}
+
+// Announce has the others hear that an epoch is in force.
+func (m *Members) Announce(epoch uint64) {
+	m.raise(epoch)
+	m.broadcast("epoch", word{Epoch: epoch, By: m.self.Name})
+}
+
+// Epoch is the highest that was heard of; News holds an item once it has risen.
+func (m *Members) Epoch() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.epoch
+}
+
+// News holds an item where the epoch has risen since the last was taken.
+func (m *Members) News() <-chan struct{} { return m.news }
+
+// Summaries are the latest of the agents thought alive, each with the time of its hearing.
+func (m *Members) Summaries() (out []failover.Summary) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range m.list.Members() {
+		if s, ok := m.known[n.Name]; ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Traffic is the datagrams and streams begun, the bytes in datagrams, and messages not read.
+func (m *Members) Traffic() (sent, bytes, bad int64) {
+	return m.sent.Load(), m.bytes.Load(), m.bad.Load()
+}
+
+// Leave tells the others that this agent goes, and ends its part.
+func (m *Members) Leave() {
+	if err := m.list.Leave(time.Second); err != nil {
+		m.log.Info("left without telling all", "error", err)
+	}
+	m.list.Shutdown()
+}
+
+func (m *Members) broadcast(name string, w word) {
+	data, err := json.Marshal(w)
+	if err != nil {
+		return // a summary with a figure that is no number: it is not told
+	}
+	m.queue.QueueBroadcast(&message{name, data})
+}
+
+// hear keeps a summary if it is newer than the one there, with the time of the hearing: how old
+// it may be is then a matter of this agent's clock alone.
+func (m *Members) hear(s failover.Summary) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.known[s.Agent]; ok && !s.After(old) {
+		return
+	}
+	s.AtUs = time.Now().UnixMicro()
+	m.known[s.Agent] = s
+}
+
+func (m *Members) raise(epoch uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if epoch <= m.epoch {
+		return
+	}
+	m.epoch = epoch
+	select {
+	case m.news <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Members) take(data []byte) {
+	var w word
+	if err := json.Unmarshal(data, &w); err != nil {
+		m.bad.Add(1)
+		m.log.Warn("gossip passed over", "error", err, "bytes", len(data))
+		return
+	}
+	if w.Summary != nil && w.Summary.Agent != "" {
+		m.hear(*w.Summary)
+	}
+	if w.Epoch > 0 {
+		m.raise(w.Epoch)
+	}
+}
+
+// message is a broadcast; one of the same name takes its place.
+type message struct {
+	name string
+	data []byte
+}
+
+func (b *message) Invalidates(other memberlist.Broadcast) bool {
+	o, ok := other.(*message)
+	return ok && o.name == b.name
+}
+func (b *message) Message() []byte { return b.data }
+func (b *message) Finished()       {}
+
+// errTooFar is a meta that memberlist has no room for.
+var errTooFar = errors.New("zone and region are too long for the membership's metadata")
+
+// Fits tells whether a member's zone and region fit its metadata.
+func Fits(self Member) error {
+	if d, err := json.Marshal(meta{self.Zone, self.Region}); err != nil || len(d) > memberlist.MetaMaxSize {
+		return errTooFar
+	}
+	return nil
+}
--- a/internal/promiselab/history.go
+++ b/internal/promiselab/history.go
@@ -42,6 +42,7 @@
 	claimed  map[string]string // call -> the token told that it alone may send
 	double   []string          // calls that two tokens were told they may send
 	refused  int               // operations answered with no quorum
+	acks     int               // claims and resolutions answered by a quorum
 }
 
 func newHistory() *history {
@@ -71,6 +72,9 @@
 
 // note keeps what a client was promised, for the check that none of it is lost.
 func (h *history) note(in op, out seen) {
+	if in.Kind != "" && !out.Unknown {
+		h.acks++
+	}
 	if out.Answer != "" && in.Kind != "" {
 		h.promised[in.Call] = out.Answer
 	}
@@ -83,10 +87,12 @@
 	h.claimed[in.Call] = in.Token
 }
 
+// count is how many claims and resolutions a quorum has answered so far. Not the calls promised:
+// of those there are only so many, and a fast run has them all before its last fault.
 func (h *history) count() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.promised)
+	return h.acks
 }
 
 // model is one call as package promise promises it: free, claimed by a token, or resolved.
--- a/internal/promiselab/schedule.go
+++ b/internal/promiselab/schedule.go
@@ -85,15 +85,16 @@
 	return names
 }
 
-// scheduleMost bounds a schedule's faults, beside what reading back and checking take.
-const scheduleMost = 3 * time.Minute
+// scheduleMost bounds a schedule's faults; readMost what reading every promise back takes.
+const (
+	scheduleMost = 3 * time.Minute
+	readMost     = time.Minute
+)
 
 // Play starts a group under dir, plays the schedule against it with clients at work, and
 // checks what they were told. An error is one of the run itself, with the members' logs.
 func (s Schedule) Play(ctx context.Context, bin, dir string) (Report, error) {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, scheduleMost)
-	defer cancel()
 	g, err := StartGroup(bin, dir, s.Members, s.Seed, 64)
 	if err != nil {
 		return Report{}, err
@@ -107,7 +108,9 @@
 	return r, nil
 }
 
-func (s Schedule) play(ctx context.Context, g *Group, r *Report) error {
+func (s Schedule) play(whole context.Context, g *Group, r *Report) error {
+	ctx, cancel := context.WithTimeout(whole, scheduleMost)
+	defer cancel()
 	if _, err := g.Leader(ctx); err != nil {
 		return err
 	}
@@ -123,11 +126,13 @@
 	if err != nil {
 		return err
 	}
+	ctx, cancel = context.WithTimeout(whole, readMost)
+	defer cancel()
 	g.Mesh.Heal()
 	if _, err := g.Leader(ctx); err != nil {
 		return err
 	}
-	r.Operations, r.Refused, r.Promised = len(sc.h.ops), sc.h.refused, sc.h.count()
+	r.Operations, r.Refused, r.Promised = len(sc.h.ops), sc.h.refused, len(sc.h.promised)
 	r.Lost, r.Double = sc.h.lost(ctx, g.Client()), sc.h.double
 	r.Linear = sc.h.linear() == porcupine.Ok
 	return nil
@@ -150,17 +155,20 @@
 
 func (s *scene) playAll(ctx context.Context, order []int, r *Report) error {
 	for _, i := range order {
-		s.progress(ctx, 25) // clients at work before each fault
+		if ctx.Err() != nil {
+			return fmt.Errorf("not done in %v (after %v)", scheduleMost, r.Faults)
+		}
+		s.progress(ctx, 50) // clients at work before each fault
 		if err := faults[i].play(s, ctx); err != nil {
 			return fmt.Errorf("%s (after %v): %w", faults[i].name, r.Faults, err)
 		}
 		r.Faults = append(r.Faults, faults[i].name)
 	}
-	s.progress(ctx, 25)
+	s.progress(ctx, 50)
 	return nil
 }
 
-// progress waits until n more calls are promised, or the context ends.
+// progress waits until a quorum has answered n more operations, or the context ends.
 func (s *scene) progress(ctx context.Context, n int) {
 	for want := s.h.count() + n; s.h.count() < want && ctx.Err() == nil; {
 		time.Sleep(10 * time.Millisecond)
@@ -223,7 +231,7 @@
 func (s *scene) slowLink(ctx context.Context) error {
 	a := s.any()
 	s.Mesh.Delay(a, s.other(a), 200*time.Millisecond, 20*time.Millisecond)
-	s.progress(ctx, 25)
+	s.progress(ctx, 50)
 	s.Mesh.Heal()
 	return s.settled(ctx)
 }
@@ -266,7 +274,7 @@
 	l := s.Mesh[a][s.other(a)]
 	l.Set(faultnet.Drop, 0, 0)
 	l.Reset()
-	s.progress(ctx, 25)
+	s.progress(ctx, 50)
 	l.Set(faultnet.Pass, 0, 0)
 	l.Reset()
 	return s.settled(ctx)
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -157,6 +157,19 @@
 	return s, err
 }
 
+// Plan is the newest plan of zones that any member answers, from an epoch on: one
+// member that has applied it is enough, as what a member has applied is committed. ok is false where
+// none has it yet.
+func (c *Client) Plan(ctx context.Context, least uint64) (r PlanReply, ok bool) {
+	for id := range c.members {
+		var one PlanReply
+		if err := c.call(ctx, id, "Replica.Plan", struct{}{}, &one); err == nil && one.Epoch >= max(least, r.Epoch, 1) {
+			r, ok = one, true
+		}
+	}
+	return r, ok
+}
+
 // Later is a refusal with when to come back.
 type Later struct {
 	Err     error
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -150,7 +150,7 @@
 		case <-n.stop:
 			return
 		case now := <-tick.C:
-			if n.raft.State() != raft.Leader {
+			if !n.Leading() {
 				continue
 			}
 			e := promise.Entry{Op: promise.OpExpire, BeforeUs: now.Add(-keep).UnixMicro()}
@@ -209,11 +209,21 @@
 	return err
 }
 
+// Plan is the plan of zones that this member has applied, and its epoch.
+func (n *Node) Plan() (epoch uint64, plan []byte) {
+	n.fsm.read(func(s *promise.State) { epoch, plan = s.Plan() })
+	return epoch, plan
+}
+
+// Leading tells whether this member leads its group, as far as it knows: a leader that was cut
+// off finds out when it proposes.
+func (n *Node) Leading() bool { return n.raft.State() == raft.Leader }
+
 // Close ends the member's part in the group without leaving it. A leader hands its lead over
 // first, so that a planned restart costs no election's time.
 func (n *Node) Close() error {
 	close(n.stop)
-	if n.raft.State() == raft.Leader {
+	if n.Leading() {
 		if err := n.raft.LeadershipTransfer().Error(); err != nil {
 			n.log.Info("lead not handed over", "error", err)
 		}
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -53,6 +53,7 @@
 	Applied           uint64
 	Calls, Claims     int
 	Fence             uint64
+	Epoch             uint64 // of the plan of zones in force; 0: none
 	Drained           []string
 	Versions          map[string]string // by kind: plan, settings, routes
 	Members           []string          // id=address, in the configuration's order
@@ -124,6 +125,7 @@
 	reply.ID, reply.State, reply.Leader = s.n.cfg.ID, s.n.raft.State().String(), string(leader)
 	s.n.fsm.read(func(st *promise.State) {
 		reply.Applied, reply.Calls, reply.Claims, reply.Fence = st.Applied(), st.Calls(), st.Claims(), st.Fence()
+		reply.Epoch, _ = st.Plan()
 		reply.Drained, reply.Versions = st.DrainedServers(), st.Versions()
 	})
 	if f := s.n.raft.GetConfiguration(); f.Error() == nil {
@@ -134,6 +136,19 @@
 	return nil
 }
 
+// PlanReply is a plan of zones as this member has applied it, and its epoch.
+type PlanReply struct {
+	Epoch uint64
+	Plan  []byte
+}
+
+// Plan tells the plan that this member has applied. What it tells is committed; a newer one
+// may be, too, which the asker knows by its epoch.
+func (s *Service) Plan(_ struct{}, reply *PlanReply) error {
+	reply.Epoch, reply.Plan = s.n.Plan()
+	return nil
+}
+
 // leading answers at once where this member can't take a proposal: a follower names the
 // leader, a member that knows none tells when to come back. A minority never promises.
 func (s *Service) leading(reply *Reply) bool {
--- a/promise/promise.go
+++ b/promise/promise.go
@@ -44,6 +44,7 @@
 	OpCircuit Op = "circuit" // a circuit's state by CIC
 	OpExpire  Op = "expire"  // forget claims and resolutions from before a time
 	OpFence   Op = "fence"   // refuse claims made by an older ring than Ring
+	OpPlan    Op = "zones"   // where each zone's calls go from an epoch on (package failover)
 )
 
 // Answers a call may end with; the wire's own words (WIRE page: outcome, not_now, abort).
@@ -57,6 +58,9 @@
 // holds 16 KiB at most.
 const MaxDescription = 16 << 10
 
+// MaxPlan bounds a plan of zones: some hundred zones fit.
+const MaxPlan = 64 << 10
+
 // Entry is one log entry. Only the fields of its Op are read.
 type Entry struct {
 	Op Op `json:"op"`
@@ -79,6 +83,9 @@
 	// OpCircuit
 	CIC   int    `json:"cic,omitempty"`
 	State string `json:"state,omitempty"` // as internal/circuit names it
+	// OpPlan: taken where Epoch follows the one in force, so that of two deciders one is late
+	Epoch uint64          `json:"epoch,omitempty"`
+	Plan  json.RawMessage `json:"plan,omitempty"`
 	// OpExpire: BeforeUs
 	BeforeUs int64 `json:"before_us,omitempty"`
 }
@@ -105,7 +112,7 @@
 	// Resolution is the call's that stands, the first: for OpResolve always, for OpClaim
 	// where Resolved is set.
 	Resolution Resolution
-	First      bool // OpResolve: this entry made it; false: an earlier one stands
+	First      bool // OpResolve, OpPlan: this entry made it; false: an earlier one stands
 	Claimed    bool // OpClaim: the proposer, and nobody else, may send the call's set-ups
 	Resolved   bool // OpClaim: the call has its final answer; nothing may be sent
 	Forgotten  int  // OpExpire: how many claims and resolutions were forgotten
@@ -129,6 +136,8 @@
 	drained  map[string]bool
 	versions map[string]string
 	circuits map[int]string
+	epoch    uint64 // of the plan in force; 0: none yet
+	plan     []byte
 }
 
 // New returns the empty state, at index 0.
@@ -185,6 +194,12 @@
 		return Result{Forgotten: s.expire(e.BeforeUs)}, nil
 	case OpFence:
 		s.fence = max(s.fence, e.Ring)
+	case OpPlan:
+		if e.Epoch != s.epoch+1 {
+			return Result{}, nil
+		}
+		s.epoch, s.plan = e.Epoch, e.Plan
+		return Result{First: true}, nil
 	}
 	return Result{}, nil
 }
@@ -281,6 +296,10 @@
 		if e.CIC < 0 || e.CIC > 1<<14-1 { // Q.763: a CIC has 12 bits, national use up to 14
 			return fmt.Errorf("field cic: %d outside 0 to 16383", e.CIC)
 		}
+	case OpPlan:
+		if len(e.Plan) == 0 || len(e.Plan) > MaxPlan {
+			return fmt.Errorf("field plan: %d bytes, 1 to %d", len(e.Plan), MaxPlan)
+		}
 	case OpExpire, OpFence:
 	default:
 		return fmt.Errorf("field op: %q is no operation", e.Op)
@@ -338,6 +357,9 @@
 // Version is the digest last applied of a kind ("plan", "settings", "routes").
 func (s *State) Version(kind string) string { return s.versions[kind] }
 
+// Plan is the plan of zones in force, as its decider worded it, and its epoch; 0 and nil: none.
+func (s *State) Plan() (epoch uint64, plan []byte) { return s.epoch, s.plan }
+
 // Versions are the digests last applied, by kind.
 func (s *State) Versions() map[string]string { return maps.Clone(s.versions) }
 
--- a/promise/promise_test.go
+++ b/promise/promise_test.go
@@ -50,6 +50,9 @@
 			Encode(Entry{Op: OpResolve, Call: "c2", Answer: AnswerFailed, AtUs: 900_000}), Encode(Entry{Op: OpExpire, BeforeUs: 500_000}),
 			Encode(Entry{Op: OpExpire, BeforeUs: 900_000})},
 			func(s *State) bool { return s.Claims() == 0 && s.Calls() == 1 }, 0},
+		{"of two deciders of one epoch the first stands", [][]byte{Encode(Entry{Op: OpPlan, Epoch: 1, Plan: []byte(`{"a":1}`)}),
+			Encode(Entry{Op: OpPlan, Epoch: 1, Plan: []byte(`{"b":1}`)}), Encode(Entry{Op: OpPlan, Epoch: 3, Plan: []byte(`{"c":1}`)}), Encode(Entry{Op: OpPlan, Epoch: 2})},
+			func(s *State) bool { n, p := s.Plan(); return n == 1 && string(p) == `{"a":1}` }, 1},
 		{"malformed entries change nothing", [][]byte{[]byte("{"), Encode(Entry{Op: "x"}),
 			Encode(Entry{Op: OpResolve, Call: "c", Answer: AnswerServed}), Encode(Entry{Op: OpCircuit, CIC: 1 << 14})},
 			func(s *State) bool { return s.Calls() == 0 && s.Applied() == 4 }, 4},
@@ -73,9 +76,10 @@
 	s.Apply(2, Encode(Entry{Op: OpDrain, Server: "s1"}))
 	s.Apply(3, Encode(Entry{Op: OpFence, Ring: 1}))
 	s.Apply(4, Encode(Entry{Op: OpClaim, Call: "c2", Token: "a", Ring: 1, AtUs: 4}))
+	s.Apply(5, Encode(Entry{Op: OpPlan, Epoch: 1, Plan: []byte(`{"zones":{}}`)}))
 	snap := s.Snapshot()
 	r, err := Restore(snap)
-	if err != nil || !bytes.Equal(r.Snapshot(), snap) || r.Applied() != 4 || r.expire(5) != 2 || !bytes.Equal(s.Image().Bytes(), snap) {
+	if err != nil || !bytes.Equal(r.Snapshot(), snap) || r.Applied() != 5 || r.expire(5) != 2 || !bytes.Equal(s.Image().Bytes(), snap) {
 		t.Fatalf("restored %+v, %v", r, err)
 	}
 	flipped := bytes.Clone(snap)
--- a/promise/snapshot.go
+++ b/promise/snapshot.go
@@ -25,13 +25,15 @@
 	Drained  map[string]bool       `json:"drained"`
 	Versions map[string]string     `json:"versions"`
 	Circuits map[int]string        `json:"circuits"`
+	Epoch    uint64                `json:"epoch,omitempty"`
+	Plan     json.RawMessage       `json:"plan,omitempty"`
 }
 
 // Snapshot is the whole state as bytes: the magic, the JSON image (maps in key order, so
 // equal states give equal bytes), and a CRC-32C of the image, big-endian, in the last 4 bytes.
 // The log up to Applied may be dropped once a snapshot is kept.
 func (s *State) Snapshot() []byte {
-	return image{s.applied, s.fence, s.claims, s.calls, s.drained, s.versions, s.circuits}.bytes()
+	return image{s.applied, s.fence, s.claims, s.calls, s.drained, s.versions, s.circuits, s.epoch, s.plan}.bytes()
 }
 
 func (i image) bytes() []byte {
@@ -62,7 +64,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrSnapshot, describe(img, err))
 	}
 	s := New()
-	s.applied, s.fence = m.Applied, m.Fence
+	s.applied, s.fence, s.epoch, s.plan = m.Applied, m.Fence, m.Epoch, m.Plan
 	maps.Copy(s.claims, m.Claims)
 	maps.Copy(s.calls, m.Calls)
 	maps.Copy(s.drained, m.Drained)
@@ -84,7 +86,7 @@
 // Image copies the state.
 func (s *State) Image() Image {
 	return Image{image{s.applied, s.fence, maps.Clone(s.claims), maps.Clone(s.calls),
-		maps.Clone(s.drained), maps.Clone(s.versions), maps.Clone(s.circuits)}}
+		maps.Clone(s.drained), maps.Clone(s.versions), maps.Clone(s.circuits), s.epoch, s.plan}}
 }
 
 // Bytes is the snapshot of the copied state, as State.Snapshot words it.
