--- a/agent/sight.go
+++ b/agent/sight.go
@@ -210,3 +210,16 @@
 		s.lines = r.Total
 	}
 }
+
+// Down are the addresses of the servers listed as up that are down by what was seen, or were
+// lately: whoever looks at them keeps them so, or brings them back.
+func (v *Sights) Down() (addresses []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.servers {
+		if s.state == policy.Up && s.bad >= badMost {
+			addresses = append(addresses, s.address)
+		}
+	}
+	return addresses
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -27,6 +27,7 @@
 	State    string `json:"-"` // path of the second front's state; "": that front is off
 	Callers  string `json:"-"` // descriptor of the callers' listening socket; "": Listen is bound
 	Promises string `json:"-"` // path of the file of promises (YAML); "": kept by this process alone
+	Failover string `json:"-"` // path of the file of zone failover (YAML); "": zones are not followed
 	Routes   string `json:"-"` // path of the per-route limits (YAML); "": the settings' limits for all
 
 	path string // of the file this was read from; "": none
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"woodrouter/internal/callapi"
 	"woodrouter/internal/desk"
 	"woodrouter/internal/isupfront"
+	"woodrouter/internal/placer"
 	"woodrouter/internal/plan"
 	"woodrouter/internal/settings"
 	"woodrouter/internal/trunk"
@@ -55,7 +56,8 @@
 	pool     *trunk.Pool
 	front    *isupfront.Front
 	second   second
-	promises *promises // nil: what is promised is kept by this process alone
+	promises *promises      // nil: what is promised is kept by this process alone
+	placer   *placer.Placer // nil: zones are not followed
 	follower *bulletin.Follower
 	serving  atomic.Bool
 	stopping atomic.Bool
@@ -78,13 +80,19 @@
 		}
 		kept = d.promises.keeper
 	}
-	d.core, err = agent.New(agent.Config{Keeper: kept, Settings: cfg.info.Policy(), Seed: cfg.seed,
+	d.core, err = agent.New(agent.Config{Keeper: kept, Sights: cfg.Failover != "", Settings: cfg.info.Policy(), Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
 		Stray: func(id string, err error) { d.front.Stray(id, err) }})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
 	}
-	d.pool = trunk.NewPool(trunk.Config{ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
+	if cfg.Failover != "" {
+		if d.placer, err = newPlacer(cfg, d.promises, d.core.Sights(), log); err != nil {
+			return nil, err
+		}
+		d.core.SetRouter(d.route(nil))
+	}
+	d.pool = trunk.NewPool(trunk.Config{Wrote: d.wrote(), ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
 		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Log: log}, d.core)
 	d.core.Attach(d.pool)
 	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
@@ -138,6 +146,11 @@
 	defer leave()
 	ran := make(chan struct{})
 	go func() { d.core.Run(); close(ran) }()
+	if d.placer != nil {
+		followed := make(chan struct{})
+		go func() { d.placer.Run(background); close(followed) }()
+		defer func() { cancel(); <-followed }()
+	}
 	go d.follower.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- d.front.Serve(ln) }()
--- /dev/null
+++ b/internal/daemon/failover.go
@@ -0,0 +1,154 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+
+	"woodrouter/agent"
+	"woodrouter/internal/console"
+	"woodrouter/internal/placer"
+	"woodrouter/promise"
+)
+
+// newPlacer is the part of an agent that follows where each zone's calls go (docs/failover.md).
+// Off unless WOODROUTER_FAILOVER names its file.
+func newPlacer(cfg Config, p *promises, sights *agent.Sights, log *slog.Logger) (*placer.Placer, error) {
+	file, err := placer.LoadConfig(cfg.Failover)
+	if err != nil {
+		return nil, err
+	}
+	var control placer.Control
+	if p != nil {
+		control = &controlGroup{p: p}
+	}
+	pl, err := placer.New(file, cfg.Name, cmp.Or(file.Zone, cfg.info.MyZone), sights, control, log)
+	if err != nil {
+		return nil, fmt.Errorf("failover: %s: %w", cfg.Failover, err)
+	}
+	return pl, nil
+}
+
+// controlGroup is the ring's group with the least id: every agent finds the same one, and it is
+// not found anew when others come and go.
+type controlGroup struct{ p *promises }
+
+func (c *controlGroup) id() string {
+	id := ""
+	for _, g := range c.p.ring().Groups {
+		if id == "" || g.ID < id {
+			id = g.ID
+		}
+	}
+	return id
+}
+
+// Leading tells whether this agent's member leads the control group. Its part is in one group
+// alone, which is the control group where that names it.
+func (c *controlGroup) Leading() bool {
+	n := c.p.node.Load()
+	if n == nil || !n.Leading() {
+		return false
+	}
+	g, _ := c.p.ring().Group(c.id())
+	for _, m := range g.Members {
+		if m.ID == c.p.member() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *controlGroup) Plan(ctx context.Context, least uint64) (uint64, []byte, error) {
+	r, err := c.p.keeper.Group(c.id()).Plan(ctx, least)
+	return r.Epoch, r.Plan, err
+}
+
+func (c *controlGroup) LeadersPlan(ctx context.Context) (uint64, []byte, error) {
+	r, err := c.p.keeper.Group(c.id()).LeadersPlan(ctx)
+	return r.Epoch, r.Plan, err
+}
+
+func (c *controlGroup) Propose(ctx context.Context, epoch uint64, plan []byte) (bool, error) {
+	r, err := c.p.keeper.Group(c.id()).Propose(ctx, promise.Entry{Op: promise.OpPlan, Epoch: epoch, Plan: json.RawMessage(plan)})
+	return r.First, err
+}
+
+// route is a call's route by the routes file, narrowed to its zone's pools where zones are
+// followed.
+func (d *Daemon) route(byFile agent.Router) agent.Router {
+	if d.placer == nil {
+		return byFile
+	}
+	pools := map[string][]int{}
+	for _, c := range d.cfg.info.Policy().Classes {
+		pools[c.Name] = c.Pools
+	}
+	return func(c agent.Call) agent.Route {
+		var r agent.Route
+		if byFile != nil {
+			r = byFile(c)
+		}
+		return d.placer.Narrow(r, pools[c.Class], c.Class, c.ID)
+	}
+}
+
+// wrote counts set-ups by class and zone as they are written whole; nil where zones are not
+// followed.
+func (d *Daemon) wrote() func(class, zone string) {
+	if d.placer == nil {
+		return nil
+	}
+	return d.placer.Wrote
+}
+
+// sayZones words the plan in force, the membership, and the set-ups written by class.
+func (d *Daemon) sayZones() string {
+	if d.placer == nil {
+		return console.Failure + " zones are not followed"
+	}
+	p := d.placer.Plan()
+	var b strings.Builder
+	fmt.Fprintf(&b, "epoch %d by %s\n", p.Epoch, cmp.Or(p.By, "nobody"))
+	for _, z := range slices.Sorted(maps.Keys(p.Zones)) {
+		s := p.Zones[z]
+		fmt.Fprintf(&b, "zone %s: %s shares %v caps %v lost %v\n", z, s.Mode, s.Shares, s.Caps, p.States[z].Lost)
+	}
+	for _, t := range p.Trades {
+		fmt.Fprintf(&b, "traded in %s for %s %s: %g a second\n", t.Zone, t.For, t.Class, t.PerSecond)
+	}
+	alive := d.placer.Alive()
+	for _, z := range slices.Sorted(maps.Keys(alive)) {
+		fmt.Fprintf(&b, "alive in %s: %s\n", z, strings.Join(alive[z], " "))
+	}
+	home, away := d.placer.Traffic()
+	for _, class := range slices.Sorted(maps.Keys(d.core.Tallies())) {
+		fmt.Fprintf(&b, "set-ups of %s: %d home %d away\n", class, home[class], away[class])
+	}
+	return b.String() + console.End
+}
+
+// zoneFigures are the lines of STATS about zones.
+func (d *Daemon) zoneFigures(line func(kind string, n int64, name string)) {
+	line("g", int64(d.placer.Plan().Epoch), "zone_epoch")
+	home, away := d.placer.Traffic()
+	for _, class := range slices.Sorted(maps.Keys(d.core.Tallies())) {
+		line("c", home[class], "zone_home."+class)
+		line("c", away[class], "zone_away."+class)
+	}
+	line("c", d.placer.KeptHome(), "zone_kept_home")
+	n := 0
+	for _, names := range d.placer.Alive() {
+		n += len(names)
+	}
+	sent, bytes, bad := d.placer.Gossip()
+	line("g", int64(n), "members_alive")
+	line("c", sent, "gossip_sent")
+	line("c", bytes, "gossip_bytes")
+	line("c", bad, "gossip_bad")
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -68,7 +68,7 @@
 		return err
 	}
 	cfg.State, cfg.Callers, cfg.Routes = env("WOODROUTER_STATE"), env("PROXY_FD"), env("WOODROUTER_ROUTES")
-	cfg.Promises = env("WOODROUTER_PROMISES")
+	cfg.Promises, cfg.Failover = env("WOODROUTER_PROMISES"), env("WOODROUTER_FAILOVER")
 	cfg.Console = cmp.Or(cfg.Console, env("PROXY_CONSOLE"))
 	options := &slog.HandlerOptions{Level: level}
 	var handler slog.Handler = slog.NewTextHandler(logs, options)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -23,7 +23,7 @@
 		return nil, fmt.Errorf("configuration: field console: %w", err)
 	}
 	c := &console.Console{Log: d.log, Calls: map[string]func() string{
-		"READY": d.sayReady, "STATS": d.stats, "DRAIN": d.keepDrain(true, d.empty), "UNDRAIN": d.keepDrain(false, d.refill), "PROMISES": d.sayPromises,
+		"READY": d.sayReady, "STATS": d.stats, "DRAIN": d.keepDrain(true, d.empty), "UNDRAIN": d.keepDrain(false, d.refill), "PROMISES": d.sayPromises, "ZONES": d.sayZones,
 	}}
 	go c.Serve(ln)
 	d.log.Info("console open", "listen", ln.Addr().String())
@@ -58,6 +58,9 @@
 	if d.promises != nil {
 		d.promises.figures(line)
 	}
+	if d.placer != nil {
+		d.zoneFigures(line)
+	}
 	return b.String() + console.End
 }
 
--- a/internal/daemon/promises.go
+++ b/internal/daemon/promises.go
@@ -9,20 +9,33 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/internal/console"
 	"woodrouter/internal/keeper"
 	"woodrouter/internal/replica"
+	"woodrouter/shard"
 )
 
 // promises is the part of an agent that copies what it promises to further agents, and keeps
 // what others promise where it is a member of a group (docs/replication.md). Off unless
 // WOODROUTER_PROMISES names its file.
 type promises struct {
-	cfg    keeper.Config
 	keeper *keeper.Keeper
 	log    *slog.Logger
+	cfg    atomic.Pointer[keeper.Config]
+	node   atomic.Pointer[replica.Node] // nil: no part in a group, or none yet
+}
+
+func (p *promises) ring() shard.Ring { return p.cfg.Load().Ring }
+
+// member is the id of this agent's part in a group; "": none.
+func (p *promises) member() string {
+	if m := p.cfg.Load().Member; m != nil {
+		return m.ID
+	}
+	return ""
 }
 
 func newPromises(cfg Config, log *slog.Logger) (*promises, error) {
@@ -30,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &promises{cfg: file, keeper: keeper.New(cmp.Or(file.Name, cfg.Name), log), log: log}
+	p := &promises{keeper: keeper.New(cmp.Or(file.Name, cfg.Name), log), log: log}
 	p.take(file)
 	return p, nil
 }
@@ -39,6 +52,7 @@
 	for _, found := range file.Ring.Spread() {
 		p.log.Warn("ring: a zone's loss would stop a group", "found", found)
 	}
+	p.cfg.Store(&file)
 	p.keeper.Move(file.Ring, file.Previous)
 	p.log.Info("ring taken", "version", file.Ring.Version, "groups", len(file.Ring.Groups), "replaces", file.Previous != nil)
 }
@@ -50,16 +64,17 @@
 	if err != nil {
 		return err
 	}
-	if next.Ring.Version < p.cfg.Ring.Version {
-		return fmt.Errorf("promises: %s: field ring.version: %d is before %d, which is in force", path, next.Ring.Version, p.cfg.Ring.Version)
+	now := p.cfg.Load()
+	if next.Ring.Version < now.Ring.Version {
+		return fmt.Errorf("promises: %s: field ring.version: %d is before %d, which is in force", path, next.Ring.Version, now.Ring.Version)
 	}
-	if next.Name != p.cfg.Name || !reflect.DeepEqual(next.Member, p.cfg.Member) {
+	if next.Name != now.Name || !reflect.DeepEqual(next.Member, now.Member) {
 		p.log.Warn("promises: name and member hold from the next start")
+		next.Name, next.Member = now.Name, now.Member
 	}
-	if !reflect.DeepEqual(next.Ring, p.cfg.Ring) || !reflect.DeepEqual(next.Previous, p.cfg.Previous) {
+	if !reflect.DeepEqual(next.Ring, now.Ring) || !reflect.DeepEqual(next.Previous, now.Previous) {
 		p.take(next)
 	}
-	p.cfg = next
 	return nil
 }
 
@@ -69,7 +84,7 @@
 		return func() {}, nil
 	}
 	leave = d.promises.keeper.Close
-	if m := d.promises.cfg.Member; m != nil {
+	if m := d.promises.cfg.Load().Member; m != nil {
 		n, err := replica.Open(*m, d.log.With("member", m.ID))
 		if err != nil {
 			return nil, fmt.Errorf("promises: member: %w", err)
@@ -80,7 +95,9 @@
 			return nil, fmt.Errorf("promises: member: %w", err)
 		}
 		d.log.Info("member started", "member", m.ID, "raft", m.Raft, "client", ln.Addr().String(), "data", m.Data)
+		d.promises.node.Store(n)
 		leave = func() {
+			d.promises.node.Store(nil)
 			d.promises.keeper.Close()
 			ln.Close()
 			n.Close()
@@ -173,6 +190,6 @@
 	if v.Err != nil {
 		return fmt.Sprintf("group %s: no leader within reach: %v", id, v.Err)
 	}
-	return fmt.Sprintf("group %s: leader %s, applied %d, claims %d, calls %d, fence %d, drained %v, members %v",
-		id, v.ID, v.Applied, v.Claims, v.Calls, v.Fence, v.Drained, v.Members)
+	return fmt.Sprintf("group %s: leader %s, applied %d, claims %d, calls %d, fence %d, zone epoch %d, drained %v, members %v",
+		id, v.ID, v.Applied, v.Claims, v.Calls, v.Fence, v.Epoch, v.Drained, v.Members)
 }
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return fmt.Errorf("routes: %w", err)
 	}
-	d.core.SetRouter(router)
+	d.core.SetRouter(d.route(router))
 	d.log.Info("routes taken", "file", d.cfg.Routes, "routes", n)
 	return nil
 }
--- a/internal/faultnet/proxy.go
+++ b/internal/faultnet/proxy.go
@@ -26,6 +26,7 @@
 // another. Connections made through it carry both directions of that process's requests.
 type Link struct {
 	ln     net.Listener
+	udp    net.PacketConn // nil: no datagrams
 	target string
 
 	mu     sync.Mutex
@@ -77,6 +78,9 @@
 	l.closed = true
 	l.mu.Unlock()
 	l.ln.Close()
+	if l.udp != nil {
+		l.udp.Close()
+	}
 	l.Reset()
 }
 
@@ -179,11 +183,64 @@
 	}
 }
 
+// NewGossipLink is a link that carries datagrams beside connections, on one port as membership
+// by gossip wants it.
+func NewGossipLink(target string, seed uint64) (*Link, error) {
+	for range 20 { // another may hold the port for datagrams
+		l, err := NewLink(target, seed)
+		if err != nil {
+			return nil, err
+		}
+		if l.udp, err = net.ListenPacket("udp", l.Addr()); err != nil {
+			l.Close()
+			continue
+		}
+		to, err := net.Dial("udp", target)
+		if err != nil {
+			l.Close()
+			return nil, err
+		}
+		go l.carry(l.udp, to)
+		return l, nil
+	}
+	return nil, errors.New("faultnet: no port free for both connections and datagrams")
+}
+
+// carry forwards datagrams, each after its delay; the order may change, as on a real network.
+func (l *Link) carry(in net.PacketConn, to net.Conn) {
+	defer to.Close()
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := in.ReadFrom(buf)
+		if err != nil {
+			return
+		}
+		mode, d := l.wait()
+		switch {
+		case mode == Drop:
+		case d == 0:
+			to.Write(buf[:n]) // a lost datagram is what datagrams are for
+		default:
+			data := append([]byte(nil), buf[:n]...)
+			time.AfterFunc(d, func() { to.Write(data) })
+		}
+	}
+}
+
 // Mesh is a link for each ordered pair of members: Mesh[from][to] carries from's traffic to to.
 type Mesh map[string]map[string]*Link
 
 // NewMesh makes the links between members, given each member's real address.
 func NewMesh(addrs map[string]string, seed uint64) (Mesh, error) {
+	return newMesh(addrs, seed, NewLink)
+}
+
+// NewGossipMesh is a mesh whose links carry datagrams too.
+func NewGossipMesh(addrs map[string]string, seed uint64) (Mesh, error) {
+	return newMesh(addrs, seed, NewGossipLink)
+}
+
+func newMesh(addrs map[string]string, seed uint64, link func(string, uint64) (*Link, error)) (Mesh, error) {
 	m := Mesh{}
 	i := uint64(0)
 	for from := range addrs {
@@ -193,7 +250,7 @@
 				continue
 			}
 			i++
-			l, err := NewLink(addr, seed+i)
+			l, err := link(addr, seed+i)
 			if err != nil {
 				m.Close()
 				return nil, err
@@ -244,10 +301,15 @@
 }
 
 // DelayAll slows every link, both ways.
-func (m Mesh) DelayAll(d time.Duration) {
-	for _, tos := range m {
-		for _, l := range tos {
-			l.Set(Pass, d, 0)
+func (m Mesh) DelayAll(d time.Duration) { m.DelayWhere(d, func(string, string) bool { return true }) }
+
+// DelayWhere slows the links that are picked by their ends.
+func (m Mesh) DelayWhere(d time.Duration, pick func(from, to string) bool) {
+	for from, tos := range m {
+		for to, l := range tos {
+			if pick(from, to) {
+				l.Set(Pass, d, 0)
+			}
 		}
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -20,11 +20,13 @@
 	"woodrouter/shard"
 )
 
-// group is what the keeper needs of a group's client; *replica.Client is one.
-type group interface {
+// Group is what is asked of a group of agents; *replica.Client is one.
+type Group interface {
 	Propose(context.Context, promise.Entry) (promise.Result, error)
 	ProposePatiently(context.Context, promise.Entry) (promise.Result, error)
 	Overview(context.Context) (replica.StatusReply, error)
+	Plan(ctx context.Context, least uint64) (replica.PlanReply, error)
+	LeadersPlan(context.Context) (replica.PlanReply, error)
 	Close()
 }
 
@@ -32,7 +34,7 @@
 type view struct {
 	now      shard.Ring
 	previous *shard.Ring
-	groups   map[string]group
+	groups   map[string]Group
 }
 
 // Keeper claims and resolves an agent's calls. Its methods do not wait.
@@ -80,7 +82,7 @@
 
 // Move has claims from now on follow these rings; what is under way goes on where it is.
 func (k *Keeper) Move(now shard.Ring, previous *shard.Ring) {
-	v := &view{now: now, previous: previous, groups: map[string]group{}}
+	v := &view{now: now, previous: previous, groups: map[string]Group{}}
 	rings := []shard.Ring{now}
 	if previous != nil {
 		rings = append(rings, *previous)
@@ -107,6 +109,9 @@
 	return replica.NewClient(members)
 }
 
+// Group is the way to a group of the rings; nil for one that they do not name.
+func (k *Keeper) Group(id string) Group { return k.view.Load().groups[id] }
+
 func (v *view) close() {
 	for _, g := range v.groups {
 		g.Close()
@@ -201,7 +206,7 @@
 
 // proposeClaim proposes a claim. Where no quorum is known the caller is to hear so at once;
 // where the claim may stand it is proposed again, as its token makes that harmless.
-func proposeClaim(ctx context.Context, g group, e promise.Entry) (promise.Result, error) {
+func proposeClaim(ctx context.Context, g Group, e promise.Entry) (promise.Result, error) {
 	r, err := g.Propose(ctx, e)
 	if errors.Is(err, replica.ErrUnknown) {
 		return g.ProposePatiently(ctx, e)
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -21,6 +21,7 @@
 // log is a group in memory: the state machine alone. fail answers the next proposals with
 // errors; of an unknown one the entry stands.
 type log struct {
+	Group // what a test does not ask for
 	state *promise.State
 	fail  []error
 }
@@ -61,7 +62,7 @@
 }
 
 // knowing returns an agent's keeper that follows these rings on these logs.
-func knowing(name string, now shard.Ring, previous *shard.Ring, logs map[string]group) *Keeper {
+func knowing(name string, now shard.Ring, previous *shard.Ring, logs map[string]Group) *Keeper {
 	k := New(name, slog.New(slog.DiscardHandler))
 	k.view.Store(&view{now: now, previous: previous, groups: logs})
 	return k
@@ -79,7 +80,7 @@
 		}
 	}
 	rapid.Check(t, func(t *rapid.T) {
-		logs := map[string]group{"g1": &log{state: promise.New()}, "g2": &log{state: promise.New()}, "g3": &log{state: promise.New()}}
+		logs := map[string]Group{"g1": &log{state: promise.New()}, "g2": &log{state: promise.New()}, "g3": &log{state: promise.New()}}
 		views := []func(string) *Keeper{
 			func(n string) *Keeper { return knowing(n, old, nil, logs) },
 			func(n string) *Keeper { return knowing(n, next, &old, logs) },
@@ -135,7 +136,7 @@
 	}
 	for _, c := range cases {
 		l := &log{state: promise.New(), fail: c.claim}
-		k := knowing("a1", ring(1, "g1"), nil, map[string]group{"g1": l})
+		k := knowing("a1", ring(1, "g1"), nil, map[string]Group{"g1": l})
 		done := make(chan agent.Kept, 1)
 		k.Claim(agent.Call{ID: "c", Deadline: time.Now().Add(time.Minute)}, time.Second, func(k agent.Kept) { done <- k })
 		got := <-done
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,400 @@
+// Package placer has a call agent follow, and where it leads the control group make, the one
+// decision of where each zone's calls go. It is the thin part: package failover decides,
+// package members tells who is alive and what all see, the replicated log of the promises
+// holds the plan, and package policy picks the server among the pools a call may use.
+package placer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/failover"
+	"woodrouter/internal/members"
+)
+
+// Control is the control group as this agent reaches it: the group of the promises that keeps
+// the plan. Its methods may wait.
+type Control interface {
+	// Leading tells whether this agent's member leads the group, as far as it knows.
+	Leading() bool
+	// Plan is the plan of any member that has one of an epoch from least on.
+	Plan(ctx context.Context, least uint64) (epoch uint64, plan []byte, err error)
+	// LeadersPlan is the leader's; an error where no leader is within reach.
+	LeadersPlan(ctx context.Context) (epoch uint64, plan []byte, err error)
+	// Propose puts a plan in the log; took is false where another of its epoch stands.
+	Propose(ctx context.Context, epoch uint64, plan []byte) (took bool, err error)
+}
+
+// Placer follows the plan for one agent.
+type Placer struct {
+	cfg     Config
+	fig     figures
+	self    members.Member
+	sights  *agent.Sights
+	control Control          // nil: local mode
+	members *members.Members // nil: local mode
+	log     *slog.Logger
+	life    int64
+	seq     uint64
+
+	plan atomic.Pointer[failover.Plan]
+	seen atomic.Pointer[map[string]agent.Sighting] // the latest, by zone
+	word atomic.Int64                              // when the control group was last heard, Unix µs
+	mute bool                                      // that it is not heard was told
+
+	mu       sync.Mutex
+	sent     map[route]int64 // set-ups written whole
+	keptHome atomic.Int64    // calls kept home as the zone they were to go to is dead by own sight
+}
+
+// route is what set-ups are counted by.
+type route struct{ Class, To string }
+
+// New returns the placer of an agent in a zone. In common mode it takes part in the membership
+// from here on.
+func New(cfg Config, name, zone string, sights *agent.Sights, control Control, log *slog.Logger) (*Placer, error) {
+	fig, err := cfg.figures()
+	if err != nil {
+		return nil, err
+	}
+	p := &Placer{cfg: cfg, fig: fig, sights: sights, log: log, life: time.Now().UnixMicro(), sent: map[route]int64{},
+		self: members.Member{Name: name, Zone: zone}}
+	for _, z := range cfg.Topology.Zones {
+		if z.Name == zone {
+			p.self.Region = z.Region
+		}
+	}
+	if p.self.Region == "" {
+		return nil, fmt.Errorf("field zone: %q is none of the topology's", zone)
+	}
+	p.plan.Store(&failover.Plan{})
+	p.seen.Store(&map[string]agent.Sighting{})
+	if cfg.Mode != "common" {
+		return p, nil
+	}
+	if control == nil {
+		return nil, errors.New("field mode: common needs the promises' groups (WOODROUTER_PROMISES)")
+	}
+	if err := members.Fits(p.self); err != nil {
+		return nil, err
+	}
+	p.control = control
+	p.members, err = members.Open(*cfg.Members, p.self, log)
+	return p, err
+}
+
+// Run follows and decides until the context ends, then leaves the membership.
+func (p *Placer) Run(ctx context.Context) {
+	tick := time.NewTicker(p.fig.every)
+	defer tick.Stop()
+	var news <-chan struct{}
+	if p.members != nil {
+		defer p.members.Leave()
+		news = p.members.News()
+		go p.rejoin(ctx)
+	}
+	for {
+		p.look(ctx)
+		if p.control != nil {
+			p.follow(ctx)
+		}
+		p.decide(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-news:
+			p.follow(ctx) // a new epoch is not to wait for the tick
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+	}
+}
+
+// rejoinEvery is how often an agent that meets too few looks for its seeds.
+const rejoinEvery = 2 * time.Second
+
+func (p *Placer) rejoin(ctx context.Context) {
+	told := false
+	for {
+		if _, err := p.members.Rejoin(); err != nil && !told {
+			p.log.Warn("membership: no seed reached yet", "error", err)
+			told = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rejoinEvery):
+		}
+	}
+}
+
+// look takes what this agent saw since the last look, tells the others, and looks itself at
+// servers that no call of its goes to.
+func (p *Placer) look(ctx context.Context) {
+	zones, offered := p.sights.Take()
+	p.seen.Store(&zones)
+	p.seq++
+	s := failover.Summary{Agent: p.self.Name, Zone: p.self.Zone, Life: p.life, Seq: p.seq, AtUs: time.Now().UnixMicro(),
+		Offered: offered, Seen: map[string]failover.Sight{}}
+	for name, z := range zones {
+		s.Seen[name] = failover.Sight{Listed: z.Listed, Up: z.Up, Capacity: z.Capacity, Tries: z.Tries, Full: z.Full, WaitMs: float64(z.Wait.Milliseconds())}
+	}
+	if p.members == nil {
+		p.own(s)
+		return
+	}
+	p.members.Tell(s)
+	look := p.seq
+	go p.check(ctx, zones, look)
+}
+
+// own decides on this agent's view alone.
+func (p *Placer) own(s failover.Summary) {
+	v := failover.Look([]failover.Summary{s}, s.AtUs, p.fig.fresh.Microseconds())
+	if next, changed := failover.Decide(*p.plan.Load(), p.cfg.Topology, p.fig.settings, v, s.AtUs, p.self.Name); changed {
+		p.take(next)
+	}
+}
+
+// decide makes the next plan where this agent's member leads the control group. A leader that
+// was cut off proposes in vain; of two that think they lead, the log takes one for an epoch.
+func (p *Placer) decide(ctx context.Context) {
+	if p.control == nil || !p.control.Leading() {
+		return
+	}
+	now := time.Now().UnixMicro()
+	v := failover.Look(p.members.Summaries(), now, p.fig.fresh.Microseconds())
+	next, changed := failover.Decide(*p.plan.Load(), p.cfg.Topology, p.fig.settings, v, now, p.self.Name)
+	if !changed {
+		return
+	}
+	text, err := json.Marshal(next)
+	if err != nil {
+		p.log.Error("plan not worded", "epoch", next.Epoch, "error", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*p.fig.every)
+	defer cancel()
+	switch took, err := p.control.Propose(ctx, next.Epoch, text); {
+	case err != nil:
+		p.log.Warn("plan not decided", "epoch", next.Epoch, "error", err)
+	case !took:
+		if epoch, text, err := p.control.Plan(ctx, next.Epoch); err == nil { // another decided this epoch
+			p.adopt(epoch, text)
+		}
+	default:
+		p.take(next)
+		p.members.Announce(next.Epoch)
+	}
+}
+
+// follow takes the newest plan of the control group where gossip tells of one, and asks the
+// leader unasked once in a while, as gossip may be cut where the group is not. Where no leader
+// is within reach the last plan stays: a minority decides nothing, and claims nobody's calls.
+func (p *Placer) follow(ctx context.Context) {
+	have, heard := p.plan.Load().Epoch, p.members.Epoch()
+	ctx, cancel := context.WithTimeout(ctx, p.fig.every)
+	defer cancel()
+	if heard > have {
+		if epoch, text, err := p.control.Plan(ctx, heard); err == nil {
+			p.adopt(epoch, text)
+			return
+		}
+	}
+	if time.Since(time.UnixMicro(p.word.Load())) < p.fig.fresh {
+		return
+	}
+	epoch, text, err := p.control.LeadersPlan(ctx)
+	if err != nil {
+		if have > 0 && !p.mute {
+			p.mute = true
+			p.log.Warn("zones: the control group is not heard; its last plan stays", "epoch", have, "error", err)
+		}
+		return
+	}
+	p.word.Store(time.Now().UnixMicro())
+	p.mute = false
+	p.adopt(epoch, text)
+}
+
+// adopt takes a plan of the log if it is newer than the one in force.
+func (p *Placer) adopt(epoch uint64, text []byte) {
+	if epoch <= p.plan.Load().Epoch {
+		return
+	}
+	var next failover.Plan
+	if err := json.Unmarshal(text, &next); err != nil || next.Epoch != epoch {
+		p.log.Error("zones: plan passed over", "epoch", epoch, "says", next.Epoch, "error", err)
+		return
+	}
+	p.take(next)
+	p.members.Announce(epoch) // who hears it from nobody else hears it from here
+}
+
+// take puts a plan in force for the calls that come from now on.
+func (p *Placer) take(next failover.Plan) {
+	was := p.plan.Swap(&next)
+	home, before := next.Zones[p.self.Zone], was.Zones[p.self.Zone]
+	p.log.Info("zones: new epoch", "epoch", next.Epoch, "by", next.By, "home", p.self.Zone, "mode", home.Mode,
+		"was", before.Mode, "shares", fmt.Sprint(home.Shares), "took", time.Since(time.UnixMicro(next.AtUs)).Round(time.Millisecond))
+	for _, t := range next.Trades {
+		p.log.Warn("zones: service traded", "epoch", next.Epoch, "zone", t.Zone, "for", t.For, "class", t.Class, "per_second", t.PerSecond)
+	}
+}
+
+// Zone is where a call's set-ups may go, and the pools there. A zone whose servers are all dead
+// by this agent's own sight, while home has live ones, is not waited for: home it is, until
+// the next epoch says better.
+func (p *Placer) Zone(class, call string) (zone string, pools []int) {
+	seen := *p.seen.Load()
+	zone = p.plan.Load().Choose(p.self.Zone, class, call)
+	if z := seen[zone]; zone != p.self.Zone && z.Up == 0 && seen[p.self.Zone].Up > 0 {
+		p.keptHome.Add(1)
+		zone = p.self.Zone
+	}
+	return zone, seen[zone].Pools
+}
+
+// Narrow has a call's route hold to its zone. A zone without a pool that the call may use is
+// passed over for the nearest that has one; where none has, the route stays as it is, for the
+// module to find no server.
+func (p *Placer) Narrow(r agent.Route, classPools []int, class, call string) agent.Route {
+	zone, pools := p.Zone(class, call)
+	may := func(pool int) bool {
+		return (r.Pools == nil || slices.Contains(r.Pools, pool)) && (classPools == nil || slices.Contains(classPools, pool))
+	}
+	for _, z := range append([]string{zone}, p.cfg.Topology.Nearest(zone)...) {
+		if z != zone {
+			pools = (*p.seen.Load())[z].Pools
+		}
+		var narrowed []int
+		for _, pool := range pools {
+			if may(pool) {
+				narrowed = append(narrowed, pool)
+			}
+		}
+		if narrowed != nil {
+			r.Pools = narrowed
+			return r
+		}
+	}
+	return r
+}
+
+// Wrote counts a set-up that was written whole to a server of a zone.
+func (p *Placer) Wrote(class, zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent[route{class, zone}]++
+}
+
+// Traffic is the set-ups written whole by class: to servers of this agent's zone, and to those
+// of others.
+func (p *Placer) Traffic() (home, away map[string]int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	home, away = map[string]int64{}, map[string]int64{}
+	for r, n := range p.sent {
+		if r.To == p.self.Zone {
+			home[r.Class] += n
+		} else {
+			away[r.Class] += n
+		}
+	}
+	return home, away
+}
+
+// Plan is the plan in force. It is not to be changed.
+func (p *Placer) Plan() failover.Plan { return *p.plan.Load() }
+
+// Alive are the agents thought alive, by zone; nil in local mode.
+func (p *Placer) Alive() map[string][]string {
+	if p.members == nil {
+		return nil
+	}
+	out := map[string][]string{}
+	for _, m := range p.members.Alive() {
+		out[m.Zone] = append(out[m.Zone], m.Name)
+	}
+	for _, names := range out {
+		slices.Sort(names)
+	}
+	return out
+}
+
+// Gossip is the membership's cost so far: datagrams and streams begun, bytes in datagrams, and
+// messages that could not be read. Zeros in local mode.
+func (p *Placer) Gossip() (sent, bytes, bad int64) {
+	if p.members == nil {
+		return 0, 0, 0
+	}
+	return p.members.Traffic()
+}
+
+// KeptHome counts calls kept home as the zone planned for them is dead by this agent's sight.
+func (p *Placer) KeptHome() int64 { return p.keptHome.Load() }
+
+// checkMost bounds the servers one look dials, checkIdle those at home while no call goes there; checkTime a dial and the server's first word.
+const (
+	checkMost = 16
+	checkIdle = 2
+	checkTime = 300 * time.Millisecond
+)
+
+// check dials servers that calls tell nothing of: those seen down, all of zones that are lost,
+// those of zones in which no agent is alive, and a few at home while no call goes there. A server is alive where it speaks: it tells of
+// its group first on every connection.
+func (p *Placer) check(ctx context.Context, zones map[string]agent.Sighting, look uint64) {
+	addresses := p.sights.Down()
+	alive, plan := p.Alive(), p.Plan()
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		if len(alive[name]) == 0 || plan.States[name].Lost {
+			addresses = append(addresses, zones[name].Addresses...)
+		}
+	}
+	if home := zones[p.self.Zone]; home.Tries == 0 {
+		addresses = append(addresses, some(home.Addresses, checkIdle, look)...)
+	}
+	slices.Sort(addresses)
+	addresses = some(slices.Compact(addresses), checkMost, look)
+	var work sync.WaitGroup
+	for _, a := range addresses {
+		work.Go(func() { p.sights.Checked(a, speaks(ctx, a)) })
+	}
+	work.Wait()
+}
+
+// some are at most n of a list, others at each look.
+func some(list []string, n int, look uint64) []string {
+	if len(list) <= n {
+		return list
+	}
+	from := int(look) * n % len(list)
+	return slices.Concat(list[from:], list[:from])[:n]
+}
+
+func speaks(ctx context.Context, address string) bool {
+	d := net.Dialer{Timeout: checkTime}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetReadDeadline(time.Now().Add(checkTime))
+	n, err := conn.Read(make([]byte, 1))
+	return n == 1 && err == nil
+}
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -18,17 +18,22 @@
 
 	"woodrouter/internal/faultnet"
 	"woodrouter/internal/keeper"
+	"woodrouter/internal/members"
+	"woodrouter/internal/placer"
 	"woodrouter/internal/replica"
 	"woodrouter/shard"
 )
 
 // Site is what a fleet's agents are told beside their own names and addresses.
 type Site struct {
-	Bulletin string
-	Known    any             // the bulletin's events so far
+	// Bulletin is where agents of a zone hear of setup servers, and the events so far.
+	Bulletin func(zone string) (address string, known any)
 	Settings json.RawMessage // the platform's, without nInstances and rank
 	Zones    int             // agents lie in these zones in turn; 0: 3
 	Size     int             // of each group; 0: 3
+	// Failover has the agents follow zones; each gets its own zone and membership address.
+	Failover *placer.Config
+	Timing   replica.TimingConfig // of the groups; zero: the defaults
 }
 
 // Fleet is call agents, each its own process and a member of a group, with a fault proxy on
@@ -39,6 +44,7 @@
 	Agents map[string]*Agent
 	logs   faultnet.Mesh // between members
 	calls  faultnet.Mesh // from agents to members' client addresses
+	gossip faultnet.Mesh // of the membership
 	site   Site
 	bin    string
 }
@@ -47,6 +53,7 @@
 type Agent struct {
 	*faultnet.Proc
 	Name, Listen, Console string
+	Gossip                string       // its membership address
 	Member                shard.Member // its part in a group
 	Solo                  bool         // takes no part in a group any more
 	joins                 string       // the group it is to be added to; "": one it began with
@@ -63,7 +70,7 @@
 	}
 	var members []shard.Member
 	for i := range n {
-		var at [4]string
+		var at [5]string
 		for j := range at {
 			var err error
 			if at[j], err = reserve(&held); err != nil {
@@ -73,7 +80,7 @@
 		}
 		name := fmt.Sprintf("a%d", i+1)
 		m := shard.Member{ID: name, Zone: fmt.Sprint("z", i%cmp.Or(site.Zones, 3)+1), Raft: at[2], Client: at[3]}
-		f.Agents[name] = &Agent{Name: name, Listen: at[0], Console: at[1], Member: m}
+		f.Agents[name] = &Agent{Name: name, Listen: at[0], Console: at[1], Gossip: at[4], Member: m}
 		members = append(members, m)
 	}
 	var err error
@@ -102,16 +109,39 @@
 	if f.logs, err = faultnet.NewMesh(logs, seed); err != nil {
 		return err
 	}
-	f.calls, err = faultnet.NewMesh(calls, seed+1000)
+	if f.calls, err = faultnet.NewMesh(calls, seed+1000); err != nil || f.site.Failover == nil {
+		return err
+	}
+	gossip := map[string]string{}
+	for name, a := range f.Agents {
+		gossip[name] = a.Gossip
+	}
+	f.gossip, err = faultnet.NewGossipMesh(gossip, seed+2000)
 	return err
 }
 
+// failover is an agent's file of zone failover: the others' membership addresses lead through
+// the links' proxies.
+func (f *Fleet) failover(a *Agent) placer.Config {
+	c := *f.site.Failover
+	c.Zone = a.Member.Zone
+	m := members.Config{Bind: a.Gossip, Links: map[string]string{}, Far: c.Members != nil && c.Members.Far}
+	for name, l := range f.gossip[a.Name] {
+		m.Links[f.Agents[name].Gossip] = l.Addr()
+		m.Seeds = append(m.Seeds, f.Agents[name].Gossip)
+	}
+	slices.Sort(m.Seeds)
+	c.Members = &m
+	return c
+}
+
 // Start writes an agent's files and starts it.
 func (f *Fleet) Start(name string) error {
 	a := f.Agents[name]
 	config, promises := filepath.Join(f.Dir, name+".json"), filepath.Join(f.Dir, name+".yaml")
+	bulletin, known := f.site.Bulletin(a.Member.Zone)
 	text, err := json.Marshal(map[string]any{"name": name, "listen": a.Listen, "console": a.Console,
-		"seed": "8c1f30d27a5be964", "bulletin": f.site.Bulletin, "known": f.site.Known, "settings": f.site.Settings})
+		"seed": "8c1f30d27a5be964", "bulletin": bulletin, "known": known, "settings": f.site.Settings})
 	if err != nil {
 		return err
 	}
@@ -125,6 +155,13 @@
 		return err
 	}
 	a.Env = append(os.Environ(), "PROXY_CONFIG="+config, "WOODROUTER_PROMISES="+promises)
+	if f.site.Failover != nil {
+		zones := filepath.Join(f.Dir, name+"-zones.yaml")
+		if err := write(zones, f.failover(a)); err != nil {
+			return err
+		}
+		a.Env = append(a.Env, "WOODROUTER_FAILOVER="+zones)
+	}
 	return a.Proc.Start()
 }
 
@@ -151,7 +188,7 @@
 		}
 		if part && !a.Solo {
 			c.Member = &replica.Config{ID: a.Member.ID, Raft: a.Member.Raft, Client: a.Member.Client,
-				Data: a.Data, Bootstrap: boot, Links: links}
+				Data: a.Data, Bootstrap: boot, Links: links, Timing: f.site.Timing}
 		}
 	}
 	return c
@@ -217,6 +254,15 @@
 func (f *Fleet) Cut(names ...string) {
 	f.logs.Partition(names...)
 	f.calls.Partition(names...)
+	f.gossip.Partition(names...)
+}
+
+// Slow delays everything between agents whose zones are picked, each way.
+func (f *Fleet) Slow(d time.Duration, pick func(from, to string) bool) {
+	zones := func(a, b string) bool { return pick(f.Agents[a].Member.Zone, f.Agents[b].Member.Zone) }
+	for _, m := range []faultnet.Mesh{f.logs, f.calls, f.gossip} {
+		m.DelayWhere(d, zones)
+	}
 }
 
 // Ask says a line to an agent's console and returns the answer; "" where nobody answers.
@@ -285,4 +331,5 @@
 	}
 	f.logs.Close()
 	f.calls.Close()
+	f.gossip.Close()
 }
--- a/internal/promiselab/fleet_test.go
+++ b/internal/promiselab/fleet_test.go
@@ -26,7 +26,8 @@
 func TestAgents(t *testing.T) {
 	server := standin.NewServer(t, "")
 	bulletin := standin.NewBulletin(t, standin.Endpoint("s0", server.Addr, 0, "up"))
-	f, err := StartFleet(bin, t.TempDir(), 6, 7, Site{Bulletin: bulletin.Addr, Known: bulletin.Known(0), Settings: json.RawMessage(siteSettings)})
+	f, err := StartFleet(bin, t.TempDir(), 6, 7, Site{Settings: json.RawMessage(siteSettings),
+		Bulletin: func(string) (string, any) { return bulletin.Addr, bulletin.Known(0) }})
 	require.NoError(t, err)
 	defer f.Close()
 	defer func() {
--- /dev/null
+++ b/internal/promiselab/zones_test.go
@@ -0,0 +1,283 @@
+package promiselab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/failover"
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/placer"
+	"woodrouter/internal/replica"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+// world is six agents in four zones of two regions, a setup server in each zone, and a link
+// from each zone's agents to each server.
+type world struct {
+	t       *testing.T
+	f       *Fleet
+	servers map[string]*standin.Server
+	links   map[string]map[string]*faultnet.Link // from agents' zone, to servers' zone
+	mu      sync.Mutex
+	asked   map[isup.CallID]string   // the agent of each call
+	wire    map[isup.CallID][]string // the zones whose server got the call's set-up, in order
+	next    isup.CallID
+}
+
+var zones = []string{"z1", "z2", "z3", "z4"}
+
+func region(zone string) string { return map[string]string{"z1": "r1", "z2": "r1"}[zone] }
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, servers: map[string]*standin.Server{}, links: map[string]map[string]*faultnet.Link{},
+		asked: map[isup.CallID]string{}, wire: map[isup.CallID][]string{}}
+	bulletins := map[string]*standin.Bulletin{}
+	for _, z := range zones {
+		w.serve(z, standin.NewServer(t, ""))
+	}
+	for _, from := range zones {
+		var list []map[string]any
+		w.links[from] = map[string]*faultnet.Link{}
+		for i, to := range zones {
+			l, err := faultnet.NewLink(w.servers[to].Addr, uint64(i))
+			require.NoError(t, err)
+			t.Cleanup(l.Close)
+			w.links[from][to] = l
+			e := standin.Endpoint("s-"+to, l.Addr(), i, "up")
+			e["zone"] = to
+			list = append(list, e)
+		}
+		bulletins[from] = standin.NewBulletin(t, list...)
+	}
+	share := func(v float64) *float64 { return &v }
+	var err error
+	w.f, err = StartFleet(bin, t.TempDir(), 6, 11, Site{Zones: 4,
+		Settings: json.RawMessage(strings.Replace(siteSettings, "[[0]]", "[[0,1,2,3]]", 1)),
+		Bulletin: func(z string) (string, any) { return bulletins[z].Addr, bulletins[z].Known(0) },
+		Timing:   replica.TimingConfig{Heartbeat: "1s", Election: "1s", Lease: "500ms"},
+		Failover: &placer.Config{Mode: "common", Every: "300ms", Fresh: "2s",
+			Topology: failover.Topology{Zones: []failover.Zone{{Name: "z1", Region: "r1"}, {Name: "z2", Region: "r1"}, {Name: "z3", Region: "r2"}, {Name: "z4", Region: "r2"}}},
+			Settings: placer.SettingsConfig{Dwell: "1500ms", Ramp: "1s", RampFrom: share(0.9), Margin: share(0.1)}}})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		w.f.Close()
+		if t.Failed() {
+			t.Log(w.f.Logs())
+		}
+	})
+	return w
+}
+
+// serve has a zone's server answer every set-up at once, and notes it.
+func (w *world) serve(zone string, s *standin.Server) {
+	w.servers[zone] = s
+	go func() {
+		for g := range s.Got {
+			if g.Type == isup.SetUp {
+				w.mu.Lock()
+				w.wire[g.Call] = append(w.wire[g.Call], zone)
+				w.mu.Unlock()
+				g.Answer(fmt.Sprint("room of ", g.Call))
+			}
+		}
+	}()
+}
+
+// calls has an agent set n calls up, one after another, and returns how many stood and the
+// zones that got their set-ups.
+func (w *world) calls(agent string, n int) (stood int, got map[string]int) {
+	c := standin.NewCaller(w.t, w.f.Agents[agent].Listen)
+	got = map[string]int{}
+	for range n {
+		w.mu.Lock()
+		w.next++
+		id := w.next
+		w.asked[id] = agent
+		w.mu.Unlock()
+		c.SetUp(id, "voice", 3*time.Second, 0)
+		m, err := c.Next()
+		require.NoError(w.t, err, agent)
+		if m.Type == isup.Answer {
+			stood++
+		}
+		w.mu.Lock()
+		for _, z := range w.wire[id] {
+			got[z]++
+		}
+		w.mu.Unlock()
+	}
+	return stood, got
+}
+
+// all has every agent but those named set n calls up, which must all stand, in these zones.
+func (w *world) all(n int, where map[string]string, but ...string) {
+	w.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	for name, a := range w.f.Agents {
+		if strings.Contains(fmt.Sprint(but), name) {
+			continue
+		}
+		want := a.Member.Zone
+		if z, ok := where[want]; ok {
+			want = z
+		}
+		require.NoError(w.t, w.f.Settled(ctx, name))
+		stood, got := w.calls(name, n)
+		require.Equal(w.t, map[string]int{want: n}, got, "set-ups of %s", name)
+		require.Equal(w.t, n, stood, name)
+	}
+}
+
+// await waits until each agent, but those named, has a zone's mode in force.
+func (w *world) await(zone, mode string, but ...string) time.Duration {
+	w.t.Helper()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second) // the bound stated in docs/failover.md
+	defer cancel()
+	for name := range w.f.Agents {
+		if !strings.Contains(fmt.Sprint(but), name) {
+			require.NoError(w.t, w.f.Await(ctx, name, "ZONES", fmt.Sprintf("zone %s: %s ", zone, mode)))
+		}
+	}
+	return time.Since(began)
+}
+
+var spoken = regexp.MustCompile(`set-ups of voice: (\d+) home (\d+) away`)
+
+// counted compares what each live agent reports of its set-ups with what the servers got.
+func (w *world) counted(but ...string) {
+	w.t.Helper()
+	home, away := map[string]int{}, map[string]int{}
+	w.mu.Lock()
+	for id, zones := range w.wire {
+		for _, z := range zones {
+			if a := w.asked[id]; w.f.Agents[a].Member.Zone == z {
+				home[a]++
+			} else {
+				away[a]++
+			}
+		}
+	}
+	w.mu.Unlock()
+	for name := range w.f.Agents {
+		if strings.Contains(fmt.Sprint(but), name) {
+			continue
+		}
+		m := spoken.FindStringSubmatch(w.f.Ask(name, "ZONES"))
+		require.NotNil(w.t, m, name)
+		require.Equal(w.t, []string{strconv.Itoa(home[name]), strconv.Itoa(away[name])}, m[1:], "set-ups of %s, home and away", name)
+	}
+}
+
+// TestZones: calls stay home in calm; a lost zone's go to its region's other zone, for all
+// agents by one epoch, and come home once it is back; a zone cut off keeps its last epoch and
+// nobody sends to it; the decider killed during a failover does not stop it; a flapping link
+// and 300 ms between regions change nothing. No call is sent to two zones, and what agents
+// report of traffic across zones is what the wire carried.
+func TestZones(t *testing.T) {
+	w := newWorld(t)
+	w.await("z1", "local")
+	w.all(10, nil)
+
+	across := func(from, to string) bool { return region(from) != region(to) }
+	w.f.Slow(150*time.Millisecond, across) // 300 ms there and back
+	w.all(2, nil)
+
+	began := time.Now()
+	w.servers["z1"].Die()
+	stood, _ := w.calls("a1", 1) // what is lost is what meets the dead zone before it is seen
+	w.await("z1", "evacuate")
+	t.Logf("z1 lost: new epoch everywhere after %v, %d of 1 call lost", time.Since(began), 1-stood)
+	w.all(2, map[string]string{"z1": "z2"})
+	w.f.Slow(0, across)
+
+	w.serve("z1", standin.NewServer(t, w.servers["z1"].Addr)) // back, cold
+	t.Logf("z1 back: local everywhere after %v", w.await("z1", "local"))
+	w.all(5, nil)
+
+	decider := w.decider()
+	began = time.Now()
+	w.servers["z2"].Die()
+	w.f.Agents[decider].Kill()
+	w.calls(map[bool]string{true: "a2", false: "a6"}[decider != "a2"], 1)
+	w.await("z2", "evacuate", decider)
+	t.Logf("z2 lost and the decider %s killed: new epoch after %v", decider, time.Since(began))
+	w.all(5, map[string]string{"z2": "z1"}, decider)
+	w.serve("z2", standin.NewServer(t, w.servers["z2"].Addr))
+	require.NoError(t, w.f.Start(decider))
+	w.await("z2", "local")
+
+	for range 4 { // a link that flaps between two regions
+		w.f.Cut("a3")
+		w.f.Cut()
+	}
+	w.all(5, nil)
+
+	w.cut("z3", "a3")
+	epoch := w.epoch("a3")
+	t.Logf("z3 cut off: new epoch after %v", w.await("z3", "evacuate", "a3"))
+	before := w.servers["z3"].Seen(isup.SetUp, 0)
+	w.all(5, nil, "a3")
+	require.Equal(t, before, w.servers["z3"].Seen(isup.SetUp, 0), "somebody sent to the zone cut off")
+	require.Equal(t, epoch, w.epoch("a3"), "the minority decided")
+	w.heal()
+	w.await("z3", "local")
+	w.all(5, nil)
+
+	w.mu.Lock()
+	for id, zones := range w.wire {
+		require.Len(t, zones, 1, "call %v was sent to %v", id, zones)
+	}
+	w.mu.Unlock()
+	w.counted(decider) // its count began anew with its second life
+}
+
+// decider is who made the epoch in force.
+func (w *world) decider() string {
+	for name := range w.f.Agents {
+		if m := regexp.MustCompile(`epoch \d+ by (a\d)`).FindStringSubmatch(w.f.Ask(name, "ZONES")); m != nil {
+			return m[1]
+		}
+	}
+	w.t.Fatal("no agent tells of a decider")
+	return ""
+}
+
+func (w *world) epoch(agent string) string {
+	first, _, _ := strings.Cut(w.f.Ask(agent, "ZONES"), "\n")
+	return first
+}
+
+// cut puts a zone with its agents and server on a side of its own.
+func (w *world) cut(zone string, agents ...string) {
+	w.f.Cut(agents...)
+	for from, tos := range w.links {
+		for to, l := range tos {
+			if (from == zone) != (to == zone) {
+				l.Set(faultnet.Drop, 0, 0)
+				l.Reset()
+			}
+		}
+	}
+}
+
+func (w *world) heal() {
+	w.f.Cut()
+	for _, tos := range w.links {
+		for _, l := range tos {
+			l.Set(faultnet.Pass, 0, 0)
+			l.Reset()
+		}
+	}
+}
--- a/internal/replica/client.go
+++ b/internal/replica/client.go
@@ -157,17 +157,35 @@
 	return s, err
 }
 
-// Plan is the newest plan of zones that any member answers, from an epoch on: one
-// member that has applied it is enough, as what a member has applied is committed. ok is false where
-// none has it yet.
-func (c *Client) Plan(ctx context.Context, least uint64) (r PlanReply, ok bool) {
+// Plan is the plan of zones of whichever member first answers one of an epoch from least on.
+// Any member will do: what it has applied is committed.
+func (c *Client) Plan(ctx context.Context, least uint64) (r PlanReply, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan PlanReply, len(c.members))
 	for id := range c.members {
-		var one PlanReply
-		if err := c.call(ctx, id, "Replica.Plan", struct{}{}, &one); err == nil && one.Epoch >= max(least, r.Epoch, 1) {
-			r, ok = one, true
+		go func() {
+			var one PlanReply
+			c.call(ctx, id, "Replica.Plan", struct{}{}, &one) // no answer: epoch 0
+			answers <- one
+		}()
+	}
+	for range c.members {
+		if r = <-answers; r.Epoch >= max(least, 1) {
+			return r, nil
 		}
 	}
-	return r, ok
+	return r, &Later{ErrNoQuorum, comeBackUnknown, fmt.Sprintf("no member has a plan of epoch %d or later", least)}
+}
+
+// LeadersPlan is the plan that the leader has applied, and with it the proof that there is one
+// within reach; epoch 0 for none yet.
+func (c *Client) LeadersPlan(ctx context.Context) (r PlanReply, err error) {
+	s, err := c.Overview(ctx)
+	if err != nil {
+		return r, err
+	}
+	return r, c.call(ctx, s.ID, "Replica.Plan", struct{}{}, &r)
 }
 
 // Later is a refusal with when to come back.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,7 @@
 		Widths       []int   `json:"widths"`
 	} `json:"domain"`
 	Discovery string `json:"discovery"`
+	MyZone    string `json:"myZone"` // where this instance stands; "": the platform has no zones
 }
 
 type profile struct {
--- a/internal/trunk/pool.go
+++ b/internal/trunk/pool.go
@@ -41,6 +41,7 @@
 	Mailbox        int           // most messages of a server that wait
 	Log            *slog.Logger
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
+	Wrote          func(class, zone string) // hears of each set-up written whole, and its server's zone; nil: nobody
 }
 
 func (c *Config) complete() {
--- a/internal/trunk/trunk.go
+++ b/internal/trunk/trunk.go
@@ -223,6 +223,9 @@
 	}
 	if err == nil {
 		t.sent.Add(1)
+		if t.cfg.Wrote != nil {
+			t.cfg.Wrote(a.Class, t.server.Zone)
+		}
 	}
 	if err != nil && n >= 0 {
 		t.lost(link, err)
