Zone lab: modelled fleets in common and alone, and membership's cost at 10 to 300 agents

Need: the figures of deciding in common against each agent alone, at sizes processes do not fit.

Change: internal/zonelab plays faults against modelled fleets in virtual time, seeded, with the decision package itself; woodlab zones model writes the table, zones cost runs real members.

(2) The median of servers seen up needs each agent to meet half of a zone's servers twice. Agents tell now of tries that met nothing alive, and a zone is lost where of the agents with tries there most met none; one deaf agent still moves nothing (TestLook).

--- a/agent/sight.go
+++ b/agent/sight.go
@@ -26,7 +26,8 @@
 	pool          int
 	state         policy.State
 	lines         float64 // by its latest report; 0: none
-	tries, full   int     // since the last Take
+	tries, full   int     // that ended since the last Take, and of these "full"
+	dead          int     // of these, met nothing alive
 	bad           int     // attempts in a row that proved nothing alive there
 	badAt         time.Time
 	wait          time.Duration // of the latest answer
@@ -53,7 +54,8 @@
 	Pools       []int    // of the servers listed as up, without repeats
 	Addresses   []string // of the same
 	Capacity    float64  // calls a second, by the lines reported; 0: none reported
-	Tries, Full float64  // a second
+	Tries, Full float64  // a second: attempts that ended, and of these "full"
+	Dead        float64  // of these, met nothing alive
 	Wait        time.Duration
 }
 
@@ -89,8 +91,9 @@
 		z.Addresses = append(z.Addresses, s.address)
 		z.Tries += float64(s.tries) / span
 		z.Full += float64(s.full) / span
+		z.Dead += float64(s.dead) / span
 		z.Wait = max(z.Wait, s.wait)
-		s.tries, s.full = 0, 0
+		s.tries, s.full, s.dead = 0, 0, 0
 		zones[s.zone] = z
 	}
 	for name, z := range zones {
@@ -179,6 +182,7 @@
 	s.tries++
 	switch r {
 	case policy.Unreachable, policy.TimedOut, policy.Cut:
+		s.dead++
 		s.seen(false)
 	case policy.Cancelled, policy.NotSent:
 	default:
--- a/failover/decide.go
+++ b/failover/decide.go
@@ -112,7 +112,7 @@
 	if !seen {
 		return was
 	}
-	if h.Up < d.s.LostAt {
+	if h.Up < d.s.LostAt || h.Failing > 1-d.s.LostAt {
 		return State{Lost: true, BackUs: was.BackUs}
 	}
 	if was.HealthyUs == 0 {
@@ -152,7 +152,7 @@
 		return false
 	}
 	if h, ok := d.v.at(from, to); ok {
-		return h.Up >= d.s.LostAt
+		return h.Up >= d.s.LostAt && h.Failing <= 1-d.s.LostAt
 	}
 	return true
 }
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -38,8 +38,10 @@
 
 // Settings are the operators' figures; Defaults gives those of deploy/failover.yaml.
 type Settings struct {
-	Margin   float64 // share of a zone's capacity that local calls leave free, in [0, 0.9]
-	LostAt   float64 // a zone is lost where under this share of its servers is seen up
+	Margin float64 // share of a zone's capacity that local calls leave free, in [0, 0.9]
+	// LostAt: a zone is lost where under this share of its servers is seen up, or where of the
+	// agents with tries there less than this share meets anything alive.
+	LostAt   float64
 	FullAt   float64 // a zone is full where more than this share of tries meets "full"
 	DwellUs  int64   // a zone that was lost takes calls again once seen healthy for so long
 	RampUs   int64   // its capacity then counts from RampFrom to whole over this
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -177,6 +177,21 @@
 	see := func(agent string, up int, at int64) Summary {
 		return Summary{Agent: agent, Zone: "a1", AtUs: at, Offered: map[string]float64{"voice": 2}, Seen: map[string]Sight{"a1": {Listed: 4, Up: up, Capacity: 50, Tries: 4, Full: 1}}}
 	}
+	failing := func(agent string, dead float64) Summary {
+		return Summary{Agent: agent, Zone: "a1", AtUs: 9 * second, Seen: map[string]Sight{"a1": {Listed: 4, Up: 4, Tries: 3, Dead: dead}}}
+	}
+	for _, c := range []struct {
+		dead [3]float64
+		lost bool
+	}{{[3]float64{3, 0, 0}, false}, {[3]float64{3, 2, 0}, true}} { // one deaf agent, and two of three that meet nothing alive
+		var all []Summary
+		for i, d := range c.dead {
+			all = append(all, failing(fmt.Sprint(i), d))
+		}
+		if p, _ := Decide(Plan{}, four, Defaults, Look(all, 10*second, 5*second), second, "d"); p.States["a1"].Lost != c.lost {
+			t.Errorf("dead tries %v: lost %v", c.dead, !c.lost)
+		}
+	}
 	v := Look([]Summary{see("1", 4, 9*second), see("2", 4, 9*second), see("deaf", 0, 9*second), see("old", 0, 0)}, 10*second, 5*second)
 	h, ok := v.at("a1", "a1")
 	if !ok || h.Up != 1 || h.Capacity != 50 || h.Full != 0.25 || v.Agents["a1"] != 3 || v.load("a1") != 6 {
--- a/failover/view.go
+++ b/failover/view.go
@@ -30,7 +30,8 @@
 	Listed   int     `json:"l"`           // on the list, draining ones not counted
 	Up       int     `json:"u"`           // of these, the ones that can be reached and answer
 	Capacity float64 `json:"c,omitempty"` // calls a second that they take from all agents; 0: not known
-	Tries    float64 `json:"n,omitempty"` // set-ups this agent sent there, a second
+	Tries    float64 `json:"n,omitempty"` // set-ups of this agent that ended there, a second
+	Dead     float64 `json:"d,omitempty"` // of these, met nothing alive: refused, cut or timed out
 	Full     float64 `json:"f,omitempty"` // of these, answered "full"
 	WaitMs   float64 `json:"w,omitempty"` // usual wait for an answer
 }
@@ -40,7 +41,11 @@
 	Up       float64 // share of its servers seen up, the median agent's; 0 where none is listed
 	Capacity float64 // calls a second, the median agent's; 0: not known
 	Full     float64 // share of all tries there that met "full"
-	Seen     bool    // somebody sees it
+	// Failing is the share of the agents with tries there, of which most met nothing alive. It
+	// shows a zone's loss before any one agent has met enough of its servers; an agent that
+	// alone is deaf does not move it past the others.
+	Failing float64
+	Seen    bool // somebody sees it
 }
 
 // View is what all agents see together.
@@ -82,8 +87,14 @@
 
 func health(list []Sight) Health {
 	var up, capacity []float64
-	tries, full := 0.0, 0.0
+	tries, full, trying, failing := 0.0, 0.0, 0, 0
 	for _, s := range list {
+		if s.Tries > 0 {
+			trying++
+		}
+		if s.Dead > s.Tries/2 {
+			failing++
+		}
 		share := 0.0
 		if s.Listed > 0 {
 			share = float64(s.Up) / float64(s.Listed)
@@ -99,6 +110,9 @@
 	if tries > 0 {
 		h.Full = full / tries
 	}
+	if trying > 0 {
+		h.Failing = float64(failing) / float64(trying)
+	}
 	return h
 }
 
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,12 +17,14 @@
 
 	"woodrouter/internal/faultnet"
 	"woodrouter/internal/promiselab"
+	"woodrouter/internal/zonelab"
 )
 
 // commandLine is the grammar, read by kong.
 type commandLine struct {
 	Bin      string          `help:"The program under test; built from this module if not given." type:"existingfile"`
 	Promises promisesCommand `cmd:"" help:"Replicated promises (docs/replication.md)."`
+	Zones    zonesCommand    `cmd:"" help:"Zone failover (docs/failover.md)."`
 }
 
 type promisesCommand struct {
@@ -29,6 +32,20 @@
 	Measure   measureCommand   `cmd:"" help:"Measure commit latency, promises a second, time to a new leader, and catch-up."`
 }
 
+type zonesCommand struct {
+	Model zonesModelCommand `cmd:"" help:"Model fleets of 10, 100 and 300 agents: decided in common against each alone."`
+	Cost  zonesCostCommand  `cmd:"" help:"Measure membership by gossip at 10, 100 and 300 agents in one process."`
+}
+
+type zonesModelCommand struct {
+	Seed uint64 `help:"The runs' seed." default:"1"`
+	Plot string `help:"Draw the calls lost to this PNG file."`
+}
+
+type zonesCostCommand struct {
+	Span time.Duration `help:"How long each size gossips." default:"20s"`
+}
+
 type schedulesCommand struct {
 	Count    int    `help:"Schedules to play." default:"200"`
 	Seed     uint64 `help:"The first schedule's seed; each next one has the next." default:"1"`
@@ -67,13 +84,17 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	if cli.Bin == "" {
+	if cli.Bin == "" && strings.HasPrefix(parsed.Command(), "promises") {
 		cli.Bin, err = faultnet.Build(dir)
 	}
 	if err == nil {
 		switch parsed.Command() {
 		case "promises schedules":
 			err = cli.Promises.Schedules.run(ctx, cli.Bin, dir, out)
+		case "zones model":
+			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
+		case "zones cost":
+			err = zonelab.Costs(ctx, out, cli.Zones.Cost.Span)
 		case "promises measure":
 			m := cli.Promises.Measure
 			err = promiselab.Measurement{Bin: cli.Bin, Dir: dir, Promises: m.Promises, Kills: m.Kills, Sizes: m.Sizes, Delay: m.Delay}.Run(ctx, out)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -206,6 +206,9 @@
 	m.list.Shutdown()
 }
 
+// Shut ends this agent's part without a word, as a crash does.
+func (m *Members) Shut() { m.list.Shutdown() }
+
 func (m *Members) broadcast(name string, w word) {
 	data, err := json.Marshal(w)
 	if err != nil {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -151,7 +151,7 @@
 	s := failover.Summary{Agent: p.self.Name, Zone: p.self.Zone, Life: p.life, Seq: p.seq, AtUs: time.Now().UnixMicro(),
 		Offered: offered, Seen: map[string]failover.Sight{}}
 	for name, z := range zones {
-		s.Seen[name] = failover.Sight{Listed: z.Listed, Up: z.Up, Capacity: z.Capacity, Tries: z.Tries, Full: z.Full, WaitMs: float64(z.Wait.Milliseconds())}
+		s.Seen[name] = failover.Sight{Listed: z.Listed, Up: z.Up, Capacity: z.Capacity, Tries: z.Tries, Full: z.Full, Dead: z.Dead, WaitMs: float64(z.Wait.Milliseconds())}
 	}
 	if p.members == nil {
 		p.own(s)
--- a/internal/promiselab/measure.go
+++ b/internal/promiselab/measure.go
@@ -212,12 +212,19 @@
 	return took, g.Procs[leader].Start()
 }
 
+// Entries between snapshots while catch-up is measured, and how long the next one is waited for:
+// raft looks every 5 to 10 s whether one is due.
+const (
+	catchUpEntries = 4096
+	snapshotMost   = 15 * time.Second
+)
+
 // catchUp is the time a member with an empty disk takes to hold what the group holds, from
 // the start of its process.
 func (m Measurement) catchUp(ctx context.Context, out io.Writer) error {
 	fmt.Fprintln(out, "| resolutions held | snapshot | caught up after |\n| --- | --- | --- |")
 	for _, size := range m.Sizes {
-		err := m.group(ctx, fmt.Sprintf("catchup-%d", size), 3, 4096, func(ctx context.Context, g *Group) error {
+		err := m.group(ctx, fmt.Sprintf("catchup-%d", size), 3, catchUpEntries, func(ctx context.Context, g *Group) error {
 			if _, _, err := many(ctx, g, 128, size); err != nil {
 				return err
 			}
@@ -229,6 +236,9 @@
 			if err != nil {
 				return err
 			}
+			for began := time.Now(); size > catchUpEntries && g.snapshotMB(leader) == 0 && time.Since(began) < snapshotMost; {
+				time.Sleep(100 * time.Millisecond) // so that it comes from a snapshot, as after a longer time
+			}
 			name := "n1"
 			if leader == name {
 				name = "n2"
