--- a/internal/daemon/failover.go
+++ b/internal/daemon/failover.go
@@ -14,6 +14,7 @@
 	"woodrouter/internal/console"
 	"woodrouter/internal/placer"
 	"woodrouter/promise"
+	"woodrouter/shard"
 )
 
 // newPlacer is the part of an agent that follows where each zone's calls go (docs/failover.md).
@@ -48,20 +49,16 @@
 	return id
 }
 
-// Leading tells whether this agent's member leads the control group. Its part is in one group
-// alone, which is the control group where that names it.
+// Part tells whether this agent's member, which is in one group alone, is in the control group.
+func (c *controlGroup) Part() bool {
+	g, _ := c.p.ring().Group(c.id())
+	return slices.ContainsFunc(g.Members, func(m shard.Member) bool { return m.ID == c.p.member() })
+}
+
+// Leading tells whether it leads it.
 func (c *controlGroup) Leading() bool {
 	n := c.p.node.Load()
-	if n == nil || !n.Leading() {
-		return false
-	}
-	g, _ := c.p.ring().Group(c.id())
-	for _, m := range g.Members {
-		if m.ID == c.p.member() {
-			return true
-		}
-	}
-	return false
+	return n != nil && n.Leading() && c.Part()
 }
 
 func (c *controlGroup) Plan(ctx context.Context, least uint64) (uint64, []byte, error) {
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -61,6 +61,7 @@
 	Kills    int           `help:"Leaders killed." default:"10"`
 	Sizes    []int         `help:"Resolutions held when a disk is wiped." default:"1000,10000,100000"`
 	Delay    time.Duration `help:"Delay of each link, each way, for the second latency figure." default:"20ms"`
+	Only     []string      `help:"Parts: latency, throughput, leader, catch-up; all if not given." enum:"latency,throughput,leader,catch-up"`
 }
 
 // Main runs the command and returns the exit code: 0 for a run that found nothing, 1 otherwise.
@@ -97,7 +98,7 @@
 			err = zonelab.Costs(ctx, out, cli.Zones.Cost.Span)
 		case "promises measure":
 			m := cli.Promises.Measure
-			err = promiselab.Measurement{Bin: cli.Bin, Dir: dir, Promises: m.Promises, Kills: m.Kills, Sizes: m.Sizes, Delay: m.Delay}.Run(ctx, out)
+			err = promiselab.Measurement{Bin: cli.Bin, Dir: dir, Promises: m.Promises, Kills: m.Kills, Sizes: m.Sizes, Delay: m.Delay, Only: m.Only}.Run(ctx, out)
 		}
 	}
 	if err != nil {
--- a/internal/members/delegate.go
+++ b/internal/members/delegate.go
@@ -4,22 +4,18 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"maps"
 	"net"
-	"slices"
 	"strings"
 	"time"
 
 	"github.com/hashicorp/memberlist"
-
-	"woodrouter/failover"
 )
 
 // What follows is memberlist's Delegate and EventDelegate; it is called on its goroutines.
 
 // NodeMeta is this agent's zone and region.
 func (m *Members) NodeMeta(limit int) []byte {
-	d, _ := json.Marshal(meta{m.self.Zone, m.self.Region})
+	d, _ := json.Marshal(meta{m.self.Zone, m.self.Region, m.self.Decides})
 	return d[:min(len(d), limit)]
 }
 
@@ -31,35 +27,15 @@
 	return m.queue.GetBroadcasts(overhead, limit)
 }
 
-// state is what two agents exchange whole, by stream, now and then and at a join.
-type state struct {
-	Summaries []failover.Summary `json:"s"`
-	Epoch     uint64             `json:"e"`
-}
-
-// LocalState is all summaries and the epoch known here.
+// LocalState is the epoch known here: what two agents exchange by stream, now and then and at a
+// join, so that one that missed the gossip hears of it.
 func (m *Members) LocalState(bool) []byte {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	d, _ := json.Marshal(state{slices.Collect(maps.Values(m.known)), m.epoch})
+	d, _ := json.Marshal(word{Epoch: m.Epoch()})
 	return d
 }
 
 // MergeRemoteState takes another's.
-func (m *Members) MergeRemoteState(data []byte, _ bool) {
-	var s state
-	if err := json.Unmarshal(data, &s); err != nil {
-		m.bad.Add(1)
-		m.log.Warn("membership state passed over", "error", err, "bytes", len(data))
-		return
-	}
-	for _, one := range s.Summaries {
-		if one.Agent != "" && one.Agent != m.self.Name {
-			m.hear(one)
-		}
-	}
-	m.raise(s.Epoch)
-}
+func (m *Members) MergeRemoteState(data []byte, _ bool) { m.take(data) }
 
 // NotifyJoin, NotifyLeave and NotifyUpdate tell the log.
 func (m *Members) NotifyJoin(n *memberlist.Node) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -60,19 +60,20 @@
 // Member is an agent of the membership.
 type Member struct {
 	Name, Zone, Region string
+	Decides            bool // its part is in the control group: summaries go to it
 }
 
 // meta is a member's metadata, in JSON; memberlist bounds it to 512 bytes.
 type meta struct {
-	Zone   string `json:"z"`
-	Region string `json:"r"`
+	Zone    string `json:"z"`
+	Region  string `json:"r"`
+	Decides bool   `json:"d,omitempty"`
 }
 
 // word is one message of gossip.
 type word struct {
 	Summary *failover.Summary `json:"s,omitempty"`
 	Epoch   uint64            `json:"e,omitempty"`
-	By      string            `json:"b,omitempty"` // who tells of the epoch
 }
 
 // Members is an agent's view of the membership. Its methods do not wait, but for Open and Leave.
@@ -87,7 +88,7 @@
 	bytes atomic.Int64 // in datagrams sent
 
 	mu    sync.Mutex
-	known map[string]failover.Summary // the latest of each agent
+	known map[string]failover.Summary // the latest of each agent that told this one
 	epoch uint64                      // the highest heard of
 	news  chan struct{}               // holds one item where the epoch has risen
 }
@@ -152,24 +153,33 @@
 	for _, n := range m.list.Members() {
 		var d meta
 		if json.Unmarshal(n.Meta, &d) == nil {
-			out = append(out, Member{n.Name, d.Zone, d.Region})
+			out = append(out, Member{n.Name, d.Zone, d.Region, d.Decides})
 		}
 	}
 	return out
 }
 
-// Tell has the others hear what this agent sees; a later summary takes the place of one that
-// still waits to be sent.
+// Tell has those who may decide hear what this agent sees, in a datagram each: one that is lost
+// is made good by the next.
 func (m *Members) Tell(s failover.Summary) {
 	m.hear(s)
-	m.broadcast("s/"+s.Agent, word{Summary: &s})
+	data, err := json.Marshal(word{Summary: &s})
+	if err != nil {
+		return // a figure that is no number: it is not told
+	}
+	for _, n := range m.list.Members() {
+		var d meta
+		if n.Name == m.self.Name || json.Unmarshal(n.Meta, &d) != nil || !d.Decides {
+			continue
+		}
+		if err := m.list.SendBestEffort(n, data); err != nil {
+			m.log.Debug("summary not sent", "to", n.Name, "error", err)
+		}
+	}
 }
 
 // Announce has the others hear that an epoch is in force.
-func (m *Members) Announce(epoch uint64) {
-	m.raise(epoch)
-	m.broadcast("epoch", word{Epoch: epoch, By: m.self.Name})
-}
+func (m *Members) Announce(epoch uint64) { m.raise(epoch) }
 
 // Epoch is the highest that was heard of; News holds an item once it has risen.
 func (m *Members) Epoch() uint64 {
@@ -181,7 +191,8 @@
 // News holds an item where the epoch has risen since the last was taken.
 func (m *Members) News() <-chan struct{} { return m.news }
 
-// Summaries are the latest of the agents thought alive, each with the time of its hearing.
+// Summaries are the latest of the agents thought alive that told this one, each with the time of
+// its hearing.
 func (m *Members) Summaries() (out []failover.Summary) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -209,14 +220,6 @@
 // Shut ends this agent's part without a word, as a crash does.
 func (m *Members) Shut() { m.list.Shutdown() }
 
-func (m *Members) broadcast(name string, w word) {
-	data, err := json.Marshal(w)
-	if err != nil {
-		return // a summary with a figure that is no number: it is not told
-	}
-	m.queue.QueueBroadcast(&message{name, data})
-}
-
 // hear keeps a summary if it is newer than the one there, with the time of the hearing: how old
 // it may be is then a matter of this agent's clock alone.
 func (m *Members) hear(s failover.Summary) {
@@ -229,6 +232,8 @@
 	m.known[s.Agent] = s
 }
 
+// raise takes a higher epoch and hands it on: memberlist sends a broadcast to some others only,
+// and each that hears it anew passes it to some more.
 func (m *Members) raise(epoch uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -240,6 +245,9 @@
 	case m.news <- struct{}{}:
 	default:
 	}
+	if data, err := json.Marshal(word{Epoch: epoch}); err == nil {
+		m.queue.QueueBroadcast(&message{data})
+	}
 }
 
 func (m *Members) take(data []byte) {
@@ -257,25 +265,19 @@
 	}
 }
 
-// message is a broadcast; one of the same name takes its place.
-type message struct {
-	name string
-	data []byte
-}
+// message is a broadcast of an epoch; a later one takes its place.
+type message struct{ data []byte }
 
-func (b *message) Invalidates(other memberlist.Broadcast) bool {
-	o, ok := other.(*message)
-	return ok && o.name == b.name
-}
-func (b *message) Message() []byte { return b.data }
-func (b *message) Finished()       {}
+func (b *message) Invalidates(memberlist.Broadcast) bool { return true }
+func (b *message) Message() []byte                       { return b.data }
+func (b *message) Finished()                             {}
 
 // errTooFar is a meta that memberlist has no room for.
 var errTooFar = errors.New("zone and region are too long for the membership's metadata")
 
 // Fits tells whether a member's zone and region fit its metadata.
 func Fits(self Member) error {
-	if d, err := json.Marshal(meta{self.Zone, self.Region}); err != nil || len(d) > memberlist.MetaMaxSize {
+	if d, err := json.Marshal(meta{self.Zone, self.Region, self.Decides}); err != nil || len(d) > memberlist.MetaMaxSize {
 		return errTooFar
 	}
 	return nil
--- a/internal/placer/config.go
+++ b/internal/placer/config.go
@@ -17,8 +17,10 @@
 	Zone string `yaml:"zone"` // this agent's; "": the platform's settings name it
 	// Mode is "common" (one decision for all agents, by the control group of the promises) or
 	// "local" (each agent by what it sees alone).
-	Mode     string            `yaml:"mode"`
-	Members  *members.Config   `yaml:"members"` // in common mode
+	Mode    string          `yaml:"mode"`
+	Members *members.Config `yaml:"members"` // in common mode
+	// Topology may be left out in local mode: the zones are then those of the list of setup
+	// servers, all of one region.
 	Topology failover.Topology `yaml:"topology"`
 	Settings SettingsConfig    `yaml:"settings"`
 	Every    string            `yaml:"every"` // a summary is told and a decision looked for so often; "": 1s
@@ -73,8 +75,10 @@
 	default:
 		refused = append(refused, fmt.Errorf("field mode: %q is none of common, local", c.Mode))
 	}
-	for _, err := range c.Topology.Check() {
-		refused = append(refused, fmt.Errorf("topology: %w", err))
+	if c.Mode != "local" || len(c.Topology.Zones) > 0 {
+		for _, err := range c.Topology.Check() {
+			refused = append(refused, fmt.Errorf("topology: %w", err))
+		}
 	}
 	_, err := c.figures()
 	return errors.Join(append(refused, err)...)
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -25,6 +25,8 @@
 // Control is the control group as this agent reaches it: the group of the promises that keeps
 // the plan. Its methods may wait.
 type Control interface {
+	// Part tells whether this agent is a member of the group: summaries are told to those.
+	Part() bool
 	// Leading tells whether this agent's member leads the group, as far as it knows.
 	Leading() bool
 	// Plan is the plan of any member that has one of an epoch from least on.
@@ -74,7 +76,13 @@
 			p.self.Region = z.Region
 		}
 	}
-	if p.self.Region == "" {
+	listed := cfg.Mode == "local" && len(cfg.Topology.Zones) == 0
+	switch {
+	case listed && zone == "":
+		log.Info("zones: the platform names none for this agent; calls go where the module sends them")
+	case listed:
+		p.self.Region = oneRegion
+	case p.self.Region == "":
 		return nil, fmt.Errorf("field zone: %q is none of the topology's", zone)
 	}
 	p.plan.Store(&failover.Plan{})
@@ -85,6 +93,7 @@
 	if control == nil {
 		return nil, errors.New("field mode: common needs the promises' groups (WOODROUTER_PROMISES)")
 	}
+	p.self.Decides = control.Part()
 	if err := members.Fits(p.self); err != nil {
 		return nil, err
 	}
@@ -164,12 +173,34 @@
 
 // own decides on this agent's view alone.
 func (p *Placer) own(s failover.Summary) {
+	if p.self.Zone == "" {
+		return
+	}
 	v := failover.Look([]failover.Summary{s}, s.AtUs, p.fig.fresh.Microseconds())
-	if next, changed := failover.Decide(*p.plan.Load(), p.cfg.Topology, p.fig.settings, v, s.AtUs, p.self.Name); changed {
+	if next, changed := failover.Decide(*p.plan.Load(), p.topology(s), p.fig.settings, v, s.AtUs, p.self.Name); changed {
 		p.take(next)
 	}
 }
 
+// oneRegion is the region of all zones where the topology is the list's.
+const oneRegion = "here"
+
+// topology is the file's, or the zones that the list of setup servers names.
+func (p *Placer) topology(s failover.Summary) failover.Topology {
+	if len(p.cfg.Topology.Zones) > 0 {
+		return p.cfg.Topology
+	}
+	var t failover.Topology
+	names := slices.Collect(maps.Keys(s.Seen))
+	if !slices.Contains(names, p.self.Zone) {
+		names = append(names, p.self.Zone)
+	}
+	for _, z := range slices.Sorted(slices.Values(names)) {
+		t.Zones = append(t.Zones, failover.Zone{Name: z, Region: oneRegion})
+	}
+	return t
+}
+
 // decide makes the next plan where this agent's member leads the control group. A leader that
 // was cut off proposes in vain; of two that think they lead, the log takes one for an epoch.
 func (p *Placer) decide(ctx context.Context) {
@@ -273,6 +304,9 @@
 // passed over for the nearest that has one; where none has, the route stays as it is, for the
 // module to find no server.
 func (p *Placer) Narrow(r agent.Route, classPools []int, class, call string) agent.Route {
+	if p.self.Zone == "" {
+		return r
+	}
 	zone, pools := p.Zone(class, call)
 	may := func(pool int) bool {
 		return (r.Pools == nil || slices.Contains(r.Pools, pool)) && (classPools == nil || slices.Contains(classPools, pool))
--- /dev/null
+++ b/internal/placer/placer_test.go
@@ -0,0 +1,75 @@
+package placer
+
+import (
+	"log/slog"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/agent"
+	"woodrouter/failover"
+)
+
+// TestNarrow: a call's pools are those of its zone that its class and route allow; a zone dead
+// by the agent's own sight gives way to home; a zone without such a pool to the nearest.
+func TestNarrow(t *testing.T) {
+	top := failover.Topology{Zones: []failover.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "c", Region: "s"}}}
+	p, err := New(Config{Mode: "local", Topology: top}, "n1", "a", nil, nil, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	away := failover.Plan{Zones: map[string]failover.Placement{"a": {Shares: []failover.Share{{Zone: "b", Part: 1}}}}}
+	up := map[string]agent.Sighting{"a": {Up: 2, Pools: []int{0, 1}}, "b": {Up: 2, Pools: []int{2, 3}}, "c": {Up: 1, Pools: []int{4}}}
+	dead := map[string]agent.Sighting{"a": up["a"], "b": {Pools: []int{2, 3}}}
+	cases := []struct {
+		name         string
+		plan         failover.Plan
+		seen         map[string]agent.Sighting
+		route, class []int
+		want         []int
+	}{
+		{"home", failover.Plan{}, up, nil, nil, []int{0, 1}},
+		{"home, what class and route allow", failover.Plan{}, up, []int{1, 2}, []int{0, 1}, []int{1}},
+		{"evacuated", away, up, nil, nil, []int{2, 3}},
+		{"evacuated to a zone dead by own sight", away, dead, nil, nil, []int{0, 1}},
+		{"none there for the class: the nearest", failover.Plan{}, up, nil, []int{3, 4}, []int{3}},
+		{"none anywhere: the route as it is", failover.Plan{}, up, []int{9}, nil, []int{9}},
+		{"nothing seen yet", failover.Plan{}, nil, nil, nil, nil},
+	}
+	for _, c := range cases {
+		p.plan.Store(&c.plan)
+		p.seen.Store(&c.seen)
+		require.Equal(t, c.want, p.Narrow(agent.Route{Pools: c.route}, c.class, "voice", "1").Pools, c.name)
+	}
+}
+
+// TestLoadConfig: each field at fault is named.
+func TestLoadConfig(t *testing.T) {
+	top := "topology: {zones: [{name: a, region: r}]}\n"
+	cases := map[string]string{
+		"mode: local\n":                                 "",
+		"mode: common\n" + top:                          "field members: missing",
+		"mode: alone\n" + top:                           "field mode",
+		"mode: common\nmembers: {bind: 'x:1'}\n" + top:  "members: field bind",
+		"mode: common\nmembers: {bind: '127.0.0.1:1'}":  "topology: field zones: empty",
+		"mode: local\nfresh: 1s\nevery: 1s\n":           "field fresh",
+		"mode: local\nsettings: {dwell: soon}\n":        "field settings.dwell",
+		"mode: local\nsettings: {margin: 2}\n":          "settings: field margin",
+		"mode: local\nsettings: {budget: {voice: 3}}\n": "settings: field budget.voice",
+		"mode: local\nbogus: 1\n":                       "bogus",
+	}
+	for text, want := range cases {
+		path := filepath.Join(t.TempDir(), "f.yaml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := LoadConfig(path)
+		if want == "" {
+			require.NoError(t, err, text)
+		} else {
+			require.ErrorContains(t, err, want, text)
+		}
+	}
+	for _, deployed := range []string{"failover.yaml", "failover-local.yaml"} {
+		_, err := LoadConfig("../../deploy/" + deployed)
+		require.NoError(t, err, deployed)
+	}
+}
