--- a/internal/daemon/promisecmd.go
+++ b/internal/daemon/promisecmd.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"maps"
-	"os"
 	"slices"
 	"time"
 
@@ -15,6 +14,7 @@
 
 	"woodrouter/internal/keeper"
 	"woodrouter/internal/replica"
+	"woodrouter/internal/yamlfile"
 	"woodrouter/promise"
 	"woodrouter/shard"
 )
@@ -145,20 +145,8 @@
 	return nil
 }
 
-func readMembers(file string) ([]shard.Member, error) {
-	text, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
-	}
-	var list []shard.Member
-	if err := yaml.UnmarshalWithOptions(text, &list, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
-		return nil, fmt.Errorf("%s: %s", file, yaml.FormatError(err, false, true))
-	}
-	return list, nil
-}
-
 func (c placeCommand) run(out io.Writer) error {
-	agents, err := readMembers(c.Agents)
+	agents, err := yamlfile.Read[[]shard.Member](c.Agents)
 	if err != nil {
 		return err
 	}
@@ -191,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	spares, err := readMembers(c.Spares)
+	spares, err := yamlfile.Read[[]shard.Member](c.Spares)
 	if err != nil {
 		return err
 	}
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -3,11 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"os"
-
-	"github.com/goccy/go-yaml"
 
 	"woodrouter/internal/replica"
+	"woodrouter/internal/yamlfile"
 	"woodrouter/shard"
 )
 
@@ -25,17 +23,10 @@
 
 // LoadConfig reads and proves a file of promises. An error names the file and each field.
 func LoadConfig(path string) (Config, error) {
-	text, err := os.ReadFile(path)
+	c, err := yamlfile.Load[Config](path)
 	if err != nil {
 		return Config{}, fmt.Errorf("promises: %w", err)
 	}
-	var c Config
-	if err := yaml.UnmarshalWithOptions(text, &c, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
-		return Config{}, fmt.Errorf("promises: %s: %s", path, yaml.FormatError(err, false, true))
-	}
-	if err := c.Valid(); err != nil {
-		return Config{}, fmt.Errorf("promises: %s: %w", path, err)
-	}
 	return c, nil
 }
 
--- a/internal/placer/config.go
+++ b/internal/placer/config.go
@@ -3,13 +3,11 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"woodrouter/failover"
 	"woodrouter/internal/members"
+	"woodrouter/internal/yamlfile"
 )
 
 // Config is an operators' file of zone failover, as deploy/failover.yaml.
@@ -47,17 +45,10 @@
 
 // LoadConfig reads and proves a file of zone failover. An error names the file and each field.
 func LoadConfig(path string) (Config, error) {
-	text, err := os.ReadFile(path)
+	c, err := yamlfile.Load[Config](path)
 	if err != nil {
 		return Config{}, fmt.Errorf("failover: %w", err)
 	}
-	var c Config
-	if err := yaml.UnmarshalWithOptions(text, &c, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
-		return Config{}, fmt.Errorf("failover: %s: %s", path, yaml.FormatError(err, false, true))
-	}
-	if err := c.Valid(); err != nil {
-		return Config{}, fmt.Errorf("failover: %s: %w", path, err)
-	}
 	return c, nil
 }
 
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -8,10 +8,9 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"woodrouter/internal/yamlfile"
 )
 
 // Config is an operators' file of one member, as deploy/replica.yaml.
@@ -50,20 +49,7 @@
 
 // LoadConfig reads and proves a member's file. Unknown keys, wrong types and values that
 // can't be used are refused naming the file and field.
-func LoadConfig(path string) (Config, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, err
-	}
-	var c Config
-	if err := yaml.UnmarshalWithOptions(data, &c, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
-		return Config{}, fmt.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
-	}
-	if err := c.Valid(); err != nil {
-		return Config{}, fmt.Errorf("%s: %w", path, err)
-	}
-	return c, nil
-}
+func LoadConfig(path string) (Config, error) { return yamlfile.Load[Config](path) }
 
 // Valid names the first field that can't be used.
 func (c Config) Valid() error {
--- a/internal/replica/service.go
+++ b/internal/replica/service.go
@@ -191,6 +191,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("field client: %w", err)
 	}
-	go srv.Accept(ln)
+	go func() { // not srv.Accept, which has the listener's end in the standard log
+		for {
+			conn, err := ln.Accept()
+			switch {
+			case errors.Is(err, net.ErrClosed):
+				return
+			case err != nil: // out of descriptors, mostly
+				n.log.Warn("accept failed", "error", err)
+				time.Sleep(10 * time.Millisecond)
+			default:
+				go srv.ServeConn(conn)
+			}
+		}
+	}()
 	return ln, nil
 }
--- a/internal/routefile/routefile.go
+++ b/internal/routefile/routefile.go
@@ -17,6 +17,7 @@
 
 	"woodrouter/internal/routes"
 	"woodrouter/internal/settings"
+	"woodrouter/internal/yamlfile"
 )
 
 // Version is the form of the file this package reads.
@@ -77,19 +78,12 @@
 }
 
 // Parse reads a file's text; name is only for messages.
-func Parse(name string, data []byte) (table *routes.Table, err error) {
-	// The YAML library panics on some malformed text (fuzzing found "routes:\n  ! 0"): a bad
-	// file is an error of that file, never the end of the program.
-	defer func() {
-		if r := recover(); r != nil {
-			table, err = nil, &Error{File: name, Msg: fmt.Sprintf("not YAML this program can read (%v)", r)}
-		}
-	}()
+func Parse(name string, data []byte) (*routes.Table, error) {
 	if len(data) > MaxSize {
 		return nil, &Error{File: name, Msg: fmt.Sprintf("%d bytes, more than %d", len(data), MaxSize)}
 	}
 	var f file
-	if err := yaml.UnmarshalWithOptions(data, &f, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
+	if err := yamlfile.Decode(data, &f); err != nil {
 		return nil, located(name, data, err)
 	}
 	if f.Version != Version {
