--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,7 +78,9 @@
 		if d.promises, err = newPromises(cfg, log); err != nil {
 			return nil, err
 		}
-		kept = d.promises.keeper
+		if d.promises.cfg.Load().KeepsCalls() {
+			kept = d.promises.keeper
+		}
 	}
 	d.core, err = agent.New(agent.Config{Keeper: kept, Sights: cfg.Failover != "", Settings: cfg.info.Policy(), Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
--- a/internal/daemon/failover.go
+++ b/internal/daemon/failover.go
@@ -138,6 +138,13 @@
 		line("c", home[class], "zone_home."+class)
 		line("c", away[class], "zone_away."+class)
 	}
+	traded := map[string]float64{"budget": 0, "capacity": 0}
+	for _, t := range d.placer.Plan().Trades {
+		traded[t.For] += t.PerSecond
+	}
+	for _, why := range slices.Sorted(maps.Keys(traded)) {
+		line("g", int64(traded[why]*1000), "zone_traded_mps."+why) // thousandths of a call a second
+	}
 	line("c", d.placer.KeptHome(), "zone_kept_home")
 	n := 0
 	for _, names := range d.placer.Alive() {
--- a/internal/daemon/promises.go
+++ b/internal/daemon/promises.go
@@ -68,9 +68,9 @@
 	if next.Ring.Version < now.Ring.Version {
 		return fmt.Errorf("promises: %s: field ring.version: %d is before %d, which is in force", path, next.Ring.Version, now.Ring.Version)
 	}
-	if next.Name != now.Name || !reflect.DeepEqual(next.Member, now.Member) {
-		p.log.Warn("promises: name and member hold from the next start")
-		next.Name, next.Member = now.Name, now.Member
+	if next.Name != now.Name || next.KeepsCalls() != now.KeepsCalls() || !reflect.DeepEqual(next.Member, now.Member) {
+		p.log.Warn("promises: name, member and calls hold from the next start")
+		next.Name, next.Member, next.Calls = now.Name, now.Member, now.Calls
 	}
 	if !reflect.DeepEqual(next.Ring, now.Ring) || !reflect.DeepEqual(next.Previous, now.Previous) {
 		p.take(next)
--- a/internal/keeper/config.go
+++ b/internal/keeper/config.go
@@ -15,6 +15,10 @@
 	Name string `yaml:"name"`
 	// Member is the part this agent takes in a group; left out, it only calls the groups.
 	Member *replica.Config `yaml:"member"`
+	// Calls tells whether calls are claimed and their answers kept, at two commits a call; not
+	// given: they are. Without it the groups keep orders, versions and the plan of zones alone,
+	// and an agent cut off from them serves callers on.
+	Calls *bool `yaml:"calls"`
 	// Ring is the groups that share the calls; Previous is the ring it replaces, until all
 	// agents follow the new one and the longest deadline has passed.
 	Ring     shard.Ring  `yaml:"ring"`
@@ -30,6 +34,9 @@
 	return c, nil
 }
 
+// KeepsCalls tells whether calls are claimed and kept.
+func (c Config) KeepsCalls() bool { return c.Calls == nil || *c.Calls }
+
 // Valid names every field that can't be used.
 func (c Config) Valid() error {
 	var refused []error
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -34,6 +34,7 @@
 	// Failover has the agents follow zones; each gets its own zone and membership address.
 	Failover *placer.Config
 	Timing   replica.TimingConfig // of the groups; zero: the defaults
+	NoCalls  bool                 // the groups keep orders and zones, not calls
 }
 
 // Fleet is call agents, each its own process and a member of a group, with a fault proxy on
@@ -167,7 +168,8 @@
 
 // promises is an agent's file: the others' addresses lead through the links' proxies.
 func (f *Fleet) promises(a *Agent) keeper.Config {
-	c := keeper.Config{Ring: shard.Ring{Version: f.Ring.Version}}
+	calls := !f.site.NoCalls
+	c := keeper.Config{Calls: &calls, Ring: shard.Ring{Version: f.Ring.Version}}
 	for _, g := range f.Ring.Groups {
 		seen := shard.Group{ID: g.ID}
 		part := false
