Fault schedules against call agents with callers at work: woodlab promises agents

Need: random schedules played against bare members alone; of whole agents there was one script.

Change: promiselab.AgentSchedule starts agents in groups, a setup server that knows each agent by an address of its own, and callers who ask several agents for the same calls; faults are drawn from the seed (an agent killed, its disk lost and mended by the operators' command, one and two cut off, restarts in turn, all killed at once, 50 ms between all). It checks that no call is sent on by two agents, none is served in two ways, and every served call is answered alike afterwards.

--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +31,7 @@
 
 type promisesCommand struct {
 	Schedules schedulesCommand `cmd:"" help:"Play random fault schedules; exit 1 if any loses a promise or is not linearizable."`
+	Agents    agentsCommand    `cmd:"" help:"Play random fault schedules against call agents with callers at work; exit 1 if any call is sent on by two agents, served in two ways, or lost."`
 	Measure   measureCommand   `cmd:"" help:"Measure commit latency, promises a second, time to a new leader, and catch-up."`
 }
 
@@ -56,6 +59,15 @@
 	JSON     string `help:"Write each schedule's report to this file, a line each."`
 }
 
+type agentsCommand struct {
+	Count    int    `help:"Schedules to play." default:"50"`
+	Seed     uint64 `help:"The first schedule's seed; each next one has the next." default:"1"`
+	Agents   int    `help:"Call agents, in groups of three." default:"6"`
+	Steps    int    `help:"Faults in each schedule." default:"5"`
+	Callers  int    `help:"Callers at work." default:"4"`
+	Parallel int    `help:"Schedules at once." default:"2"`
+}
+
 type measureCommand struct {
 	Promises int           `help:"Promises for each latency figure; ten times as many for throughput." default:"1000"`
 	Kills    int           `help:"Leaders killed." default:"10"`
@@ -96,6 +108,8 @@
 			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
 		case "zones cost":
 			err = zonelab.Costs(ctx, out, cli.Zones.Cost.Span)
+		case "promises agents":
+			err = cli.Promises.Agents.run(ctx, cli.Bin, dir, out)
 		case "promises measure":
 			m := cli.Promises.Measure
 			err = promiselab.Measurement{Bin: cli.Bin, Dir: dir, Promises: m.Promises, Kills: m.Kills, Sizes: m.Sizes, Delay: m.Delay, Only: m.Only}.Run(ctx, out)
@@ -108,14 +122,35 @@
 	return 0
 }
 
-// run plays the schedules, some at once, and tells of each as it ends and of all in the last
-// line.
+// seeds plays one schedule for each seed, some at once, each in a directory of its own.
+func seeds(ctx context.Context, first uint64, count, parallel int, dir string, play func(seed uint64, dir string)) {
+	var work sync.WaitGroup
+	next := make(chan uint64)
+	for range max(parallel, 1) {
+		work.Go(func() {
+			for seed := range next {
+				where := filepath.Join(dir, fmt.Sprint("seed-", seed))
+				os.MkdirAll(where, 0o750)
+				play(seed, where)
+				os.RemoveAll(where)
+			}
+		})
+	}
+	for i := range count {
+		if ctx.Err() != nil {
+			break
+		}
+		next <- first + uint64(i)
+	}
+	close(next)
+	work.Wait()
+}
+
+// run plays the schedules, and tells of each as it ends and of all in the last line.
 func (c schedulesCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
 	var (
 		mu     sync.Mutex
 		sum    summary
-		work   sync.WaitGroup
-		seeds  = make(chan uint64)
 		report *json.Encoder
 	)
 	if c.JSON != "" {
@@ -126,44 +161,64 @@
 		defer f.Close()
 		report = json.NewEncoder(f)
 	}
-	for range max(c.Parallel, 1) {
-		work.Go(func() {
-			for seed := range seeds {
-				where := filepath.Join(dir, fmt.Sprint("seed-", seed))
-				os.MkdirAll(where, 0o750)
-				r, err := promiselab.Schedule{Seed: seed, Members: c.Members, Steps: c.Steps, Clients: c.Clients}.Play(ctx, bin, where)
-				os.RemoveAll(where)
-				mu.Lock()
-				sum.add(r, err)
-				fmt.Fprintln(out, line(seed, r, err))
-				if report != nil {
-					report.Encode(r)
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	for i := range c.Count {
-		if ctx.Err() != nil {
-			break
+	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
+		r, err := promiselab.Schedule{Seed: seed, Members: c.Members, Steps: c.Steps, Clients: c.Clients}.Play(ctx, bin, where)
+		mu.Lock()
+		defer mu.Unlock()
+		sum.add(r, err)
+		fmt.Fprintln(out, line(seed, r, err))
+		if report != nil {
+			report.Encode(r)
 		}
-		seeds <- c.Seed + uint64(i)
-	}
-	close(seeds)
-	work.Wait()
+	})
 	return sum.tell(out)
 }
 
-func line(seed uint64, r promiselab.Report, err error) string {
-	if err == nil {
-		err = r.Err()
+// run plays the schedules against call agents.
+func (c agentsCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
+	var (
+		mu                          sync.Mutex
+		played, failed, asked, kept int
+		faults                      = map[string]int{}
+	)
+	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
+		r, err := promiselab.AgentSchedule{Seed: seed, Agents: c.Agents, Steps: c.Steps, Callers: c.Callers}.Play(ctx, bin, where)
+		mu.Lock()
+		defer mu.Unlock()
+		played, asked, kept = played+1, asked+r.Asked, kept+r.Calls
+		for _, f := range r.Faults {
+			faults[f]++
+		}
+		fmt.Fprintf(out, "seed %d: %d asked, %d served, %d turned away, %d unheard, %d calls read back, %v: %s\n", seed,
+			r.Asked, r.Served, r.Turned, r.Unheard, r.Calls, r.Took.Round(time.Millisecond), verdict(r.Err(), err))
+		if err != nil || r.Err() != nil {
+			failed++
+		}
+	})
+	for _, f := range slices.Sorted(maps.Keys(faults)) {
+		fmt.Fprintf(out, "%5d x %s\n", faults[f], f)
 	}
-	verdict := "ok"
-	if err != nil {
-		verdict = "FAILED: " + err.Error()
+	fmt.Fprintf(out, "%d schedules, %d set-ups asked for, %d served calls read back, %d schedules failed\n", played, asked, kept, failed)
+	if failed > 0 {
+		return fmt.Errorf("%d of %d schedules failed", failed, played)
+	}
+	return nil
+}
+
+// verdict is what a run found, or why it did not end.
+func verdict(found, err error) string {
+	switch {
+	case err != nil:
+		return "FAILED: " + err.Error()
+	case found != nil:
+		return "FAILED: " + found.Error()
 	}
+	return "ok"
+}
+
+func line(seed uint64, r promiselab.Report, err error) string {
 	return fmt.Sprintf("seed %d: %d operations, %d refused, %d promised, %d lost, %v: %s",
-		seed, r.Operations, r.Refused, r.Promised, len(r.Lost), r.Took.Round(time.Millisecond), verdict)
+		seed, r.Operations, r.Refused, r.Promised, len(r.Lost), r.Took.Round(time.Millisecond), verdict(r.Err(), err))
 }
 
 // summary adds schedules up.
--- /dev/null
+++ b/internal/promiselab/agents.go
@@ -0,0 +1,311 @@
+package promiselab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"woodrouter/internal/replica"
+	"woodrouter/isup"
+)
+
+// AgentSchedule is a run of faults against call agents that keep one another's promises, with
+// callers who ask for the same calls of several agents. Equal schedules draw equal faults.
+type AgentSchedule struct {
+	Seed    uint64
+	Agents  int // in groups of three
+	Steps   int
+	Callers int
+}
+
+// AgentReport is what a schedule showed.
+type AgentReport struct {
+	AgentSchedule
+	Faults                []string
+	Asked, Served, Turned int      // set-ups of callers; answered; refused or failed
+	Unheard               int      // of which no answer came: the agent died, or was cut off
+	Calls                 int      // that some caller heard served
+	Twice                 []string // calls that two agents sent on
+	Differ                []string // calls served with two descriptions
+	Lost                  []string // served calls that no agent answers so after the faults
+	Took                  time.Duration
+}
+
+// Err names what the run broke; nil for none.
+func (r AgentReport) Err() error {
+	var all []error
+	for what, calls := range map[string][]string{"sent on by two agents": r.Twice, "served in two ways": r.Differ, "served, and lost": r.Lost} {
+		if len(calls) > 0 {
+			all = append(all, fmt.Errorf("%d calls %s: %s", len(calls), what, strings.Join(calls[:min(len(calls), 5)], "; ")))
+		}
+	}
+	return errors.Join(all...)
+}
+
+// town is the agents, the setup server, and what callers heard.
+type town struct {
+	*Fleet
+	office *office
+	rng    *rand.Rand
+	lost   int // disks lost so far, for new ids
+
+	mu     sync.Mutex
+	served map[isup.CallID]string
+	report *AgentReport
+}
+
+var agentFaults = []struct {
+	name string
+	play func(*town, context.Context) error
+}{
+	{"agent killed", (*town).kill},
+	{"agent and disk lost, and mended", (*town).lose},
+	{"agent cut off", (*town).cutOne},
+	{"two agents cut off", (*town).cutTwo},
+	{"agents restarted in turn", (*town).restart},
+	{"all agents killed at once", (*town).dark},
+	{"50 ms between all", (*town).slow},
+}
+
+const agentSettings = `{"nInstances":6,"rank":0,"resolution":1000,
+	"profiles":[{"name":"voice","goalTime":2000000,"deadline":3000000,"worth":1}],
+	"stats":{"fields":["spare","total","latency_ms"],"how":"piggyback"},
+	"limits":{"maxAttempts":3,"maxRetryAfter":2000000,"retryAfter":true,"cancel":true,"connectTimeout":500000},
+	"guarantees":{"answerSlack":20000,"cold":14000000,"coldFrom":0.29,"fallMultiple":3,"tipAfter":1000000},
+	"domain":{"classHold":[8000000],"clearWait":300000,"repeat":800000,"poolsByClass":[[0]]}}`
+
+// Play starts the agents under dir, plays the schedule with callers at work, and asks for every
+// served call again when all is healed.
+func (s AgentSchedule) Play(ctx context.Context, bin, dir string) (AgentReport, error) {
+	began := time.Now()
+	o := newOffice(s.Seed)
+	defer o.close()
+	r := AgentReport{AgentSchedule: s}
+	f, err := StartFleet(bin, dir, s.Agents, s.Seed, Site{Settings: json.RawMessage(agentSettings),
+		Timing: replica.TimingConfig{Heartbeat: "500ms", Election: "500ms", Lease: "300ms"},
+		Agent: func(name string) (string, any, error) {
+			addr, err := o.open(name)
+			entry := map[string]any{"name": "s0", "address": addr, "zone": "z", "type": "std", "group": 0, "status": "up", "weight": 1, "since_ms": 0}
+			return "127.0.0.1:1", map[string]any{"no": 1, "items": []any{map[string]any{"no": 1,
+				"roster": map[string]any{"index": 1, "snapshot": true, "endpoints": []any{entry}}}}}, err
+		}})
+	if err != nil {
+		return r, err
+	}
+	defer f.Close()
+	t := &town{Fleet: f, office: o, rng: rand.New(rand.NewPCG(s.Seed, 2)), served: map[isup.CallID]string{}, report: &r}
+	if err := t.play(ctx, s); err != nil {
+		return r, fmt.Errorf("%w (after %v)\n%s", err, r.Faults, f.Logs())
+	}
+	r.Took = time.Since(began)
+	return r, nil
+}
+
+func (t *town) play(whole context.Context, s AgentSchedule) error {
+	ctx, cancel := context.WithTimeout(whole, scheduleMost)
+	defer cancel()
+	if err := t.settle(ctx); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for n := range s.Callers {
+		callers.Go(func() { t.call(n, s, stop) })
+	}
+	err := t.faults(ctx, s)
+	close(stop)
+	callers.Wait()
+	if err != nil {
+		return err
+	}
+	ctx, cancel = context.WithTimeout(whole, readMost)
+	defer cancel()
+	t.Cut()
+	if err := t.settle(ctx); err != nil {
+		return err
+	}
+	t.report.Calls, t.report.Twice, t.report.Lost = len(t.served), t.office.twice(), t.readBack(ctx)
+	return nil
+}
+
+func (t *town) faults(ctx context.Context, s AgentSchedule) error {
+	order := rand.New(rand.NewPCG(s.Seed, 1))
+	for i := range s.Steps {
+		f := agentFaults[order.IntN(len(agentFaults))]
+		if s.Steps >= len(agentFaults) && i < len(agentFaults) {
+			f = agentFaults[i] // a run long enough has each once
+		}
+		t.progress(ctx, 20)
+		if err := f.play(t, ctx); err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+		t.report.Faults = append(t.report.Faults, f.name)
+	}
+	t.progress(ctx, 20)
+	return ctx.Err()
+}
+
+// call is one caller: it asks random agents for calls of which others ask, too, so that most
+// are asked for several times while they are set up, stand, or their agent dies.
+func (t *town) call(n int, s AgentSchedule, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(s.Seed, uint64(100+n)))
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id := isup.CallID(1 + i/2 + rng.IntN(4)) // callers move on through the calls together
+		t.note(id, ask(t.Agents[fmt.Sprintf("a%d", 1+rng.IntN(s.Agents))].Listen, id))
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+	}
+}
+
+func (t *town) note(id isup.CallID, h heard) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Asked++
+	switch {
+	case h.Err != nil:
+		t.report.Unheard++
+	case h.Served == "":
+		t.report.Turned++
+	default:
+		t.report.Served++
+		if was, ok := t.served[id]; ok && was != h.Served {
+			t.report.Differ = append(t.report.Differ, fmt.Sprintf("%v: %q and %q", id, was, h.Served))
+		}
+		t.served[id] = h.Served
+	}
+}
+
+// readBack asks an agent for every served call again, another where it has none: every answer
+// that a caller heard must be given to whoever asks later.
+func (t *town) readBack(ctx context.Context) (lost []string) {
+	names := t.names()
+	for id, want := range t.served {
+		var h heard
+		for i := 0; i < 3*len(names) && ctx.Err() == nil; i++ {
+			if h = ask(t.Agents[names[(int(id)+i)%len(names)]].Listen, id); h.Served != "" {
+				break
+			}
+			time.Sleep(min(h.Away, 200*time.Millisecond))
+		}
+		if h.Served != want {
+			lost = append(lost, fmt.Sprintf("%v: served %q, now %+v", id, want, h))
+		}
+	}
+	return lost
+}
+
+func (t *town) names() (out []string) {
+	for name := range t.Agents {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (t *town) any() string { return t.names()[t.rng.IntN(len(t.Agents))] }
+
+// settle waits until every running agent sees a leader in every group.
+func (t *town) settle(ctx context.Context) error {
+	for _, name := range t.names() {
+		if t.Agents[name].Running() {
+			if err := t.Settled(ctx, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// progress waits until n more calls were served, or the context ends.
+func (t *town) progress(ctx context.Context, n int) {
+	count := func() int {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.report.Served
+	}
+	for want := count() + n; count() < want && ctx.Err() == nil; {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (t *town) kill(ctx context.Context) error {
+	name := t.any()
+	t.Agents[name].Kill()
+	t.progress(ctx, 10)
+	if err := t.Start(name); err != nil {
+		return err
+	}
+	return t.settle(ctx)
+}
+
+// lose is an agent's machine gone with its disk; the operators' command brings it back.
+func (t *town) lose(ctx context.Context) error {
+	name := t.any()
+	if err := t.Lose(name); err != nil {
+		return err
+	}
+	t.progress(ctx, 10)
+	if err := t.settle(ctx); err != nil {
+		return err
+	}
+	if err := t.Mend(ctx, name); err != nil {
+		return err
+	}
+	return t.settle(ctx)
+}
+
+func (t *town) cutOne(ctx context.Context) error { return t.cut(ctx, t.any()) }
+
+func (t *town) cutTwo(ctx context.Context) error { return t.cut(ctx, t.any(), t.any()) }
+
+func (t *town) cut(ctx context.Context, names ...string) error {
+	t.Cut(names...)
+	t.progress(ctx, 10)
+	t.Cut()
+	return t.settle(ctx)
+}
+
+func (t *town) restart(ctx context.Context) error {
+	for _, name := range t.names() {
+		t.Agents[name].Stop()
+		if err := t.Start(name); err != nil {
+			return err
+		}
+		if err := t.settle(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *town) dark(ctx context.Context) error {
+	var down sync.WaitGroup
+	for _, a := range t.Agents {
+		down.Go(a.Kill)
+	}
+	down.Wait()
+	for _, name := range t.names() {
+		if err := t.Start(name); err != nil {
+			return err
+		}
+	}
+	return t.settle(ctx)
+}
+
+func (t *town) slow(ctx context.Context) error {
+	all := func(string, string) bool { return true }
+	t.Slow(25*time.Millisecond, all)
+	t.progress(ctx, 10)
+	t.Slow(0, all)
+	return t.settle(ctx)
+}
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -28,6 +28,8 @@
 type Site struct {
 	// Bulletin is where agents of a zone hear of setup servers, and the events so far.
 	Bulletin func(zone string) (address string, known any)
+	// Agent, if given, is the same for one agent by its name, once.
+	Agent    func(name string) (address string, known any, err error)
 	Settings json.RawMessage // the platform's, without nInstances and rank
 	Zones    int             // agents lie in these zones in turn; 0: 3
 	Size     int             // of each group; 0: 3
@@ -57,6 +59,8 @@
 	Gossip                string       // its membership address
 	Member                shard.Member // its part in a group
 	Solo                  bool         // takes no part in a group any more
+	bulletin              string       // where it hears of setup servers,
+	known                 any          // and what it knows at its start
 	joins                 string       // the group it is to be added to; "": one it began with
 }
 
@@ -140,9 +144,16 @@
 func (f *Fleet) Start(name string) error {
 	a := f.Agents[name]
 	config, promises := filepath.Join(f.Dir, name+".json"), filepath.Join(f.Dir, name+".yaml")
-	bulletin, known := f.site.Bulletin(a.Member.Zone)
+	if a.known == nil && f.site.Agent != nil {
+		var err error
+		if a.bulletin, a.known, err = f.site.Agent(name); err != nil {
+			return err
+		}
+	} else if f.site.Agent == nil {
+		a.bulletin, a.known = f.site.Bulletin(a.Member.Zone)
+	}
 	text, err := json.Marshal(map[string]any{"name": name, "listen": a.Listen, "console": a.Console,
-		"seed": "8c1f30d27a5be964", "bulletin": bulletin, "known": known, "settings": f.site.Settings})
+		"seed": "8c1f30d27a5be964", "bulletin": a.bulletin, "known": a.known, "settings": f.site.Settings})
 	if err != nil {
 		return err
 	}
--- a/internal/promiselab/fleet_test.go
+++ b/internal/promiselab/fleet_test.go
@@ -21,6 +21,15 @@
 	"guarantees":{"answerSlack":20000,"cold":14000000,"coldFrom":0.29,"fallMultiple":3,"tipAfter":1000000},
 	"domain":{"classHold":[8000000],"clearWait":300000,"repeat":800000,"poolsByClass":[[0]]}}`
 
+// TestAgentSchedule plays one seeded schedule of faults against six agents with callers at work,
+// each fault once. The operators' long run is `woodlab promises agents`.
+func TestAgentSchedule(t *testing.T) {
+	r, err := AgentSchedule{Seed: 5, Agents: 6, Steps: len(agentFaults), Callers: 4}.Play(context.Background(), bin, t.TempDir())
+	require.NoError(t, err)
+	require.NoError(t, r.Err())
+	t.Logf("%v: %d asked, %d served, %d turned away, %d unheard, %d calls", r.Took, r.Asked, r.Served, r.Turned, r.Unheard, r.Calls)
+}
+
 // calm are a group's timers where a busy machine's pauses must not cost it its leader.
 var calm = replica.TimingConfig{Heartbeat: "1s", Election: "1s", Lease: "800ms"}
 
--- /dev/null
+++ b/internal/promiselab/peers.go
@@ -0,0 +1,154 @@
+package promiselab
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"woodrouter/isup"
+)
+
+// office is a setup server that notes which agent sent it what: each agent knows it under an
+// address of its own. It answers most set-ups at once, some late, turns some away as full and
+// says nothing to others.
+type office struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	lns   []net.Listener
+	sent  map[isup.CallID]map[string]int // set-ups of a call, by agent
+	rooms int                            // answers given: each has a description of its own
+}
+
+func newOffice(seed uint64) *office {
+	return &office{rng: rand.New(rand.NewPCG(seed, 3)), sent: map[isup.CallID]map[string]int{}}
+}
+
+// open is the address for one agent.
+func (o *office) open(agent string) (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	o.lns = append(o.lns, ln)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go o.serve(agent, conn)
+		}
+	}()
+	return ln.Addr().String(), nil
+}
+
+func (o *office) close() {
+	for _, ln := range o.lns {
+		ln.Close()
+	}
+}
+
+func (o *office) serve(agent string, conn net.Conn) {
+	defer conn.Close()
+	var write sync.Mutex
+	say := func(m isup.Message) {
+		if b, err := m.Append(nil); err == nil {
+			write.Lock()
+			defer write.Unlock()
+			conn.Write(b) // a connection that is gone shows at the read
+		}
+	}
+	say(isup.Message{Type: isup.GroupState}.WithText(isup.Report, "x0:900;x1:1000"))
+	for in := bufio.NewReader(conn); ; {
+		m, err := isup.Read(in)
+		if err != nil {
+			return
+		}
+		if m.Type == isup.SetUp {
+			if reply, after, ok := o.decide(agent, m.Call); ok {
+				time.AfterFunc(after, func() { say(reply) })
+			}
+		}
+	}
+}
+
+// decide notes a set-up and draws what comes of it.
+func (o *office) decide(agent string, id isup.CallID) (reply isup.Message, after time.Duration, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.sent[id] == nil {
+		o.sent[id] = map[string]int{}
+	}
+	o.sent[id][agent]++
+	n := o.rng.IntN(100)
+	if n >= 80 {
+		after = time.Duration(o.rng.IntN(300)) * time.Millisecond
+	}
+	switch {
+	case n >= 97:
+		return reply, 0, false
+	case n >= 94:
+		return isup.Message{Type: isup.Release, Call: id}.WithCause(isup.NoCircuit).WithText(isup.Note, "overload"), after, true
+	}
+	o.rooms++
+	return isup.Message{Type: isup.Answer, Call: id}.WithText(isup.Description, fmt.Sprintf("room %d of %v", o.rooms, id)), after, true
+}
+
+// twice are the calls that more than one agent sent on.
+func (o *office) twice() (out []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, by := range o.sent {
+		if len(by) > 1 {
+			out = append(out, fmt.Sprintf("%v by %v", id, by))
+		}
+	}
+	return out
+}
+
+// heard is what a caller was told of a call.
+type heard struct {
+	Served string // the description; "": not served
+	Away   time.Duration
+	Err    error // no answer
+}
+
+// askTime bounds one set-up of a caller, and dialMost its way to the agent.
+const (
+	askTime = 3 * time.Second
+	askDial = 500 * time.Millisecond
+)
+
+// ask has an agent set a call up, on a connection of its own.
+func ask(addr string, id isup.CallID) heard {
+	conn, err := net.DialTimeout("tcp", addr, askDial)
+	if err != nil {
+		return heard{Err: err}
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(askTime + time.Second))
+	b, err := isup.Message{Type: isup.SetUp, Call: id}.WithText(isup.Class, "voice").WithMillis(isup.Left, askTime).
+		WithText(isup.Number, id.String()).WithText(isup.Figures, "dest:0;width:1;via:-1").WithText(isup.Description, "offer").Append(nil)
+	if err != nil {
+		return heard{Err: err}
+	}
+	if _, err := conn.Write(b); err != nil {
+		return heard{Err: err}
+	}
+	for in := bufio.NewReader(conn); ; {
+		m, err := isup.Read(in)
+		switch {
+		case err != nil:
+			return heard{Err: err}
+		case m.Call != id:
+		case m.Type == isup.Answer:
+			return heard{Served: m.Text(isup.Description)}
+		case m.Type == isup.Release:
+			away, _ := m.Millis(isup.StayAway)
+			return heard{Away: away}
+		}
+	}
+}
