Fault schedules against agents in zones: woodlab zones schedules

Need: zone failover was shown by one script; the operators ask for seeded runs of their own.

Change: promiselab.ZoneSchedule draws faults from a seed against agents in four zones with callers at each: a zone lost and back, lost as the decider is killed, cut off, flapping, an agent killed, 100 ms between regions, gossip deaf one way. After each fault all agents must be local again in one epoch within 20 s and every call stand at home; no call may reach two zones.

--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alecthomas/kong"
 
 	"woodrouter/internal/faultnet"
@@ -36,8 +37,9 @@
 }
 
 type zonesCommand struct {
-	Model zonesModelCommand `cmd:"" help:"Model fleets of 10, 100 and 300 agents: decided in common against each alone."`
-	Cost  zonesCostCommand  `cmd:"" help:"Measure membership by gossip at 10, 100 and 300 agents in one process."`
+	Model     zonesModelCommand     `cmd:"" help:"Model fleets of 10, 100 and 300 agents: decided in common against each alone."`
+	Schedules zonesSchedulesCommand `cmd:"" help:"Play random fault schedules against agents in zones; exit 1 if a call is sent to two zones, or not home in calm, or the agents do not settle in one epoch."`
+	Cost      zonesCostCommand      `cmd:"" help:"Measure membership by gossip at 10, 100 and 300 agents in one process."`
 }
 
 type zonesModelCommand struct {
@@ -45,6 +47,14 @@
 	Plot string `help:"Draw the calls lost to this PNG file."`
 }
 
+type zonesSchedulesCommand struct {
+	Count    int    `help:"Schedules to play." default:"30"`
+	Seed     uint64 `help:"The first schedule's seed; each next one has the next." default:"1"`
+	Agents   int    `help:"Call agents, in groups of three and four zones." default:"6"`
+	Steps    int    `help:"Faults in each schedule." default:"5"`
+	Parallel int    `help:"Schedules at once." default:"2"`
+}
+
 type zonesCostCommand struct {
 	Span time.Duration `help:"How long each size gossips." default:"20s"`
 }
@@ -97,13 +107,15 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	if cli.Bin == "" && strings.HasPrefix(parsed.Command(), "promises") {
+	if cli.Bin == "" && (strings.HasPrefix(parsed.Command(), "promises") || parsed.Command() == "zones schedules") {
 		cli.Bin, err = faultnet.Build(dir)
 	}
 	if err == nil {
 		switch parsed.Command() {
 		case "promises schedules":
 			err = cli.Promises.Schedules.run(ctx, cli.Bin, dir, out)
+		case "zones schedules":
+			err = cli.Zones.Schedules.run(ctx, cli.Bin, dir, out)
 		case "zones model":
 			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
 		case "zones cost":
@@ -205,6 +217,45 @@
 	return nil
 }
 
+// run plays the schedules against agents in zones.
+func (c zonesSchedulesCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
+	var (
+		mu                    sync.Mutex
+		played, failed, calls int
+		faults                = map[string]int{}
+		moved, back           = hdrhistogram.New(1, 60_000, 3), hdrhistogram.New(1, 60_000, 3) // ms
+	)
+	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
+		r, err := promiselab.ZoneSchedule{Seed: seed, Agents: c.Agents, Steps: c.Steps}.Play(ctx, bin, where)
+		mu.Lock()
+		defer mu.Unlock()
+		played, calls = played+1, calls+r.Calls
+		for _, f := range r.Faults {
+			faults[f]++
+		}
+		for _, d := range r.Moved {
+			moved.RecordValue(d.Milliseconds())
+		}
+		for _, d := range r.Back {
+			back.RecordValue(d.Milliseconds())
+		}
+		fmt.Fprintf(out, "seed %d: %d calls, %d stood, %v: %s\n", seed, r.Calls, r.Stood, r.Took.Round(time.Millisecond), verdict(r.Err(), err))
+		if err != nil || r.Err() != nil {
+			failed++
+		}
+	})
+	for _, f := range slices.Sorted(maps.Keys(faults)) {
+		fmt.Fprintf(out, "%5d x %s\n", faults[f], f)
+	}
+	fmt.Fprintf(out, "a lost zone's calls moved at all agents after p50 %d ms, longest %d ms; all local again after p50 %d ms, longest %d ms\n",
+		moved.ValueAtQuantile(50), moved.Max(), back.ValueAtQuantile(50), back.Max())
+	fmt.Fprintf(out, "%d schedules, %d calls, %d schedules failed\n", played, calls, failed)
+	if failed > 0 {
+		return fmt.Errorf("%d of %d schedules failed", failed, played)
+	}
+	return nil
+}
+
 // verdict is what a run found, or why it did not end.
 func verdict(found, err error) string {
 	switch {
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -92,6 +92,11 @@
 	if f.Ring, _, err = shard.Place(members, cmp.Or(site.Size, 3)); err == nil {
 		err = f.link(members, seed)
 	}
+	for name, a := range f.Agents {
+		if err == nil && site.Agent != nil { // what it listens on must not take the agents' ports
+			a.bulletin, a.known, err = site.Agent(name)
+		}
+	}
 	release() // the agents take their ports from here
 	if err != nil {
 		f.Close()
@@ -144,12 +149,7 @@
 func (f *Fleet) Start(name string) error {
 	a := f.Agents[name]
 	config, promises := filepath.Join(f.Dir, name+".json"), filepath.Join(f.Dir, name+".yaml")
-	if a.known == nil && f.site.Agent != nil {
-		var err error
-		if a.bulletin, a.known, err = f.site.Agent(name); err != nil {
-			return err
-		}
-	} else if f.site.Agent == nil {
+	if f.site.Agent == nil {
 		a.bulletin, a.known = f.site.Bulletin(a.Member.Zone)
 	}
 	text, err := json.Marshal(map[string]any{"name": name, "listen": a.Listen, "console": a.Console,
--- a/internal/promiselab/peers.go
+++ b/internal/promiselab/peers.go
@@ -13,26 +13,33 @@
 
 // office is a setup server that notes which agent sent it what: each agent knows it under an
 // address of its own. It answers most set-ups at once, some late, turns some away as full and
-// says nothing to others.
+// says nothing to others; a steady one answers all at once.
 type office struct {
+	steady bool
+
 	mu    sync.Mutex
 	rng   *rand.Rand
-	lns   []net.Listener
+	lns   map[string]net.Listener // by agent
+	conns map[net.Conn]bool
 	sent  map[isup.CallID]map[string]int // set-ups of a call, by agent
 	rooms int                            // answers given: each has a description of its own
 }
 
 func newOffice(seed uint64) *office {
-	return &office{rng: rand.New(rand.NewPCG(seed, 3)), sent: map[isup.CallID]map[string]int{}}
+	return &office{rng: rand.New(rand.NewPCG(seed, 3)), lns: map[string]net.Listener{}, conns: map[net.Conn]bool{}, sent: map[isup.CallID]map[string]int{}}
 }
 
 // open is the address for one agent.
-func (o *office) open(agent string) (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func (o *office) open(agent string) (string, error) { return o.listen(agent, "127.0.0.1:0") }
+
+func (o *office) listen(agent, addr string) (string, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", err
 	}
-	o.lns = append(o.lns, ln)
+	o.mu.Lock()
+	o.lns[agent] = ln
+	o.mu.Unlock()
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -45,14 +52,56 @@
 	return ln.Addr().String(), nil
 }
 
-func (o *office) close() {
+// die ends the process, as it were: its connections are reset and nobody listens.
+func (o *office) die() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, ln := range o.lns {
 		ln.Close()
 	}
+	for conn := range o.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+// revive has it listen again where it did.
+func (o *office) revive() error {
+	o.mu.Lock()
+	at := map[string]string{}
+	for agent, ln := range o.lns {
+		at[agent] = ln.Addr().String()
+	}
+	o.mu.Unlock()
+	for agent, addr := range at {
+		if _, err := o.listen(agent, addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *office) close() { o.die() }
+
+// got tells whether a call's set-up came here.
+func (o *office) got(id isup.CallID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.sent[id]) > 0
 }
 
 func (o *office) serve(agent string, conn net.Conn) {
-	defer conn.Close()
+	o.mu.Lock()
+	o.conns[conn] = true
+	o.mu.Unlock()
+	defer func() {
+		o.mu.Lock()
+		delete(o.conns, conn)
+		o.mu.Unlock()
+		conn.Close()
+	}()
 	var write sync.Mutex
 	say := func(m isup.Message) {
 		if b, err := m.Append(nil); err == nil {
@@ -84,6 +133,9 @@
 	}
 	o.sent[id][agent]++
 	n := o.rng.IntN(100)
+	if o.steady {
+		n = 0
+	}
 	if n >= 80 {
 		after = time.Duration(o.rng.IntN(300)) * time.Millisecond
 	}
--- a/internal/promiselab/zones_test.go
+++ b/internal/promiselab/zones_test.go
@@ -277,3 +277,12 @@
 		}
 	}
 }
+
+// TestZoneSchedule plays a short seeded schedule of faults with callers at every agent. The
+// operators' long run is `woodlab zones schedules`.
+func TestZoneSchedule(t *testing.T) {
+	r, err := ZoneSchedule{Seed: 2, Agents: 6, Steps: 3}.Play(context.Background(), bin, t.TempDir())
+	require.NoError(t, err)
+	require.NoError(t, r.Err())
+	t.Logf("%v: %v, %d of %d calls stood, moved after %v, back after %v", r.Took, r.Faults, r.Stood, r.Calls, r.Moved, r.Back)
+}
