--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -35,6 +35,13 @@
 	require.NoError(t, os.WriteFile(agents, []byte(`[{id: a, zone: z1, raft: "r:1", client: "127.0.0.1:1"}, {id: b, zone: z2, raft: "r:2", client: "127.0.0.1:1"},
 		{id: c, zone: z1, raft: "r:3", client: "127.0.0.1:1"}, {id: d, zone: z3, raft: "r:4", client: "127.0.0.1:1"}]`), 0o600))
 	require.NoError(t, os.WriteFile(spares, []byte(`[{id: a9, zone: z1, raft: "r:9", client: "127.0.0.1:1"}]`), 0o600))
+	group := func(id, a, b, c string) string {
+		m := func(n string) string { return "{id: " + n + ", zone: " + n + ", raft: 'r:1', client: 'c:1'}" }
+		return "{id: " + id + ", members: [" + m(a) + ", " + m(b) + ", " + m(c) + "]}"
+	}
+	moving := filepath.Join(dir, "moving.yaml")
+	require.NoError(t, os.WriteFile(moving, []byte("ring: {version: 2, groups: ["+group("g1", "a", "b", "c")+", "+group("g2", "d", "e", "f")+"]}\n"+
+		"previous: {version: 1, groups: ["+group("g1", "a", "b", "c")+"]}\n"), 0o600))
 	for _, tc := range []struct {
 		args []string
 		code int
@@ -60,6 +67,7 @@
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "7f00000000000001", lawful}, exitOK, "route exams (line 4): attempt_timeout 1.5s, attempts 2", ""},
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "0100000000000001", lawful}, exitOK, "route defaults: attempt_timeout 1.5s, attempts 3", ""},
 		{[]string{"promises", "check", promises}, exitOK, "ring 1 of 1 groups, lawful", ""},
+		{[]string{"promises", "check", moving}, exitOK, "replaces ring 1 of 1 groups; about 50 % of calls move", ""},
 		{[]string{"promises", "check", lawful}, exitError, "", `unknown field "version"`},
 		{[]string{"promises", "place", agents}, exitOK, "left over, keeps nothing for others: c (z1)", ""},
 		{[]string{"promises", "place", "--size", "4", agents}, exitError, "", "--size"},
--- a/internal/daemon/promisecmd.go
+++ b/internal/daemon/promisecmd.go
@@ -90,9 +90,21 @@
 		fmt.Fprintf(out, "%s: warning: %v\n", file, found)
 	}
 	fmt.Fprintf(out, "%s: ring %d of %d groups, lawful\n", file, c.Ring.Version, len(c.Ring.Groups))
+	if c.Previous != nil {
+		fmt.Fprintf(out, "%s: replaces ring %d of %d groups; about %.0f %% of calls move\n", file, c.Previous.Version, len(c.Previous.Groups),
+			100*shard.Moved(*c.Previous, c.Ring, sampleCalls()))
+	}
 	return nil
 }
 
+// sampleCalls are ids enough to tell a share of all calls to a percent.
+func sampleCalls() (out []string) {
+	for i := range 10_000 {
+		out = append(out, fmt.Sprintf("%016x", i+1))
+	}
+	return out
+}
+
 // asking is a keeper that only asks: it takes no part in a group and claims nothing.
 func asking(file string) (*keeper.Keeper, keeper.Config, error) {
 	c, err := keeper.LoadConfig(file)
--- a/internal/promiselab/measure.go
+++ b/internal/promiselab/measure.go
@@ -14,7 +14,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"woodrouter/internal/replica"
 	"woodrouter/promise"
 )
 
@@ -279,9 +278,3 @@
 	}
 	return float64(most) / (1 << 20)
 }
-
-// Propose is one promise through a client of the group's, for benchmarks.
-func (g *Group) Propose(ctx context.Context, c *replica.Client, call string) error {
-	_, err := c.Propose(ctx, resolution(call))
-	return err
-}
