Fault lab: one tally, one draw of faults and one listing; a drain is asked of all groups at once

Read over, this change had written some things two or three times: the laboratory's commands each added their schedules up, agents' and zones' schedules each drew faults by the same rule and worded the same list of setup servers, and each listed its agents. tally, drawn, listing and Fleet.Names serve them now. Seeds draw what they drew.

Keeper.Drained asked the groups one after another within two seconds, beside Overview, which asks all at once: one group out of reach could use up the time of the rest. It goes through Overview. It looked, too, at the rings twice, and they may change between.

internal/promiselab, keeper and daemon pass under -race; two member schedules and one zone schedule played by the command.

--- a/internal/keeper/orders.go
+++ b/internal/keeper/orders.go
@@ -41,17 +41,15 @@
 	ctx, cancel := context.WithTimeout(k.ctx, orderWait)
 	defer cancel()
 	var errs []error
-	for id, g := range k.view.Load().groups {
-		s, err := g.Overview(ctx)
-		if err != nil {
-			errs = append(errs, fmt.Errorf("group %s: %w", id, err))
-			continue
-		}
-		if slices.Contains(s.Drained, subject(k.name)) {
+	views := k.Overview(ctx)
+	for id, v := range views {
+		if v.Err != nil {
+			errs = append(errs, fmt.Errorf("group %s: %w", id, v.Err))
+		} else if slices.Contains(v.Drained, subject(k.name)) {
 			return true, nil
 		}
 	}
-	if len(errs) > 0 && len(errs) == len(k.view.Load().groups) {
+	if len(errs) > 0 && len(errs) == len(views) {
 		return false, errors.Join(errs...)
 	}
 	return false, nil
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -160,11 +161,7 @@
 
 // run plays the schedules, and tells of each as it ends and of all in the last line.
 func (c schedulesCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
-	var (
-		mu     sync.Mutex
-		sum    summary
-		report *json.Encoder
-	)
+	var report *json.Encoder
 	if c.JSON != "" {
 		f, err := os.Create(c.JSON)
 		if err != nil {
@@ -173,135 +170,93 @@
 		defer f.Close()
 		report = json.NewEncoder(f)
 	}
+	t := tally{out: out}
+	operations, promised, lost := 0, 0, 0
 	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
 		r, err := promiselab.Schedule{Seed: seed, Members: c.Members, Steps: c.Steps, Clients: c.Clients}.Play(ctx, bin, where)
-		mu.Lock()
-		defer mu.Unlock()
-		sum.add(r, err)
-		fmt.Fprintln(out, line(seed, r, err))
-		if report != nil {
-			report.Encode(r)
-		}
+		t.add(seed, r.Faults, r.Took, errors.Join(err, r.Err()), func() string {
+			operations, promised, lost = operations+r.Operations, promised+r.Promised, lost+len(r.Lost)
+			if report != nil {
+				report.Encode(r)
+			}
+			return fmt.Sprintf("%d operations, %d refused, %d promised, %d lost", r.Operations, r.Refused, r.Promised, len(r.Lost))
+		})
 	})
-	return sum.tell(out)
+	return t.tell(fmt.Sprintf("%d operations, %d promises read back, %d lost", operations, promised, lost))
 }
 
 // run plays the schedules against call agents.
 func (c agentsCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
-	var (
-		mu                          sync.Mutex
-		played, failed, asked, kept int
-		faults                      = map[string]int{}
-	)
+	t := tally{out: out}
+	asked, kept := 0, 0
 	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
 		r, err := promiselab.AgentSchedule{Seed: seed, Agents: c.Agents, Steps: c.Steps, Callers: c.Callers}.Play(ctx, bin, where)
-		mu.Lock()
-		defer mu.Unlock()
-		played, asked, kept = played+1, asked+r.Asked, kept+r.Calls
-		for _, f := range r.Faults {
-			faults[f]++
-		}
-		fmt.Fprintf(out, "seed %d: %d asked, %d served, %d turned away, %d unheard, %d calls read back, %v: %s\n", seed,
-			r.Asked, r.Served, r.Turned, r.Unheard, r.Calls, r.Took.Round(time.Millisecond), verdict(r.Err(), err))
-		if err != nil || r.Err() != nil {
-			failed++
-		}
+		t.add(seed, r.Faults, r.Took, errors.Join(err, r.Err()), func() string {
+			asked, kept = asked+r.Asked, kept+r.Calls
+			return fmt.Sprintf("%d asked, %d served, %d turned away, %d unheard, %d calls read back", r.Asked, r.Served, r.Turned, r.Unheard, r.Calls)
+		})
 	})
-	for _, f := range slices.Sorted(maps.Keys(faults)) {
-		fmt.Fprintf(out, "%5d x %s\n", faults[f], f)
-	}
-	fmt.Fprintf(out, "%d schedules, %d set-ups asked for, %d served calls read back, %d schedules failed\n", played, asked, kept, failed)
-	if failed > 0 {
-		return fmt.Errorf("%d of %d schedules failed", failed, played)
-	}
-	return nil
+	return t.tell(fmt.Sprintf("%d set-ups asked for, %d served calls read back", asked, kept))
 }
 
 // run plays the schedules against agents in zones.
 func (c zonesSchedulesCommand) run(ctx context.Context, bin, dir string, out io.Writer) error {
-	var (
-		mu                    sync.Mutex
-		played, failed, calls int
-		faults                = map[string]int{}
-		moved, back           = hdrhistogram.New(1, 60_000, 3), hdrhistogram.New(1, 60_000, 3) // ms
-	)
+	t := tally{out: out}
+	calls, moved, back := 0, hdrhistogram.New(1, 60_000, 3), hdrhistogram.New(1, 60_000, 3) // ms
 	seeds(ctx, c.Seed, c.Count, c.Parallel, dir, func(seed uint64, where string) {
 		r, err := promiselab.ZoneSchedule{Seed: seed, Agents: c.Agents, Steps: c.Steps}.Play(ctx, bin, where)
-		mu.Lock()
-		defer mu.Unlock()
-		played, calls = played+1, calls+r.Calls
-		for _, f := range r.Faults {
-			faults[f]++
-		}
-		for _, d := range r.Moved {
-			moved.RecordValue(d.Milliseconds())
-		}
-		for _, d := range r.Back {
-			back.RecordValue(d.Milliseconds())
-		}
-		fmt.Fprintf(out, "seed %d: %d calls, %d stood, %v: %s\n", seed, r.Calls, r.Stood, r.Took.Round(time.Millisecond), verdict(r.Err(), err))
-		if err != nil || r.Err() != nil {
-			failed++
-		}
+		t.add(seed, r.Faults, r.Took, errors.Join(err, r.Err()), func() string {
+			calls += r.Calls
+			for _, d := range r.Moved {
+				moved.RecordValue(d.Milliseconds())
+			}
+			for _, d := range r.Back {
+				back.RecordValue(d.Milliseconds())
+			}
+			return fmt.Sprintf("%d calls, %d stood", r.Calls, r.Stood)
+		})
 	})
-	for _, f := range slices.Sorted(maps.Keys(faults)) {
-		fmt.Fprintf(out, "%5d x %s\n", faults[f], f)
-	}
 	fmt.Fprintf(out, "a lost zone's calls moved at all agents after p50 %d ms, longest %d ms; all local again after p50 %d ms, longest %d ms\n",
 		moved.ValueAtQuantile(50), moved.Max(), back.ValueAtQuantile(50), back.Max())
-	fmt.Fprintf(out, "%d schedules, %d calls, %d schedules failed\n", played, calls, failed)
-	if failed > 0 {
-		return fmt.Errorf("%d of %d schedules failed", failed, played)
-	}
-	return nil
-}
-
-// verdict is what a run found, or why it did not end.
-func verdict(found, err error) string {
-	switch {
-	case err != nil:
-		return "FAILED: " + err.Error()
-	case found != nil:
-		return "FAILED: " + found.Error()
-	}
-	return "ok"
-}
-
-func line(seed uint64, r promiselab.Report, err error) string {
-	return fmt.Sprintf("seed %d: %d operations, %d refused, %d promised, %d lost, %v: %s",
-		seed, r.Operations, r.Refused, r.Promised, len(r.Lost), r.Took.Round(time.Millisecond), verdict(r.Err(), err))
+	return t.tell(fmt.Sprintf("%d calls", calls))
 }
 
-// summary adds schedules up.
-type summary struct {
-	schedules, failed, operations, promised, lost int
-	faults                                        map[string]int
+// tally adds schedules up as they end, whichever kind they are.
+type tally struct {
+	out            io.Writer
+	mu             sync.Mutex
+	played, failed int
+	faults         map[string]int
 }
 
-func (s *summary) add(r promiselab.Report, err error) {
-	s.schedules++
-	if err != nil || r.Err() != nil {
-		s.failed++
+// add tells of a schedule that ended. found is what it broke, or why it did not end; figures
+// words its own figures, and may add them up: one schedule at a time is in it.
+func (t *tally) add(seed uint64, faults []string, took time.Duration, found error, figures func() string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.played++
+	if t.faults == nil {
+		t.faults = map[string]int{}
 	}
-	s.operations += r.Operations
-	s.promised += r.Promised
-	s.lost += len(r.Lost)
-	if s.faults == nil {
-		s.faults = map[string]int{}
+	for _, f := range faults {
+		t.faults[f]++
 	}
-	for _, f := range r.Faults {
-		s.faults[f]++
+	verdict := "ok"
+	if found != nil {
+		t.failed++
+		verdict = "FAILED: " + found.Error()
 	}
+	fmt.Fprintf(t.out, "seed %d: %s, %v: %s\n", seed, figures(), took.Round(time.Millisecond), verdict)
 }
 
-func (s *summary) tell(out io.Writer) error {
-	for _, f := range promiselab.Faults() {
-		fmt.Fprintf(out, "%5d x %s\n", s.faults[f], f)
+// tell tells of all schedules, their own figures added up in sum.
+func (t *tally) tell(sum string) error {
+	for _, f := range slices.Sorted(maps.Keys(t.faults)) {
+		fmt.Fprintf(t.out, "%5d x %s\n", t.faults[f], f)
 	}
-	fmt.Fprintf(out, "%d schedules, %d operations, %d promises read back, %d lost, %d schedules failed\n",
-		s.schedules, s.operations, s.promised, s.lost, s.failed)
-	if s.failed > 0 {
-		return fmt.Errorf("%d of %d schedules failed", s.failed, s.schedules)
+	fmt.Fprintf(t.out, "%d schedules, %s, %d schedules failed\n", t.played, sum, t.failed)
+	if t.failed > 0 {
+		return fmt.Errorf("%d of %d schedules failed", t.failed, t.played)
 	}
 	return nil
 }
--- a/internal/promiselab/agents.go
+++ b/internal/promiselab/agents.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -91,9 +90,7 @@
 		Timing: replica.TimingConfig{Heartbeat: "500ms", Election: "500ms", Lease: "300ms"},
 		Agent: func(name string) (string, any, error) {
 			addr, err := o.open(name)
-			entry := map[string]any{"name": "s0", "address": addr, "zone": "z", "type": "std", "group": 0, "status": "up", "weight": 1, "since_ms": 0}
-			return "127.0.0.1:1", map[string]any{"no": 1, "items": []any{map[string]any{"no": 1,
-				"roster": map[string]any{"index": 1, "snapshot": true, "endpoints": []any{entry}}}}}, err
+			return noBulletin, listing(map[string]any{"name": "s0", "address": addr, "zone": "z"}), err
 		}})
 	if err != nil {
 		return r, err
@@ -135,12 +132,8 @@
 }
 
 func (t *town) faults(ctx context.Context, s AgentSchedule) error {
-	order := rand.New(rand.NewPCG(s.Seed, 1))
-	for i := range s.Steps {
-		f := agentFaults[order.IntN(len(agentFaults))]
-		if s.Steps >= len(agentFaults) && i < len(agentFaults) {
-			f = agentFaults[i] // a run long enough has each once
-		}
+	for _, i := range drawn(s.Seed, s.Steps, len(agentFaults)) {
+		f := agentFaults[i]
 		t.progress(ctx, 20)
 		if err := f.play(t, ctx); err != nil {
 			return fmt.Errorf("%s: %w", f.name, err)
@@ -188,7 +181,7 @@
 // readBack asks an agent for every served call again, another where it has none: every answer
 // that a caller heard must be given to whoever asks later.
 func (t *town) readBack(ctx context.Context) (lost []string) {
-	names := t.names()
+	names := t.Names()
 	for id, want := range t.served {
 		var h heard
 		for i := 0; i < 3*len(names) && ctx.Err() == nil; i++ {
@@ -204,19 +197,11 @@
 	return lost
 }
 
-func (t *town) names() (out []string) {
-	for name := range t.Agents {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
-func (t *town) any() string { return t.names()[t.rng.IntN(len(t.Agents))] }
+func (t *town) any() string { return t.Names()[t.rng.IntN(len(t.Agents))] }
 
 // settle waits until every running agent sees a leader in every group.
 func (t *town) settle(ctx context.Context) error {
-	for _, name := range t.names() {
+	for _, name := range t.Names() {
 		if t.Agents[name].Running() {
 			if err := t.Settled(ctx, name); err != nil {
 				return err
@@ -276,7 +261,7 @@
 }
 
 func (t *town) restart(ctx context.Context) error {
-	for _, name := range t.names() {
+	for _, name := range t.Names() {
 		t.Agents[name].Stop()
 		if err := t.Start(name); err != nil {
 			return err
@@ -294,7 +279,7 @@
 		down.Go(a.Kill)
 	}
 	down.Wait()
-	for _, name := range t.names() {
+	for _, name := range t.Names() {
 		if err := t.Start(name); err != nil {
 			return err
 		}
--- a/internal/promiselab/fleet.go
+++ b/internal/promiselab/fleet.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -324,6 +326,36 @@
 	}
 }
 
+// Names are the agents', in order.
+func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.Agents)) }
+
+// listing is the event of a bulletin that lists these setup servers, one in each zone given,
+// all up: what an agent knows at its start.
+func listing(servers ...map[string]any) any {
+	for i, s := range servers {
+		s["type"], s["group"], s["status"], s["weight"], s["since_ms"] = "std", i, "up", 1, 0
+	}
+	return map[string]any{"no": 1, "items": []any{map[string]any{"no": 1,
+		"roster": map[string]any{"index": 1, "snapshot": true, "endpoints": servers}}}}
+}
+
+// noBulletin is an address at which nobody tells of setup servers: what is known stays.
+const noBulletin = "127.0.0.1:1"
+
+// drawn is which of n faults a schedule's steps play, by its seed; a run long enough has each
+// once, in order, before it draws.
+func drawn(seed uint64, steps, n int) (out []int) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for i := range steps {
+		f := rng.IntN(n)
+		if steps >= n && i < n {
+			f = i
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // Logs is every agent's log, for a failed test.
 func (f *Fleet) Logs() string {
 	var b strings.Builder
--- a/internal/promiselab/schedule.go
+++ b/internal/promiselab/schedule.go
@@ -77,14 +77,6 @@
 	{"all killed at once", (*scene).powerCut},
 }
 
-// Faults are the names of what a schedule may play.
-func Faults() (names []string) {
-	for _, f := range faults {
-		names = append(names, f.name)
-	}
-	return names
-}
-
 // scheduleMost bounds a schedule's faults; readMost what reading every promise back takes.
 const (
 	scheduleMost = 3 * time.Minute
--- a/internal/promiselab/zoneschedule.go
+++ b/internal/promiselab/zoneschedule.go
@@ -127,7 +127,7 @@
 // known is the list of setup servers for one agent, each behind a link of that agent's own.
 func (c *county) known(agent string) (string, any, error) {
 	c.links[agent] = map[string]*faultnet.Link{}
-	var list []any
+	var list []map[string]any
 	for i, z := range zoneNames {
 		addr, err := c.offices[z].open(agent)
 		if err != nil {
@@ -138,11 +138,9 @@
 			return "", nil, err
 		}
 		c.links[agent][z] = l
-		list = append(list, map[string]any{"name": "s-" + z, "address": l.Addr(), "zone": z, "type": "std", "group": i,
-			"status": "up", "weight": 1, "since_ms": 0})
+		list = append(list, map[string]any{"name": "s-" + z, "address": l.Addr(), "zone": z})
 	}
-	return "127.0.0.1:1", map[string]any{"no": 1, "items": []any{map[string]any{"no": 1,
-		"roster": map[string]any{"index": 1, "snapshot": true, "endpoints": list}}}}, nil
+	return noBulletin, listing(list...), nil
 }
 
 func (c *county) close() {
@@ -163,12 +161,8 @@
 	if err := c.calm(ctx); err != nil {
 		return err
 	}
-	order := rand.New(rand.NewPCG(s.Seed, 1))
-	for i := range s.Steps {
-		f := zoneFaults[order.IntN(len(zoneFaults))]
-		if s.Steps >= len(zoneFaults) && i < len(zoneFaults) {
-			f = zoneFaults[i] // a run long enough has each once
-		}
+	for _, i := range drawn(s.Seed, s.Steps, len(zoneFaults)) {
+		f := zoneFaults[i]
 		stop, done := make(chan struct{}), make(chan struct{})
 		go func() { c.callers(stop); close(done) }()
 		err := f.play(c, ctx)
@@ -193,7 +187,7 @@
 // callers keep every agent that runs busy with calls, some a second each, until stop.
 func (c *county) callers(stop <-chan struct{}) {
 	var work sync.WaitGroup
-	for _, name := range c.names() {
+	for _, name := range c.Names() {
 		work.Go(func() {
 			for {
 				select {
@@ -229,7 +223,7 @@
 	if err := c.local(ctx); err != nil {
 		return err
 	}
-	for _, name := range c.names() {
+	for _, name := range c.Names() {
 		home := c.Agents[name].Member.Zone
 		for range 3 {
 			id, stood := c.call(name)
@@ -260,20 +254,12 @@
 	return out
 }
 
-func (c *county) names() (out []string) {
-	for name := range c.Agents {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // settleMost bounds how long the agents may take to one epoch: the bound of docs/failover.md.
 const settleMost = 20 * time.Second
 
 // local waits until all agents have one epoch with every zone local and alive.
 func (c *county) local(ctx context.Context) error {
-	return c.until(ctx, c.names(), func(said string) bool {
+	return c.until(ctx, c.Names(), func(said string) bool {
 		return strings.Count(said, ": local ") == len(zoneNames) && strings.Count(said, "alive in") == len(zoneNames)
 	})
 }
@@ -318,12 +304,12 @@
 
 func (c *county) anyZone() string { return zoneNames[c.rng.IntN(len(zoneNames))] }
 
-func (c *county) anyAgent() string { return c.names()[c.rng.IntN(len(c.Agents))] }
+func (c *county) anyAgent() string { return c.Names()[c.rng.IntN(len(c.Agents))] }
 
 func (c *county) lose(ctx context.Context) error {
 	z := c.anyZone()
 	c.offices[z].die()
-	if err := c.moved(ctx, z, c.names()); err != nil {
+	if err := c.moved(ctx, z, c.Names()); err != nil {
 		return err
 	}
 	return c.offices[z].revive()
@@ -332,14 +318,14 @@
 // loseWithDecider kills whoever decided last at the moment a zone is lost.
 func (c *county) loseWithDecider(ctx context.Context) error {
 	z, decider := c.anyZone(), ""
-	if m := epochLine.FindStringSubmatch(c.Ask(c.names()[0], "ZONES")); m != nil && c.Agents[m[2]] != nil {
+	if m := epochLine.FindStringSubmatch(c.Ask(c.Names()[0], "ZONES")); m != nil && c.Agents[m[2]] != nil {
 		decider = m[2]
 	} else {
 		return errors.New("no agent tells of a decider")
 	}
 	c.offices[z].die()
 	c.Agents[decider].Kill()
-	rest := slices.DeleteFunc(c.names(), func(n string) bool { return n == decider })
+	rest := slices.DeleteFunc(c.Names(), func(n string) bool { return n == decider })
 	if err := c.moved(ctx, z, rest); err != nil {
 		return err
 	}
@@ -354,7 +340,7 @@
 	z := c.anyZone()
 	inside := func(name string) bool { return c.Agents[name].Member.Zone == z }
 	var agents, rest []string
-	for _, name := range c.names() {
+	for _, name := range c.Names() {
 		if inside(name) {
 			agents = append(agents, name)
 		} else {
@@ -417,7 +403,7 @@
 // deaf cuts one direction of the gossip between two agents: the others vouch for both.
 func (c *county) deaf(ctx context.Context) error {
 	a := c.anyAgent()
-	rest := slices.DeleteFunc(c.names(), func(n string) bool { return n == a })
+	rest := slices.DeleteFunc(c.Names(), func(n string) bool { return n == a })
 	l := c.gossip[a][rest[c.rng.IntN(len(rest))]]
 	l.Set(faultnet.Drop, 0, 0)
 	l.Reset()
