--- a/internal/daemon/main_test.go
+++ b/internal/daemon/main_test.go
@@ -39,7 +39,8 @@
 		m := func(n string) string { return "{id: " + n + ", zone: " + n + ", raft: 'r:1', client: 'c:1'}" }
 		return "{id: " + id + ", members: [" + m(a) + ", " + m(b) + ", " + m(c) + "]}"
 	}
-	moving := filepath.Join(dir, "moving.yaml")
+	moving, foreign := filepath.Join(dir, "moving.yaml"), filepath.Join(dir, "foreign.yaml")
+	require.NoError(t, os.WriteFile(foreign, []byte("version: 1\n"), 0o600)) // one key, as the library names any of several
 	require.NoError(t, os.WriteFile(moving, []byte("ring: {version: 2, groups: ["+group("g1", "a", "b", "c")+", "+group("g2", "d", "e", "f")+"]}\n"+
 		"previous: {version: 1, groups: ["+group("g1", "a", "b", "c")+"]}\n"), 0o600))
 	for _, tc := range []struct {
@@ -68,7 +69,7 @@
 		{[]string{"routes", "--config", site, "--class", "voice", "--number", "0100000000000001", lawful}, exitOK, "route defaults: attempt_timeout 1.5s, attempts 3", ""},
 		{[]string{"promises", "check", promises}, exitOK, "ring 1 of 1 groups, lawful", ""},
 		{[]string{"promises", "check", moving}, exitOK, "replaces ring 1 of 1 groups; about 50 % of calls move", ""},
-		{[]string{"promises", "check", lawful}, exitError, "", `unknown field "version"`},
+		{[]string{"promises", "check", foreign}, exitError, "", `[1:1] unknown field "version"`},
 		{[]string{"promises", "place", agents}, exitOK, "left over, keeps nothing for others: c (z1)", ""},
 		{[]string{"promises", "place", "--size", "4", agents}, exitError, "", "--size"},
 		{[]string{"promises", "mend", "--gone", "a1", "--spares", spares, promises}, exitOK, "group g1: add a9 (z1, r:9)", ""},
