A set-up that waits behind a stuck write is looked at once more before it is sent

Ruled out: the core's queue (offer and withdrawal keep their order), a dial (giveUp takes a set-up out of those that wait), a retry timer and the wait after a release (the module drops the call). Change: the desk ends the call's context the moment it sees the caller leave, the core ends the attempt's when it gives it up, and the pool marks a server as barred with the news; write looks at all three last.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -170,6 +171,7 @@
 	givenUp  bool
 	sentAt   policy.Time
 	expiry   *time.Timer   // of the attempt
+	unwant   func()        // ends the attempt's Wanted
 	guard    *time.Timer   // of the call: the core's own last word
 	last     *Failure      // of its latest attempt
 	timeout  time.Duration // of each attempt, by its route; 0: until the module's deadline
@@ -510,6 +512,7 @@
 func (a *Agent) giveUp(c *call, why policy.Result) {
 	if c.out && !c.givenUp {
 		c.givenUp = true
+		c.unwant()
 		a.backend.GiveUp(c.server, c.ID, c.attempts-1, why)
 	}
 }
@@ -583,6 +586,7 @@
 	}
 	c.out = false
 	c.expiry.Stop()
+	c.unwant()
 	if c.stands {
 		a.stand--
 	}
@@ -675,6 +679,8 @@
 			}
 		})
 	})
+	wanted, unwant := context.WithCancel(cmp.Or(c.Caller, context.Background()))
+	c.unwant = unwant
 	a.backend.SetUp(Attempt{ID: c.ID, N: n, Server: d.Server, Class: c.Class, Number: c.Number,
-		Until: time.Now().Add(left), Description: c.Description})
+		Until: time.Now().Add(left), Description: c.Description, Wanted: wanted})
 }
--- a/agent/api.go
+++ b/agent/api.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -22,6 +23,9 @@
 	Deadline    time.Time
 	Description []byte
 	Ref         any // the front's own; the core returns it untouched
+	// Caller ends the moment the front sees its caller leave, before word of it reaches the
+	// core: nothing more is sent for the call from then on. nil: the front has none.
+	Caller context.Context
 }
 
 // Front is the callers' side. The core calls it from its own goroutine, so no method
@@ -50,6 +54,17 @@
 	Number      string
 	Until       time.Time
 	Description []byte
+	// Wanted ends once the attempt is given up or its caller has left, whatever still waits in
+	// the way of that news. A backend looks at it last of all before it sends; nil: always wanted.
+	Wanted context.Context
+}
+
+// Unwanted tells why the attempt must not be sent any more; nil: it may.
+func (a Attempt) Unwanted() error {
+	if a.Wanted == nil {
+		return nil
+	}
+	return context.Cause(a.Wanted)
 }
 
 // Backend is the setup servers' side. The core calls it from its own goroutine, so no
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -55,6 +56,7 @@
 	peer     *Peer
 	tag      any // the front's own
 	answered bool
+	left     context.CancelFunc // ends the call's Caller
 }
 
 // owed is a release that found no connection to the caller.
@@ -239,7 +241,9 @@
 	_, up := d.peers[p]
 	twice := d.legs[c.ID] != nil
 	if up && !twice {
-		d.legs[c.ID] = &leg{peer: p, tag: tag}
+		l := &leg{peer: p, tag: tag}
+		c.Caller, l.left = context.WithCancel(context.Background())
+		d.legs[c.ID] = l
 		p.open++
 		p.calls++
 	}
@@ -283,6 +287,7 @@
 // remove takes a call out of the table and off its connection's counts.
 func (d *Desk) remove(id string, l *leg) {
 	delete(d.legs, id)
+	l.left()
 	l.peer.calls--
 	if !l.answered {
 		l.peer.open--
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -119,11 +119,13 @@
 			p.group.Go(t.run)
 		}
 		t.withdrawn = s.State == policy.Gone
+		t.barred.Store(s.State != policy.Up)
 		t.post(func() { t.listed(s) })
 	}
 	for id, t := range p.trunks {
 		if whole && !named[id] {
 			t.withdrawn = true
+			t.barred.Store(true)
 			t.post(t.gone)
 		}
 		// Its actor may not have read yet that it is back: what the list said last counts.
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -74,6 +74,7 @@
 	sent     *atomic.Int64 // the pool's count of set-ups written whole
 	stopped  bool
 	finished atomic.Bool // gone, with nothing open: the pool may forget it
+	barred   atomic.Bool // the pool's latest news: it drains or is gone, whatever waits in the mailbox
 	buf      []byte
 
 	withdrawn bool // the pool's: it is gone by the latest news
@@ -178,8 +179,9 @@
 	t.write(a)
 }
 
-// write sends a set-up. It looks once more, as a dial or a full mailbox may have
-// outlasted the news of a drain, the deadline or the caller.
+// write sends a set-up. It looks once more, as a dial, a full mailbox or a write that was stuck
+// may have outlasted the news of a drain, the deadline or the caller. What it looks at is set by
+// whoever knows first, past this actor's mailbox: a message there may wait behind the set-up.
 func (t *trunk) write(a agent.Attempt) {
 	left := time.Until(a.Until)
 	unwritten := func(r policy.Result, err error) {
@@ -193,9 +195,12 @@
 	case t.stopped:
 		unwritten(policy.NotSent, errStopped)
 		return
-	case t.server.State != policy.Up:
+	case t.server.State != policy.Up || t.barred.Load():
 		unwritten(policy.NotSent, errState)
 		return
+	case a.Unwanted() != nil:
+		unwritten(policy.NotSent, errGivenUp)
+		return
 	case left < time.Millisecond:
 		unwritten(policy.NotSent, errLate)
 		return
--- /dev/null
+++ b/internal/servers/trunk/wanted_test.go
@@ -0,0 +1,67 @@
+package trunk
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"woodrouter/agent"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+	"woodrouter/policy"
+)
+
+// stuck is a connection whose writes wait for the test, as to a server that has stopped reading.
+type stuck struct {
+	net.Conn
+	begun chan struct{} // a write has begun
+	free  chan struct{} // closed: writes go through
+}
+
+func (c stuck) Write(b []byte) (int, error) {
+	select {
+	case c.begun <- struct{}{}:
+		<-c.free
+	case <-c.free:
+	}
+	return c.Conn.Write(b)
+}
+
+// TestLastLook: what is handed to an actor whose write is stuck waits in its mailbox, and behind
+// it the news that it must not be sent any more. The news counts all the same.
+func TestLastLook(t *testing.T) {
+	for name, news := range map[string]func(p *Pool, addr string, unwant func()){
+		"the caller leaves":          func(_ *Pool, _ string, unwant func()) { unwant() },
+		"the server drains":          func(p *Pool, addr string, _ func()) { p.news(listed(addr, policy.Draining, time.Time{})) },
+		"the server is gone":         func(p *Pool, _ string, _ func()) { p.Servers(nil, true) },
+		"the core gives the call up": func(p *Pool, _ string, unwant func()) { unwant(); p.GiveUp("s", two, 0, policy.TimedOut) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := stuck{begun: make(chan struct{}), free: make(chan struct{})}
+			p, c := start(t, Config{Dial: func(_ context.Context, address string) (_ net.Conn, err error) {
+				conn := conn
+				conn.Conn, err = net.Dial("tcp", address)
+				return conn, err
+			}})
+			s := standin.NewServer(t, "")
+			p.news(listed(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(attemptFor(one, 3*time.Second))
+			standin.Next(t, conn.begun)
+			second := attemptFor(two, 3*time.Second)
+			var unwant func()
+			second.Wanted, unwant = context.WithCancel(context.Background())
+			p.SetUp(second)
+			news(p, s.Addr, unwant)
+			close(conn.free)
+			end := c.await(t)
+			for end.id != two {
+				end = c.await(t)
+			}
+			assert.Equal(t, agent.Unwritten, end.err.Stage, end.err)
+			assert.Zero(t, s.Seen(isup.SetUp, 2))
+		})
+	}
+}
