A cold server's budget holds in every window over all senders: unused parts lapse

Seen: each sender saved up one whole set-up for a cold server (spread/lease.go, right.fill with max(1, most)), however small its part. After an idle stretch all of them hold one: 30 senders and a budget of 13 a window send 30 and what comes, and the server falls; the rule is the sum's. Weighed: a chance drawn in proportion (same mean, more spread, and the fifth of the calls it refuses by luck come again), turns by rank alone (loses what a turn finds no call for), credit that lapses. The last, on turns by rank from the start of the warming on the shared clock: a restarted process, or one that heard late, comes in where its turns would be. What lapses when follows from the settings: held and coming in one window are the whole budget.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -989,8 +989,8 @@
 
 func (s *server) cold(now Time) bool { return now < s.coldTill }
 
-// coldRoom tells whether this sender's part of a cold server's budget allows one more. It
-// grows with the least capacity it can have by now; at most half a window's is saved.
+// coldRoom tells whether this sender's part of a cold server's budget allows one more. It grows with the
+// least capacity by now, and lapses unused when all that is held and what comes in a window are the budget.
 func (c *Controller) coldRoom(s *server) bool {
 	if !s.cold(c.now) || c.set.Rules.Cold <= 0 {
 		return true
@@ -999,7 +999,7 @@
 	age := min(max(float64(c.now-s.coldFrom)/float64(r.Cold), 0), 1)
 	part := r.ColdFrom + (1-r.ColdFrom)*age
 	joint := coldUse * r.FallMultiple * part * c.capacity(s)
-	return c.spread.ColdRoom(c.now, s.ID, joint, joint/float64(c.set.Senders)*r.TipAfter.Seconds()/2)
+	return c.spread.ColdRoom(c.now, s.ID, s.coldFrom, joint, time.Duration((1/coldUse-1)*float64(r.TipAfter)))
 }
 
 // trials is the time between this sender's trials of a suspect server: all senders'
--- a/spread/lease.go
+++ b/spread/lease.go
@@ -1,6 +1,9 @@
 package spread
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rights to a cold server's budget. All senders together may send it so much; each owns one part
 // in Senders by right, whoever else is alive, so that no partition can double it. A sender lends
@@ -32,6 +35,29 @@
 	b.at = now
 }
 
+// right is a sender's own part of a cold server's budget: whole set-ups that come one by one at an
+// even pace, each to be used within a time or not at all.
+type right struct {
+	credit float64
+	at     Time
+	begun  bool
+}
+
+// fill adds what has come at perSecond since the last look, beginning at a phase of the pace. What
+// has been whole for longer than lasts lapses. A sender keeps its phase whether it uses what comes
+// or not, so that what all of them hold at any moment is what came to all of them lately, however
+// idle they were: else each of hundreds would have one set-up saved up, and a burst use them at once.
+func (r *right) fill(now Time, perSecond, phase float64, lasts time.Duration) {
+	if !r.begun {
+		r.begun, r.credit, r.at = true, phase-math.Floor(phase), now
+	}
+	r.credit += perSecond * (now - r.at).Seconds()
+	r.at = now
+	if over := r.credit - 1 - perSecond*lasts.Seconds(); over > 0 {
+		r.credit -= math.Ceil(over)
+	}
+}
+
 // grant is so many set-ups that a sender may send to a cold server until a time.
 type grant struct {
 	n     int
@@ -75,8 +101,9 @@
 }
 
 // ColdRoom tells whether one more set-up may go to a cold server now. perSecond is what all
-// senders together may send it; most is how much of its own right one sender may save up.
-func (s *State) ColdRoom(now Time, id string, perSecond, most float64) bool {
+// senders together may send it, from is when its warming began, on the clock that all share, and
+// lasts is how long a set-up that one of them may send stays with it.
+func (s *State) ColdRoom(now Time, id string, from Time, perSecond float64, lasts time.Duration) bool {
 	v := s.get(id)
 	v.chilled, v.coldAt, v.joint = true, now, perSecond
 	s.expire(now, v)
@@ -88,13 +115,14 @@
 		return false
 	}
 	own := perSecond / float64(max(s.cfg.Senders, 1))
-	// Senders begin apart by their ranks, so that the first set-ups come evenly.
-	first := float64(s.cfg.Rank) / float64(max(s.cfg.Senders, 1))
+	// Senders' turns lie evenly by their ranks, from the start of the warming on: whoever hears of it
+	// late, or has forgotten in a restart what it sent, comes in where its turns would be by now.
+	phase := float64(s.cfg.Rank)/float64(max(s.cfg.Senders, 1)) + own*max(now-from, 0).Seconds()
 	if s.lent >= 0 { // it comes back from a loan: nothing was saved meanwhile
-		first = 0
+		phase = 0
 	}
-	v.right.fill(now, own, first, max(1, most))
-	return v.right.tokens >= 1
+	v.right.fill(now, own, phase, lasts)
+	return v.right.credit >= 1
 }
 
 func (s *State) expire(now Time, v *server) {
@@ -110,7 +138,7 @@
 		v.grants[0].n--
 		return
 	}
-	v.right.tokens--
+	v.right.credit--
 }
 
 // Spend counts a set-up or a probe to a cold server that was not chosen among others.
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -58,7 +58,7 @@
 	seen              Seen    // figures of the server's own, as this sender has them
 	seenAt            Time
 	joint             float64 // what all senders may send it while it is cold, a second
-	right             bucket  // of a cold budget, alone
+	right             right   // of a cold budget, alone
 	grants            []grant
 	coldAt            Time // its budget was last asked for; it is while a server is cold
 	chilled           bool
@@ -125,7 +125,7 @@
 // Chill begins a server's cold budget.
 func (s *State) Chill(id string) {
 	v := s.get(id)
-	v.right, v.grants, v.turn = bucket{}, nil, s.apart()
+	v.right, v.grants, v.turn = right{}, nil, s.apart()
 }
 
 // Forget drops a server that is gone.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -87,7 +87,7 @@
 					s.demand.x, s.demand.at, s.demand.begun = 5, at, true
 					send(now, letter{to: -1 - with[i], sum: s.Summary(at, fmt.Sprint("w", with[i]+1))})
 				}
-				if s.ColdRoom(at, "s", perSecond, 1) {
+				if s.ColdRoom(at, "s", at, perSecond, time.Second) {
 					s.Sent(at, "s", true)
 					sent++
 				}
