Signals are taken from the first line on: one before the program is ready is no crash

Seen: reading main.go for crossings. A SIGHUP during a stop read the configuration again for nobody. Now both are taken first of all; a SIGTERM before ready serves and stops in order, a SIGHUP is carried out once ready, and none after the stop began. Tests start the program with its configuration behind a pipe, so that signals come while it reads: TestSignalsBeforeReady fails without the change in both cases. TestStopCrossings (SIGTERM twice, SIGHUP in a stop, a set-up half-read and one on a new connection, discovery up and down) passed before, too: it keeps what held.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -64,6 +64,12 @@
 type exited int
 
 func serve(env func(string) string, logs io.Writer, level slog.Level, json bool) error {
+	// First of all: a signal that comes before the program is ready must neither kill it nor be lost.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	if env("PROXY_CONFIG") == "" {
 		return errors.New("no configuration: set PROXY_CONFIG to the platform's file, or see a call served without one: woodlab demo")
 	}
@@ -89,13 +95,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
 	go func() {
-		for range hangUps {
-			d.Reload()
+		for {
+			select {
+			case <-hangUps:
+				d.Reload()
+			case <-ctx.Done(): // what is reloaded in a stop would serve nobody
+				return
+			}
 		}
 	}()
 	return d.Run(ctx)
--- /dev/null
+++ b/internal/daemon/process_test.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+// program is the program as built for these tests, once.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "woodrouter")
+	if err != nil {
+		return "", err
+	}
+	return faultnet.Build(dir)
+})
+
+// agentProcess is one process of the program whose configuration is a pipe: it reads when the test
+// writes, so that signals come before, between and after as the test orders them.
+type agentProcess struct {
+	*faultnet.Proc
+	pipe, text string
+	address    string
+	server     *standin.Server
+}
+
+func startProcess(t *testing.T, bulletin string) *agentProcess {
+	bin, err := program()
+	require.NoError(t, err)
+	p := &agentProcess{pipe: filepath.Join(t.TempDir(), "config.json"), address: freeAddress(t), server: standin.NewServer(t, "")}
+	require.NoError(t, syscall.Mkfifo(p.pipe, 0o600))
+	b := standin.NewBulletin(t, standin.Endpoint("s0", p.server.Addr, 0, "up"))
+	if bulletin == "" {
+		bulletin = b.Addr
+	}
+	var cfg map[string]any
+	require.NoError(t, json.Unmarshal(configText(t, b), &cfg))
+	cfg["listen"], cfg["bulletin"] = p.address, bulletin
+	text, err := json.Marshal(cfg)
+	require.NoError(t, err)
+	p.text = string(text)
+	p.Proc = &faultnet.Proc{Name: "n0", Bin: bin, Env: append(os.Environ(), "PROXY_CONFIG="+p.pipe)}
+	require.NoError(t, p.Start())
+	t.Cleanup(p.Kill)
+	return p
+}
+
+// reading waits until the process reads its configuration, and gives it what write puts there.
+func (p *agentProcess) reading(t *testing.T, write func(*os.File)) {
+	f, err := os.OpenFile(p.pipe, os.O_WRONLY, 0) // waits for the reader
+	require.NoError(t, err)
+	write(f)
+	require.NoError(t, f.Close())
+}
+
+func (p *agentProcess) configured(t *testing.T) {
+	p.reading(t, func(f *os.File) { f.WriteString(p.text) })
+	p.logged(t, "serving")
+}
+
+func (p *agentProcess) logged(t *testing.T, line string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return strings.Contains(p.Log(), line) }, standin.Patience, time.Millisecond, line)
+}
+
+// ended waits for the process to end by itself, in order.
+func (p *agentProcess) ended(t *testing.T) {
+	t.Helper()
+	select {
+	case <-p.Done():
+	case <-time.After(standin.Patience):
+		require.Fail(t, "the process did not end", p.Log())
+	}
+	assert.Contains(t, p.Log(), "msg=stopped")
+}
+
+// TestSignalsBeforeReady: a signal that comes while the program still reads its configuration
+// neither kills it nor is lost.
+func TestSignalsBeforeReady(t *testing.T) {
+	t.Run("SIGHUP", func(t *testing.T) {
+		p := startProcess(t, "")
+		p.reading(t, func(f *os.File) {
+			p.HangUp()
+			f.WriteString(p.text)
+		})
+		p.logged(t, "serving")
+		p.reading(t, func(f *os.File) { f.WriteString(p.text) }) // read anew, for the signal
+		p.logged(t, "configuration taken")
+		c := standin.NewCaller(t, p.address)
+		c.Send(isup.Message{Type: isup.Test, Call: 1}.WithCause(0))
+		c.Await(t, isup.TestResult, 1)
+	})
+	t.Run("SIGTERM", func(t *testing.T) {
+		p := startProcess(t, "")
+		p.reading(t, func(f *os.File) {
+			p.Term()
+			f.WriteString(p.text)
+		})
+		p.ended(t)
+	})
+}
+
+// TestStopCrossings: a stop answers what is open, whatever comes in the middle of it: a second
+// SIGTERM, a SIGHUP, a set-up half-read or on a new connection, discovery that is down.
+func TestStopCrossings(t *testing.T) {
+	for name, bulletin := range map[string]string{"discovery up": "", "discovery down": freeAddress(t)} {
+		t.Run(name, func(t *testing.T) {
+			p := startProcess(t, bulletin)
+			p.configured(t)
+			c := standin.NewCaller(t, p.address)
+			c.SetUp(1, "voice", 9*time.Second, 0)
+			first := p.server.Await(t, isup.SetUp)
+			half, err := isup.Message{Type: isup.SetUp, Call: 2}.WithText(isup.Class, "voice").WithMillis(isup.Left, 9*time.Second).
+				WithText(isup.Number, "2").WithText(isup.Figures, "dest:0;width:1;via:-1").WithText(isup.Description, "offer").Append(nil)
+			require.NoError(t, err)
+			c.Write(half[:20])
+			p.Term()
+			p.logged(t, "stopping: serving on")
+			p.Term()
+			p.HangUp()
+			newcomer := standin.NewCaller(t, p.address)
+			newcomer.SetUp(3, "voice", 9*time.Second, 0)
+			c.Write(half[20:])
+			first.Answer("first")
+			assert.Equal(t, "first", c.Await(t, isup.Answer, 1).Text(isup.Description))
+			for range 2 {
+				p.server.Await(t, isup.SetUp).Answer("later")
+			}
+			c.Await(t, isup.Answer, 2)
+			newcomer.Await(t, isup.Answer, 3)
+			p.ended(t)
+		})
+	}
+}
