Discovery: no tight loop, no event lost at a gap, slow lists read in the end, answers bounded

Seen: reading bulletin.go for crossings. A bulletin that answers at once with nothing new (an old number, events told before, none) was asked again without a pause (Run: an err of nil goes on at once). An answer that left an event out moved last past it (Take: last = max(last, b.No)), so it was never told. An answer that took longer than patience and grace, 1.75 s, was cut off each time, however steadily it came. The head of an answer had no bound, nor what followed the answer. Failed calls were repeated every 100 ms by each of hundreds of processes, in step. Change: a pause after an answer that told nothing before its time; missing events are asked for once more and given up only when missing again at the same place; the grace doubles, twice at most, while answers are still coming at their end; 4 MiB and 64 KiB bound an answer; bytes nobody asked for end the connection; waits grow to 0.8 s and are drawn.

--- a/internal/servers/bulletin/bulletin.go
+++ b/internal/servers/bulletin/bulletin.go
@@ -10,8 +10,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -93,9 +95,12 @@
 	address string
 	cut     context.CancelFunc // ends the call under way
 
-	last int64
-	conn net.Conn
-	in   *bufio.Reader
+	last  int64
+	gap   int64 // the event that did not come where it was due; 0: none is missed
+	conn  net.Conn
+	limit *io.LimitedReader // of one answer
+	in    *bufio.Reader
+	slow  int // answers in a row that were still coming when their time was up
 }
 
 // Move has the bulletin asked at another address from now on. The call under way is cut,
@@ -120,17 +125,42 @@
 	return ctx, f.cut, f.address
 }
 
-// maxAnswer bounds an answer of the bulletin.
-const maxAnswer = 4 << 20
+// maxAnswer bounds an answer of the bulletin, and maxHead what comes before its body.
+const (
+	maxAnswer = 4 << 20
+	maxHead   = 64 << 10
+)
+
+// maxSlow is how often the grace of an answer that keeps coming is doubled: a list that comes slowly
+// is read in the end, and one that stops half-way costs no more than the protocol's 7 s.
+const maxSlow = 2
+
+// maxWait is how many times Retry the wait between failed calls grows to; hundreds of processes ask
+// one bulletin, and each draws its wait.
+const maxWait = 8
 
-// Take hands a batch's new events to the core, in order. An event that can't be read is
-// passed over, as asking again would bring the same one.
+// errGap tells that an answer left events out. They are asked for once more.
+var errGap = errors.New("events are missing in the answer")
+
+// Take hands a batch's new events to the core, in order: all that was known at the start.
 func (f *Follower) Take(b Batch) error {
+	err := f.take(b.Items, true)
+	f.last = max(f.last, b.No)
+	return err
+}
+
+// take hands new events to the core. An event that can't be read is passed over, as asking again
+// would bring the same one. At a gap it stops, unless gaps are allowed: an event that was left out
+// is never told again once a later one has been asked after.
+func (f *Follower) take(items []Item, gaps bool) error {
 	var bad error
-	for _, item := range b.Items {
+	for _, item := range items {
 		if item.No <= f.last {
 			continue
 		}
+		if item.No != f.last+1 && !gaps && (item.Roster == nil || !item.Roster.Snapshot) {
+			return errors.Join(bad, fmt.Errorf("%w: event %d follows %d", errGap, item.No, f.last))
+		}
 		f.last = item.No
 		if item.Roster == nil {
 			continue
@@ -142,10 +172,28 @@
 		}
 		f.Core.Servers(list, item.Roster.Snapshot)
 	}
-	f.last = max(f.last, b.No)
 	return bad
 }
 
+// answered takes an answer, and tells whether the next may be asked for at once: not where one came
+// before its time and told nothing, as a bulletin that answers so is not to be asked in a tight loop.
+// What was missing twice at the same place is not to be had.
+func (f *Follower) answered(b Batch, took time.Duration) (atOnce bool, err error) {
+	before := f.last
+	err = f.take(b.Items, f.gap == before+1)
+	if !errors.Is(err, errGap) && b.No > f.last { // it says that there are more than it told
+		err = errors.Join(err, fmt.Errorf("%w: %d is the last, %d was told", errGap, b.No, f.last))
+		if f.gap == before+1 && f.last == before {
+			f.last = b.No
+		}
+	}
+	again := errors.Is(err, errGap) && (f.gap != before+1 || f.last > before)
+	if f.gap = 0; again {
+		f.gap = f.last + 1
+	}
+	return f.last > before && f.gap == 0 || took >= f.Patience/2, err
+}
+
 // Run polls until ctx ends. A failure ends one call, never the actor.
 func (f *Follower) Run(ctx context.Context) {
 	defer f.drop()
@@ -156,27 +204,34 @@
 			f.drop()
 			failures, asked = 0, address
 		}
-		err := f.poll(call, address)
+		atOnce, err := f.poll(call, address)
 		if err == nil {
 			if failures > 0 {
 				f.Log.Info("bulletin reached again", "after", failures)
 			}
 			failures = 0
-			cut()
-			continue
-		}
-		f.drop()
-		if failures++; failures == 1 && call.Err() == nil {
-			f.Log.Warn("bulletin not reached", "address", address, "error", err)
+		} else {
+			f.drop()
+			if failures++; failures == 1 && call.Err() == nil {
+				f.Log.Warn("bulletin not reached", "address", address, "error", err)
+			}
 		}
-		select {
-		case <-call.Done(): // a new address is asked at once
-		case <-time.After(f.Retry):
+		if !atOnce {
+			f.pause(call, failures)
 		}
 		cut()
 	}
 }
 
+// pause waits before the next call, longer with each failure in a row; a new address is asked at once.
+func (f *Follower) pause(call context.Context, failures int) {
+	wait := f.Retry * time.Duration(min(1<<min(max(failures-1, 0), 10), maxWait))
+	select {
+	case <-call.Done():
+	case <-time.After(wait/2 + rand.N(wait+1)):
+	}
+}
+
 func (f *Follower) drop() {
 	if f.conn != nil {
 		f.conn.Close()
@@ -193,52 +248,74 @@
 	if err != nil {
 		return err
 	}
-	f.conn, f.in = conn, bufio.NewReader(conn)
+	f.limit = &io.LimitedReader{R: conn}
+	f.conn, f.in = conn, bufio.NewReader(f.limit)
 	return nil
 }
 
 // poll asks once. The whole call has one limit: an answer that stops half-way, on a
 // connection that stays open, must not keep the list from what comes after it.
-func (f *Follower) poll(ctx context.Context, address string) (err error) {
+func (f *Follower) poll(ctx context.Context, address string) (atOnce bool, err error) {
 	defer func() {
 		if r := recover(); r != nil {
 			err = fmt.Errorf("panic: %v", r)
 		}
 	}()
-	until := time.Now().Add(f.Patience + f.Grace)
+	began := time.Now()
+	until := began.Add(f.Patience + f.Grace<<f.slow)
+	if f.conn != nil && f.in.Buffered() > 0 { // more than was asked for: it would pass for the next answer
+		f.drop()
+	}
 	if err := f.connect(ctx, address); err != nil {
-		return err
+		return false, err
 	}
 	stop := context.AfterFunc(ctx, func(c net.Conn) func() { return func() { c.Close() } }(f.conn))
 	defer stop()
 	f.conn.SetDeadline(until)
+	f.limit.N = maxHead + maxAnswer
 	if _, err = fmt.Fprintf(f.conn, "GET /bulletins?after=%d&patience=%d HTTP/1.1\r\nHost: %s\r\n\r\n",
 		f.last, f.Patience.Milliseconds(), address); err != nil {
-		return err
+		return false, err
 	}
-	resp, err := http.ReadResponse(f.in, nil)
-	if err != nil {
-		return err
+	b, ends, err := f.read()
+	switch {
+	case err == nil:
+		f.slow = 0
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.limit.N < maxHead+maxAnswer: // some of it came
+		f.slow = min(f.slow+1, maxSlow)
+		return false, err
+	default:
+		return false, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
-	resp.Body.Close()
+	if ends {
+		f.drop()
+	}
+	atOnce, err = f.answered(b, time.Since(began))
 	switch {
+	case errors.Is(err, errGap):
+		f.Log.Warn("bulletin left events out", "error", err, "asked_again", f.gap != 0)
 	case err != nil:
-		return err
-	case resp.StatusCode != http.StatusOK:
-		return fmt.Errorf("status %s", resp.Status)
-	case len(body) > maxAnswer:
-		return fmt.Errorf("answer over %d bytes", maxAnswer)
+		f.Log.Error("bulletin event passed over", "error", err)
 	}
-	var b Batch
-	if err := json.Unmarshal(body, &b); err != nil {
-		return err
+	return atOnce, nil
+}
+
+// read reads one answer, and tells whether its connection ends with it.
+func (f *Follower) read() (b Batch, ends bool, err error) {
+	resp, err := http.ReadResponse(f.in, nil)
+	if err != nil {
+		return b, false, err
 	}
-	if resp.Close {
-		f.drop()
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return b, false, fmt.Errorf("status %s", resp.Status)
 	}
-	if err := f.Take(b); err != nil {
-		f.Log.Error("bulletin event passed over", "error", err)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return b, false, err
 	}
-	return nil
+	if len(body) > maxAnswer {
+		return b, false, fmt.Errorf("answer over %d bytes", maxAnswer)
+	}
+	return b, resp.Close, json.Unmarshal(body, &b)
 }
