A stop waits for half-read set-ups, and a close resets no answer and takes no set-up

Seen: reading desk and daemon for crossings. A stop ended once the core had nothing open, though a set-up was half-read (daemon.go, drain); Desk.Close left the connections in its table, so a set-up read between the look and the end was taken and sent on with nobody to answer it (desk.go, Close); a connection was closed with bytes of its caller on the way, which resets it (peer.go, write); what still came after the last refusals was taken again (refuseOpen). Making room counted bytes as use only when a message was whole, so a slow writer was ended in the middle of its set-up, before idle ones that had asked once; and connections on their way out, whose last words were stuck, were not counted against the descriptors. Change: a stop looks at each connection for what is open or begun; Close dismisses, half-closes and reads on for 100 ms (a set-up crosses an end for 50 ms, by the protocol); what has begun makes room last, and not while its bytes come; past an eighth of the most on their way out, accepting waits.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -274,17 +274,21 @@
 	}
 	d.stopping.Store(true)
 	time.Sleep(stopServing)
-	idle := make(chan struct{})
-	d.core.Idle(func() { close(idle) })
-	select {
-	case <-idle:
-	case <-last:
-		d.refuseOpen()
+	tick := time.NewTicker(emptyTick)
+	defer tick.Stop()
+	for d.front.Waiting()+d.second.front.Waiting() > 0 { // half-read set-ups, too, get their answers
+		select {
+		case <-tick.C:
+		case <-last:
+			d.refuseOpen()
+			return
+		}
 	}
 }
 
 func (d *Daemon) refuseOpen() {
 	d.log.Warn("stopping: refusing what is still open")
+	d.core.Hold(true) // what still comes is refused as it comes
 	refused := make(chan struct{})
 	d.core.RefuseAll(time.Second)
 	d.core.Idle(func() { close(refused) })
@@ -301,7 +305,6 @@
 		select {
 		case <-tick.C:
 		case <-last:
-			d.core.Hold(true)
 			d.refuseOpen()
 			return
 		}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -122,9 +122,7 @@
 			c := standin.NewCaller(t, p.address)
 			c.SetUp(1, "voice", 9*time.Second, 0)
 			first := p.server.Await(t, isup.SetUp)
-			half, err := isup.Message{Type: isup.SetUp, Call: 2}.WithText(isup.Class, "voice").WithMillis(isup.Left, 9*time.Second).
-				WithText(isup.Number, "2").WithText(isup.Figures, "dest:0;width:1;via:-1").WithText(isup.Description, "offer").Append(nil)
-			require.NoError(t, err)
+			half := wording(t, 2)
 			c.Write(half[:20])
 			p.Term()
 			p.logged(t, "stopping: serving on")
@@ -144,3 +142,29 @@
 		})
 	}
 }
+
+// TestStopHalfRead: a set-up that has begun to come is waited for, also where nothing else is open
+// any more when the time of new ones is over, and gets its answer.
+func TestStopHalfRead(t *testing.T) {
+	p := startProcess(t, "")
+	p.configured(t)
+	c := standin.NewCaller(t, p.address)
+	setUp := wording(t, 2)
+	c.Write(setUp[:20])
+	p.Term()
+	c.SetReadDeadline(time.Now().Add(stopServing + 200*time.Millisecond))
+	_, err := c.In.Peek(1)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the connection stays")
+	c.Write(setUp[20:])
+	p.server.Await(t, isup.SetUp).Answer("there")
+	c.Await(t, isup.Answer, 2)
+	p.ended(t)
+}
+
+// wording is a set-up's bytes.
+func wording(t *testing.T, id isup.CallID) []byte {
+	b, err := isup.Message{Type: isup.SetUp, Call: id}.WithText(isup.Class, "voice").WithMillis(isup.Left, 9*time.Second).
+		WithText(isup.Number, "2").WithText(isup.Figures, "dest:0;width:1;via:-1").WithText(isup.Description, "offer").Append(nil)
+	require.NoError(t, err)
+	return b
+}
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -32,6 +32,7 @@
 	MessageTime  time.Duration // a later message, once begun, must be whole within this
 	RoomAfter    time.Duration // a connection without a call, silent for so long, makes room in a full house
 	Idle         time.Duration // a connection that says nothing more is looked at after this
+	Linger       time.Duration // a caller may take so long to see that its connection ends
 	StayAway     time.Duration // told when the agent itself is too busy
 	Goodbye      []byte        // the last that a connection hears when the desk closes
 	Log          *slog.Logger
@@ -45,6 +46,7 @@
 	c.MessageTime = cmp.Or(c.MessageTime, 2*time.Second)
 	c.RoomAfter = cmp.Or(c.RoomAfter, 250*time.Millisecond)
 	c.Idle = cmp.Or(c.Idle, 2*time.Minute)
+	c.Linger = cmp.Or(c.Linger, 100*time.Millisecond) // a set-up crosses the end for 50 ms, by the protocol
 	c.StayAway = cmp.Or(c.StayAway, time.Second)
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
@@ -79,19 +81,23 @@
 	front    agent.Front
 	converse func(*Peer) error
 
-	mu     sync.Mutex
-	peers  map[*Peer]struct{}
-	legs   map[string]*leg
-	owed   []owed
-	closed bool
-	group  sync.WaitGroup
+	mu      sync.Mutex
+	peers   map[*Peer]struct{}
+	open    int       // connections not closed yet, those that are leaving included
+	shutOne sync.Cond // one of them has been closed
+	legs    map[string]*leg
+	owed    []owed
+	closed  bool
+	group   sync.WaitGroup
 }
 
 // New returns a desk; converse reads one connection until it ends.
 func New(cfg Config, core Core, front agent.Front, converse func(*Peer) error) *Desk {
 	cfg.complete()
-	return &Desk{Config: cfg, core: core, front: front, converse: converse,
+	d := &Desk{Config: cfg, core: core, front: front, converse: converse,
 		peers: map[*Peer]struct{}{}, legs: map[string]*leg{}}
+	d.shutOne.L = &d.mu
+	return d
 }
 
 // errEnded tells that a call came on a connection that is being ended. Nothing of it goes
@@ -114,10 +120,17 @@
 	}
 }
 
+// leavingMost is how many connections, one in so many of the most, may be on their way out beside
+// those that are served. Each costs a descriptor until it is closed.
+const leavingMost = 8
+
 func (d *Desk) welcome(conn net.Conn) {
 	p := newPeer(d, conn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for !d.closed && d.open-len(d.peers) > d.MaxPeers/leavingMost { // they go in a moment, or in WriteTimeout
+		d.shutOne.Wait()
+	}
 	if d.closed || len(d.peers) >= d.MaxPeers && !d.makeRoom() {
 		d.Log.Warn("caller turned away: too many connections", "most", d.MaxPeers)
 		conn.Close()
@@ -125,10 +138,20 @@
 	}
 	p.idle = d.Idle
 	d.peers[p] = struct{}{}
-	d.group.Go(p.read)
+	d.open++
+	d.group.Go(p.readAll)
 	d.group.Go(p.write)
 }
 
+// shut closes a connection and counts it off.
+func (d *Desk) shut(p *Peer) {
+	p.conn.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+	d.shutOne.Broadcast()
+}
+
 // makeRoom ends a connection without a call: one that never said a whole message before one
 // that has; among these the one that has been silent longest. Hundreds that only connect
 // must not shut those out that have calls. What was used just now stays, as its caller's
@@ -145,15 +168,27 @@
 		return false
 	}
 	d.Log.Warn("caller's connection ended for a new one", "most", d.MaxPeers, "caller", least.conn.RemoteAddr())
-	d.dismiss(least)
+	d.dismiss(least, false)
 	return true
 }
 
 // dismiss ends a connection on which nothing is open: a set-up that crosses its end is not
 // taken, so that its caller may send it again elsewhere.
-func (d *Desk) dismiss(p *Peer) {
+func (d *Desk) dismiss(p *Peer, linger bool) {
 	delete(d.peers, p)
-	p.leave()
+	p.leave(linger)
+}
+
+// Waiting tells how many connections have a set-up without its answer, or one half-read.
+func (d *Desk) Waiting() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for p := range d.peers {
+		if p.open > 0 || p.begun.Load() {
+			n++
+		}
+	}
+	return n
 }
 
 // Spare tells which connections are in use though no set-up is open on them.
@@ -168,9 +203,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for p := range d.peers {
-		used := p.open > 0 || p.quiet() < spare.Used || spare.New && !p.said.Load() || spare.Standing && p.calls > 0
+		used := p.open > 0 || p.begun.Load() || p.quiet() < spare.Used || spare.New && !p.said.Load() || spare.Standing && p.calls > 0
 		if !used {
-			d.dismiss(p)
+			d.dismiss(p, true)
 		}
 	}
 	return len(d.peers)
@@ -197,10 +232,10 @@
 		leaving = slices.DeleteFunc(leaving, func(p *Peer) bool {
 			d.mu.Lock() // a set-up must not come between the look and the end
 			defer d.mu.Unlock()
-			if !late && p.open > 0 {
+			if !late && (p.open > 0 || p.begun.Load()) {
 				return false
 			}
-			d.dismiss(p)
+			d.dismiss(p, true)
 			return true
 		})
 	}
@@ -223,12 +258,14 @@
 	d.owed = kept
 }
 
-// Close ends all connections once what waits for them is written.
+// Close ends all connections once what waits for them is written. A set-up that is read from now
+// on is not taken: nobody could tell its caller of its answer.
 func (d *Desk) Close() {
 	d.mu.Lock()
 	d.closed = true
+	d.shutOne.Broadcast()
 	for p := range d.peers {
-		p.leave()
+		d.dismiss(p, true)
 	}
 	d.mu.Unlock()
 	d.group.Wait()
--- a/internal/front/desk/peer.go
+++ b/internal/front/desk/peer.go
@@ -38,18 +38,25 @@
 	conn net.Conn
 	host string
 	box  *mailbox.Box[Item]
+	read chan struct{} // closed once nothing more is read of it
 
 	born  time.Time
 	said  atomic.Bool  // a message of it was whole
-	used  atomic.Int64 // when it was used last, in Unix nanoseconds
+	begun atomic.Bool  // a message of it has begun and is not whole
+	used  atomic.Int64 // when it was used last, or bytes of it came, in Unix nanoseconds
 	idle  time.Duration
 	ready atomic.Bool // it can be sent releases
 
+	linger atomic.Bool // it leaves without haste
+
 	open, calls int // set-ups without an answer, and all calls; guarded by the desk
 }
 
 // before orders connections without a call by how little they would be missed.
 func (p *Peer) before(q *Peer) bool {
+	if p.begun.Load() != q.begun.Load() {
+		return q.begun.Load()
+	}
 	if p.said.Load() != q.said.Load() {
 		return q.said.Load()
 	}
@@ -58,12 +65,24 @@
 
 func newPeer(d *Desk, conn net.Conn) *Peer {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
-	p := &Peer{desk: d, conn: conn, born: time.Now(), host: host, In: bufio.NewReaderSize(conn, 4<<10),
+	p := &Peer{desk: d, conn: conn, born: time.Now(), host: host, read: make(chan struct{}),
 		box: mailbox.New[Item](d.MaxWaiting)}
+	p.In = bufio.NewReaderSize(arrivals{p}, 4<<10)
 	p.touch()
 	return p
 }
 
+// arrivals reads a connection and notes that something came: whoever writes slowly is not idle.
+type arrivals struct{ p *Peer }
+
+func (a arrivals) Read(b []byte) (int, error) {
+	n, err := a.p.conn.Read(b)
+	if n > 0 {
+		a.p.touch()
+	}
+	return n, err
+}
+
 // Send queues a message. A caller too slow to take its messages is cut off.
 func (p *Peer) Send(i Item) bool {
 	if p.box.Offer(i) {
@@ -73,8 +92,11 @@
 	return false
 }
 
-// leave ends the connection once what waits for it is written.
-func (p *Peer) leave() {
+// leave ends the connection once what waits for it is written. linger: what its caller has on the
+// way is read first and passed over, as a close with bytes unread resets the connection, and with
+// it the answers that the caller has not read yet.
+func (p *Peer) leave(linger bool) {
+	p.linger.Store(linger)
 	if p.ready.Load() && len(p.desk.Goodbye) > 0 {
 		p.box.Offer(Item{Data: p.desk.Goodbye})
 	}
@@ -103,6 +125,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return errNothing
 		}
+		p.begun.Store(err == nil)
 		return err
 	}
 	p.conn.SetReadDeadline(time.Now().Add(p.idle))
@@ -110,6 +133,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrIdle
 	}
+	p.begun.Store(err == nil)
 	p.conn.SetReadDeadline(time.Now().Add(p.desk.MessageTime))
 	return err
 }
@@ -117,6 +141,7 @@
 // Said notes that a message was read whole.
 func (p *Peer) Said() {
 	p.said.Store(true)
+	p.begun.Store(false)
 	p.touch()
 }
 
@@ -128,13 +153,19 @@
 // Busy tells whether a set-up is open on the connection.
 func (p *Peer) Busy() bool { return p.desk.busy(p) }
 
-func (p *Peer) read() {
+func (p *Peer) readAll() {
+	defer close(p.read)
 	err := p.converse()
 	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		p.desk.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
 	}
+	p.begun.Store(false)
 	p.desk.forget(p)
 	p.box.Close() // the writer says what is left, and closes
+	if p.linger.Load() {
+		p.conn.SetReadDeadline(time.Now().Add(p.desk.Linger))
+		io.Copy(io.Discard, p.conn)
+	}
 }
 
 // converse stops a panic at the connection.
@@ -148,10 +179,11 @@
 }
 
 func (p *Peer) write() {
-	defer p.conn.Close()
+	defer p.desk.shut(p)
 	for {
 		i, ok := p.box.Take()
 		if !ok {
+			p.part()
 			return
 		}
 		p.conn.SetWriteDeadline(time.Now().Add(p.desk.WriteTimeout))
@@ -170,3 +202,15 @@
 		p.desk.sayEnded(owed{i, p.host, time.Now()}, nil)
 	}
 }
+
+// part says that nothing more comes, and gives the caller the time to see it.
+func (p *Peer) part() {
+	half, ok := p.conn.(interface{ CloseWrite() error })
+	if !ok || !p.linger.Load() || half.CloseWrite() != nil {
+		return
+	}
+	select {
+	case <-p.read:
+	case <-time.After(p.desk.Linger):
+	}
+}
--- a/internal/front/isupfront/isupfront_test.go
+++ b/internal/front/isupfront/isupfront_test.go
@@ -1,6 +1,8 @@
 package isupfront
 
 import (
+	"io"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -249,3 +251,25 @@
 	_, err := parseCall(isup.Message{Type: isup.SetUp}.WithText(isup.Left, "1").WithText(isup.Retry, "yes"), time.Now())
 	assert.ErrorContains(t, err, "parameter 19")
 }
+
+// TestCloseCrossing: a set-up that crosses the end of its connection is not taken, and does not
+// reset it: its caller reads what was written before, and that the connection has ended.
+func TestCloseCrossing(t *testing.T) {
+	f, core, addr := start(t, desk.Config{Linger: standin.Patience})
+	c := standin.NewCaller(t, addr)
+	c.SetUp(1, "voice", 3*time.Second, 2)
+	f.Answered(standin.Next(t, core.Offered), []byte("there"))
+	closed := make(chan struct{})
+	go func() { f.Close(); close(closed) }()
+	c.Await(t, isup.Answer, 1)
+	_, err := c.Next()
+	require.ErrorIs(t, err, io.EOF)
+	setUp := []byte(raw(t, "3000", "dest:0"))
+	for range 3 {
+		_, err = c.Write(setUp)
+		require.NoError(t, err, "ended, not reset")
+	}
+	c.Conn.Conn.(*net.TCPConn).CloseWrite()
+	standin.Next(t, closed)
+	assert.Empty(t, core.Offered)
+}
