Cold servers get calls before any capacity was measured: the tenants' allowances tell it

Seen: with one server on the list, just started, a new process sent it nothing in the 5 s tried (TestAllCold: 0 set-ups with 40 calls a second), nor would it in the whole warming. The budget of a cold server is a part of what servers were measured to take (policy.go, coldRoom), a process that has just started has measured none, and a cold server is not measured. So it is after a restart in the middle of a release of all servers, and at a site with one server. Now the allowances of all tenants, shared among the servers, stand in until one was measured; a call a second without tenants.

--- a/policy/api.go
+++ b/policy/api.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"time"
 
 	"woodrouter/spread"
@@ -27,6 +28,15 @@
 	Spread   spread.Config // where senders talk: this one's name and life among them
 }
 
+// allowance is the calls a second that all servers together are meant to take, as far as the
+// settings tell: what all tenants may send. Where there are none, a call a second.
+func (s Settings) allowance() (sum float64) {
+	for _, t := range s.Tenants {
+		sum += max(t.Allowance, 0)
+	}
+	return cmp.Or(sum, 1)
+}
+
 // Class is a class of calls.
 type Class struct {
 	Name      string
--- a/policy/design_test.go
+++ b/policy/design_test.go
@@ -502,3 +502,30 @@
 		t.Errorf("%d attempts of %d calls at servers that are all full", attempts, calls)
 	}
 }
+
+// TestAllCold: where no server's capacity was measured yet, as after a restart in the middle of a
+// release, or at a site with one server that has just started, cold ones still get calls: the
+// tenants' allowances tell what all servers together are meant to take.
+func TestAllCold(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		tenants []Tenant
+		least   int
+	}{{"allowances", []Tenant{{Name: "t", Allowance: 40}}, 20}, {"no tenants", nil, 1}} {
+		set := testSettings()
+		set.Tenants, set.Senders, set.Rank = tc.tenants, 1, 0
+		b := newBench(t, set)
+		b.do(List{Whole: true, Servers: []Server{{ID: "s", ReadyAt: b.now}}})
+		sent := 0
+		for i := range 500 {
+			b.now += 10 * ms
+			for _, a := range pick[Send](b.call(fmt.Sprint(i))) {
+				sent++
+				b.do(Standing{ID: a.ID, Server: a.Server})
+			}
+		}
+		if sent < tc.least {
+			t.Errorf("%s: %d set-ups to the only server in 5 s of its warming", tc.name, sent)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -997,8 +997,8 @@
 	}
 	r := c.set.Rules
 	age := min(max(float64(c.now-s.coldFrom)/float64(r.Cold), 0), 1)
-	part := r.ColdFrom + (1-r.ColdFrom)*age
-	joint := coldUse * r.FallMultiple * part * c.capacity(s)
+	warm := cmp.Or(c.capacity(s), c.set.allowance()/float64(len(c.servers)))
+	joint := coldUse * r.FallMultiple * (r.ColdFrom + (1-r.ColdFrom)*age) * warm
 	return c.spread.ColdRoom(c.now, s.ID, s.coldFrom, joint, time.Duration((1/coldUse-1)*float64(r.TipAfter)))
 }
 
