A server replaced at its address is gone, before the list says so

A new server may have the address of one that has gone; the list tells that it is gone seconds after the start of the new one is told (up to 14 s for one that fell silent). Until then the old one's actor redials, reaches the new process, and set-ups meant for the old one go to a cold server past its budget, from senders that had been told of the start. Change: of two listed at one address the later is there (agent.go, oneEach); the other is gone for the module and the connections alike.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -88,6 +89,7 @@
 	router  atomic.Pointer[Router] // nil: every call has the settings' limits
 	sights  *Sights                // nil: not counted
 	echoes  map[string]*call       // calls that stand by another agent's answer, told here
+	holders map[string]Server      // who is listed at each address
 }
 
 // SetRouter has the calls that arrive from now on take their routes from r; nil: none.
@@ -191,7 +193,7 @@
 		return nil, err
 	}
 	a := &Agent{cfg: cfg, ctrl: ctrl, box: mailbox.New[event](cmp.Or(cfg.Mailbox, 8192)),
-		calls: map[string]*call{}, echoes: map[string]*call{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, tallies: map[string]*Tally{}, start: time.Now()}
+		calls: map[string]*call{}, echoes: map[string]*call{}, holders: map[string]Server{}, classes: map[string]policy.Class{}, tenants: map[string]bool{}, tallies: map[string]*Tally{}, start: time.Now()}
 	// The module compares its time with the Unix milliseconds of a server's start, and
 	// must never see it run backwards: the wall clock once, then the monotonic one.
 	a.origin = policy.Time(a.start.UnixNano())
@@ -543,7 +545,38 @@
 	}
 }
 
+// oneEach takes those off a list whose address a later one has: a server is replaced at its address
+// before the list tells that it is gone, and what was meant for it would reach the new one, which
+// is cold. It leaves the list it was given as it is.
+func (a *Agent) oneEach(list []Server, whole bool) []Server {
+	list = slices.Clone(list)
+	if whole {
+		clear(a.holders)
+	}
+	for i, s := range list {
+		maps.DeleteFunc(a.holders, func(at string, h Server) bool { return h.ID == s.ID && at != s.Address })
+		h, held := a.holders[s.Address]
+		switch {
+		case s.State == policy.Gone || s.Address == "":
+			if held && h.ID == s.ID {
+				delete(a.holders, s.Address)
+			}
+		case held && h.ID != s.ID && h.ReadyAt > s.ReadyAt:
+			list[i].State = policy.Gone
+		case held && h.ID != s.ID:
+			a.cfg.Log.Info("setup server replaced at its address", "address", s.Address, "old", h.ID, "new", s.ID)
+			h.State = policy.Gone
+			list = append(list, h)
+			a.holders[s.Address] = s
+		default:
+			a.holders[s.Address] = s
+		}
+	}
+	return list
+}
+
 func (a *Agent) servers(list []Server, whole bool) {
+	list = a.oneEach(list, whole)
 	news := policy.List{Whole: whole}
 	for _, s := range list {
 		news.Servers = append(news.Servers, s.Server)
