A fleet dials a new server scattered over time, and redials drawn round the half second

Seen: reading for herds. Each process dialled a server the moment the list named it, and every 500 ms after a failure (trunk.go, listed and unreached): 300 processes hear of it, or come back from a restart with 24 servers listed, at one moment. Now the first dial is drawn within a fifth of the aim unless a set-up waits for it, and redials between half and one and a half of the half second. TestScatter fails without it: one dial before any set-up.

--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"os"
 	"runtime/debug"
@@ -126,7 +127,7 @@
 	}
 	switch s.State {
 	case policy.Up:
-		t.connect()
+		t.connectSoon()
 	case policy.Draining:
 		t.refuseWaiting(agent.Unwritten, policy.NotSent, errState)
 	case policy.Gone:
@@ -284,6 +285,17 @@
 	}
 }
 
+// connectSoon has a connection ready before long. A fleet hears of a new server, and comes back from
+// a restart, at one moment: each process draws when it dials. A set-up does not wait for that.
+func (t *trunk) connectSoon() {
+	if t.link == nil && !t.dialing && t.failures == 0 {
+		time.AfterFunc(drawn(t.cfg.Scatter), func() { t.post(t.connectAgain) })
+	}
+}
+
+// drawn is a time of up to d.
+func drawn(d time.Duration) time.Duration { return rand.N(max(d, 1)) }
+
 // connect dials unless a connection is up or on its way.
 func (t *trunk) connect() {
 	if t.link == nil {
@@ -369,7 +381,7 @@
 	case time.Since(t.heard) > t.cfg.Silence:
 		t.died()
 	}
-	time.AfterFunc(t.cfg.Redial, func() { t.post(t.connectAgain) })
+	time.AfterFunc(t.cfg.Redial/2+drawn(t.cfg.Redial), func() { t.post(t.connectAgain) })
 }
 
 // died ends the calls of a process that is taken for dead, unless it was reached meanwhile.
--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -65,3 +65,21 @@
 		})
 	}
 }
+
+// TestScatter: hundreds of processes hear of a server at one moment, and each dials at its own time
+// within the scatter; a set-up that comes before has its connection at once.
+func TestScatter(t *testing.T) {
+	dials := make(chan string, 10)
+	p, c := start(t, Config{Scatter: time.Hour, Dial: func(_ context.Context, address string) (net.Conn, error) {
+		dials <- address
+		return net.Dial("tcp", address)
+	}})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	read := make(chan struct{})
+	p.trunks["s"].post(func() { close(read) }) // behind the news
+	<-read
+	assert.Empty(t, dials)
+	stand(t, p, c, s, one)
+	assert.Len(t, dials, 1)
+}
