Descriptors: parts for callers, servers and a reserve; second connections stop where they are short

Seen: reading for the sum of descriptors. Callers had half, the call API a quarter, and connections to setup servers, up to four each, no bound at all: with the call API on, or few descriptors and many servers, the sum passes the limit, and dials and discovery fail first. Now callers have a half, a third beside the call API; past a quarter of the descriptors no second connection to a server is opened beside the first; dials on their way count. TestIdleFlood: a process under ulimit -n 64, 192 idle callers, discovery down: calls are served, the setup server's connection comes up again, discovery is asked, no descriptor is missed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,16 @@
 // answers.
 const callShare = 8
 
+// What the descriptors of the machine are for: one in so many. Callers hold a third at most, by the
+// deployment page, and idle ones any number: the rest is the reserve from which connections to
+// setup servers and discovery come up while callers fill their part. Connections on their way out
+// add an eighth to a part of callers'; the call API, where it is on, has a quarter.
+const (
+	callerConns      = 2
+	callerConnsOfTwo = 3
+	serverConns      = 4
+)
+
 // Daemon is a call agent with its parts.
 type Daemon struct {
 	cfg      Config
@@ -110,9 +120,13 @@
 		}
 	}
 	d.pool = trunk.NewPool(trunk.Config{Wrote: d.wrote(), ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
-		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Source: cfg.source, Log: log}, d.core)
+		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Source: cfg.source, MaxConns: cfg.Limits.Sockets / serverConns, Log: log}, d.core)
 	d.core.Attach(d.pool)
-	d.front = isupfront.New(desk.Config{MaxPeers: cfg.Limits.Sockets / 2, Log: log}, d.core,
+	peers := cfg.Limits.Sockets / callerConns
+	if cfg.State != "" {
+		peers = cfg.Limits.Sockets / callerConnsOfTwo
+	}
+	d.front = isupfront.New(desk.Config{MaxPeers: peers, Log: log}, d.core,
 		d.ready)
 	d.second = second{d: d, front: callapi.New(desk.Config{Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, Patience: listPatience, Grace: listGrace,
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -37,6 +39,22 @@
 }
 
 func startProcess(t *testing.T, bulletin string) *agentProcess {
+	p := newProcess(t, bulletin)
+	require.NoError(t, p.Start())
+	return p
+}
+
+// limits has the configuration state a machine of so many descriptors.
+func (p *agentProcess) limits(t *testing.T, sockets int) {
+	var cfg map[string]any
+	require.NoError(t, json.Unmarshal([]byte(p.text), &cfg))
+	cfg["limits"] = Limits{Cores: 1, MemoryMB: 64, Sockets: sockets}
+	text, err := json.Marshal(cfg)
+	require.NoError(t, err)
+	p.text = string(text)
+}
+
+func newProcess(t *testing.T, bulletin string) *agentProcess {
 	bin, err := program()
 	require.NoError(t, err)
 	p := &agentProcess{pipe: filepath.Join(t.TempDir(), "config.json"), address: freeAddress(t), server: standin.NewServer(t, "")}
@@ -52,7 +70,6 @@
 	require.NoError(t, err)
 	p.text = string(text)
 	p.Proc = &faultnet.Proc{Name: "n0", Bin: bin, Env: append(os.Environ(), "PROXY_CONFIG="+p.pipe)}
-	require.NoError(t, p.Start())
 	t.Cleanup(p.Kill)
 	return p
 }
@@ -168,3 +185,43 @@
 	require.NoError(t, err)
 	return b
 }
+
+// TestIdleFlood: idle callers that fill what a small machine has, while discovery is down, leave
+// enough for who has calls, for connections to setup servers, and for discovery once it is back.
+func TestIdleFlood(t *testing.T) {
+	const descriptors = 64
+	down := freeAddress(t)
+	p := newProcess(t, down)
+	p.Args, p.Bin = []string{"-c", fmt.Sprint("ulimit -n ", descriptors, "; exec ", p.Bin)}, "/bin/sh"
+	p.limits(t, descriptors)
+	require.NoError(t, p.Start())
+	p.configured(t)
+	idle := make([]*standin.Caller, 3*descriptors)
+	for i := range idle {
+		idle[i] = standin.NewCaller(t, p.address)
+	}
+	serve := func(id isup.CallID) {
+		c := standin.NewCaller(t, p.address)
+		c.SetUp(id, "voice", 9*time.Second, 0)
+		p.server.Await(t, isup.SetUp).Answer("there")
+		c.Await(t, isup.Answer, id)
+	}
+	time.Sleep(300 * time.Millisecond) // a connection makes room when it was quiet for 250 ms
+	serve(1)
+	p.server.Die() // its connection is to come up again
+	p.server = standin.NewServer(t, p.server.Addr)
+	require.Eventually(t, func() bool { return len(p.server.Conns()) > 0 }, standin.Patience, time.Millisecond)
+	serve(2)
+	ln, err := net.Listen("tcp", down)
+	require.NoError(t, err)
+	defer ln.Close()
+	ln.(*net.TCPListener).SetDeadline(time.Now().Add(standin.Patience))
+	conn, err := ln.Accept()
+	require.NoError(t, err, "discovery is asked again")
+	conn.Close()
+	assert.False(t, strings.Contains(p.Log(), "too many open files"))
+	for _, c := range idle {
+		c.Close()
+	}
+	serve(3)
+}
--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +25,18 @@
 	return l.out > 0 && time.Since(l.heard) >= span && time.Since(l.since) >= span
 }
 
+// counted is a connection that is counted off when it is closed.
+type counted struct {
+	net.Conn
+	of   *atomic.Int64
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.of.Add(-1) })
+	return c.Conn.Close()
+}
+
 // mostRetired bounds the connections to a server: with the one in use and the one on its way
 // there are four at most.
 const mostRetired = 2
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -40,6 +40,7 @@
 	CutGrace       time.Duration // between a refused connection and the end of the calls it proves dead
 	Probes         bool          // servers may be probed
 	Mailbox        int           // most messages of a server that wait
+	MaxConns       int           // past so many connections to all servers none is opened beside another; 0: no bound
 	Source         net.Addr      // servers are called from this address; nil: the system's choice
 	Log            *slog.Logger
 	doubts         *Doubts // of all the pool's servers
@@ -95,6 +96,7 @@
 	trunks map[string]*trunk
 	group  sync.WaitGroup
 	sent   atomic.Int64
+	conns  atomic.Int64
 }
 
 // Sent counts the set-ups that were written whole. It may be read at any time.
@@ -116,7 +118,7 @@
 			if s.State == policy.Gone {
 				continue
 			}
-			t = newTrunk(p.cfg, p.core, s, &p.sent)
+			t = newTrunk(p.cfg, p.core, s, &p.sent, &p.conns)
 			p.trunks[s.ID] = t
 			p.group.Go(t.run)
 		}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -73,6 +73,7 @@
 	probeNo  isup.CallID
 	failures int           // dials in a row that brought no connection
 	sent     *atomic.Int64 // the pool's count of set-ups written whole
+	conns    *atomic.Int64 // and of connections, those on their way included
 	stopped  bool
 	finished atomic.Bool // gone, with nothing open: the pool may forget it
 	barred   atomic.Bool // the pool's latest news: it drains or is gone, whatever waits in the mailbox
@@ -81,8 +82,8 @@
 	withdrawn bool // the pool's: it is gone by the latest news
 }
 
-func newTrunk(cfg Config, core Core, s agent.Server, sent *atomic.Int64) *trunk {
-	return &trunk{cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s, sent: sent,
+func newTrunk(cfg Config, core Core, s agent.Server, sent, conns *atomic.Int64) *trunk {
+	return &trunk{conns: conns, cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s, sent: sent,
 		box: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{},
 		probes: map[isup.CallID]time.Time{}, heard: time.Now()}
 }
@@ -307,6 +308,10 @@
 	if t.dialing || t.stopped || t.server.State == policy.Gone {
 		return
 	}
+	if n := t.conns.Add(1); t.link != nil && t.cfg.MaxConns > 0 && n > int64(t.cfg.MaxConns) {
+		t.conns.Add(-1) // a second connection is a luxury where descriptors are short
+		return
+	}
 	t.dialing = true
 	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.ConnectTimeout)
 	t.cancel = cancel
@@ -314,6 +319,11 @@
 	go func() {
 		defer cancel()
 		conn, err := t.cfg.Dial(ctx, address)
+		if conn != nil {
+			conn = &counted{Conn: conn, of: t.conns}
+		} else {
+			t.conns.Add(-1)
+		}
 		if !t.box.Post(func() { t.dialled(address, conn, err) }) && conn != nil {
 			conn.Close()
 		}
