--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -290,12 +290,12 @@
 // a restart, at one moment: each process draws when it dials. A set-up does not wait for that.
 func (t *trunk) connectSoon() {
 	if t.link == nil && !t.dialing && t.failures == 0 {
-		time.AfterFunc(drawn(t.cfg.Scatter), func() { t.post(t.connectAgain) })
+		time.AfterFunc(jitter(t.cfg.Jitter), func() { t.post(t.connectAgain) })
 	}
 }
 
-// drawn is a time of up to d.
-func drawn(d time.Duration) time.Duration { return rand.N(max(d, 1)) }
+// jitter is a time of up to d.
+func jitter(d time.Duration) time.Duration { return rand.N(max(d, 1)) }
 
 // connect dials unless a connection is up or on its way.
 func (t *trunk) connect() {
@@ -391,7 +391,7 @@
 	case time.Since(t.heard) > t.cfg.Silence:
 		t.died()
 	}
-	time.AfterFunc(t.cfg.Redial/2+drawn(t.cfg.Redial), func() { t.post(t.connectAgain) })
+	time.AfterFunc(t.cfg.Redial/2+jitter(t.cfg.Redial), func() { t.post(t.connectAgain) })
 }
 
 // died ends the calls of a process that is taken for dead, unless it was reached meanwhile.
--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -66,11 +66,11 @@
 	}
 }
 
-// TestScatter: hundreds of processes hear of a server at one moment, and each dials at its own time
-// within the scatter; a set-up that comes before has its connection at once.
-func TestScatter(t *testing.T) {
+// TestJitter: hundreds of processes hear of a server at one moment, and each dials at its own time
+// within the jitter; a set-up that comes before has its connection at once.
+func TestJitter(t *testing.T) {
 	dials := make(chan string, 10)
-	p, c := start(t, Config{Scatter: time.Hour, Dial: func(_ context.Context, address string) (net.Conn, error) {
+	p, c := start(t, Config{Jitter: time.Hour, Dial: func(_ context.Context, address string) (net.Conn, error) {
 		dials <- address
 		return net.Dial("tcp", address)
 	}})
