A stop half-closes its connections to setup servers, so that the last releases arrive

Seen: reading trunk.go, stop: connections were closed at once with whatever the server had on its way unread, which resets them; a release of a call written just before may then never be read, and the call is left standing with nobody to end it. Now they are half-closed and read on until the server ends its side, 100 ms at most. TestStopCrossing fails without it: connection reset.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -1,6 +1,7 @@
 package trunk
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -10,14 +11,15 @@
 // link is one connection to the server.
 type link struct {
 	conn    net.Conn
-	heard   time.Time // latest message
-	spoke   bool      // a server tells of its group first; one that hangs is connected to by its kernel alone
-	out     int       // set-ups unanswered on it
-	since   time.Time // when they began to be any
-	retired bool      // another has taken its place; it ends with its last set-up
-	left    time.Time // when it was retired
-	late    bool      // it has spoken since
-	stated  time.Time // when its server last told the group's state on it
+	read    chan struct{} // closed once nothing more is read of it
+	heard   time.Time     // latest message
+	spoke   bool          // a server tells of its group first; one that hangs is connected to by its kernel alone
+	out     int           // set-ups unanswered on it
+	since   time.Time     // when they began to be any
+	retired bool          // another has taken its place; it ends with its last set-up
+	left    time.Time     // when it was retired
+	late    bool          // it has spoken since
+	stated  time.Time     // when its server last told the group's state on it
 }
 
 // stalled tells whether set-ups have waited on a connection for so long without a word on it.
@@ -37,6 +39,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends what goes out and leaves what comes in.
+func (c *counted) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // mostRetired bounds the connections to a server: with the one in use and the one on its way
 // there are four at most.
 const mostRetired = 2
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -34,6 +34,7 @@
 	Stall          time.Duration // a set-up waits so long without a word: another connection is tried
 	Speak          time.Duration // a new connection on which nothing is said by then is mute
 	Linger         time.Duration // a connection that was replaced stays so long after its last answer
+	StopLinger     time.Duration // a server may take so long to see that a connection ends with the process
 	Silence        time.Duration // without a word for so long, a server that holds calls is looked for anew
 	Redial         time.Duration // between connections tried without a set-up that waits, about
 	Jitter         time.Duration // a new server is connected to within this
@@ -63,6 +64,7 @@
 		{&c.Stall, fifth},
 		{&c.Speak, 3 * quarter},
 		{&c.Linger, time.Second},
+		{&c.StopLinger, 100 * time.Millisecond},
 		{&c.Silence, 3 * time.Second},
 		{&c.Redial, 500 * time.Millisecond},
 		{&c.Jitter, fifth},
@@ -182,7 +184,7 @@
 func (p *Pool) Close() {
 	for _, t := range p.trunks {
 		t.post(t.stop)
-		t.box.Close()
+		t.box.Close() // their readers take nothing more in, and pass over what still comes
 	}
 	p.group.Wait()
 }
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -344,7 +344,7 @@
 		t.log.Info("setup server reached again", "after", t.failures)
 	}
 	t.failures = 0
-	l := &link{conn: conn, heard: time.Now()}
+	l := &link{conn: conn, heard: time.Now(), read: make(chan struct{})}
 	if old := t.link; old != nil {
 		old.retired, old.left = true, time.Now()
 		if t.retired++; old.out == 0 {
@@ -436,8 +436,13 @@
 
 // read is the connection's goroutine.
 func (t *trunk) read(l *link) {
+	defer close(l.read)
 	var latest opening
 	err := t.readAll(l, &latest)
+	if err == errStopped {
+		io.Copy(io.Discard, l.conn)
+		return
+	}
 	t.post(func() {
 		t.lost(l, err)
 		t.cutOff(latest)
@@ -491,19 +496,39 @@
 	t.connectAgain()
 }
 
-// stop ends the connection; what is out on it is not waited for.
+// stop ends the connections; what is out on them is not waited for. What was written last, such as
+// the release of a call, must reach the server: a close with bytes unread would reset it.
 func (t *trunk) stop() {
 	t.stopped = true
 	t.refuseWaiting(agent.Unwritten, policy.NotSent, errStopped)
 	if t.cancel != nil {
 		t.cancel()
 	}
+	links := map[*link]bool{}
 	if t.link != nil {
-		t.link.conn.Close()
+		links[t.link] = true
 	}
 	for _, a := range t.open {
 		if a.link.retired {
-			a.link.conn.Close()
+			links[a.link] = true
+		}
+	}
+	last := time.After(t.cfg.StopLinger)
+	for l := range links {
+		half, ok := l.conn.(*counted)
+		if !ok || half.CloseWrite() != nil {
+			l.conn.Close()
 		}
 	}
+	for l := range links {
+		select {
+		case <-l.read:
+		case <-last:
+			last = closedNow
+		}
+		l.conn.Close()
+	}
 }
+
+// closedNow is a wait that is over.
+var closedNow = func() chan time.Time { c := make(chan time.Time); close(c); return c }()
--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"woodrouter/agent"
 	"woodrouter/internal/standin"
@@ -83,3 +84,25 @@
 	stand(t, p, c, s, one)
 	assert.Len(t, dials, 1)
 }
+
+// TestStopCrossing: what a server has on its way as the process stops does not reset the connection,
+// and with it the last that was written there: the release of a call.
+func TestStopCrossing(t *testing.T) {
+	p, c := start(t, Config{StopLinger: standin.Patience})
+	s := standin.NewServer(t, "")
+	p.news(listed(s.Addr, policy.Up, time.Time{}))
+	g := stand(t, p, c, s, one)
+	p.GiveUp("s", one, 0, policy.Cancelled)
+	closed := make(chan struct{})
+	go func() { p.Close(); close(closed) }()
+	assert.Equal(t, isup.CallID(1), s.Await(t, isup.Release).Call)
+	standin.Next(t, s.Ended)
+	state, err := isup.Message{Type: isup.GroupState}.WithText(isup.Report, "x0:900;x1:1000").Append(nil)
+	require.NoError(t, err)
+	for range 3 {
+		_, err := g.Conn.Write(state)
+		require.NoError(t, err, "ended, not reset")
+	}
+	g.Conn.Close()
+	standin.Next(t, closed)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -48,8 +48,9 @@
 // Server is a setup server. It answers nothing by itself but tells of its group first on
 // every connection; what it gets is handed to the test in order.
 type Server struct {
-	Addr string
-	Got  chan Got
+	Addr  string
+	Got   chan Got
+	Ended chan *Conn // connections whose other side has ended
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -65,7 +66,7 @@
 	}
 	ln, err := net.Listen("tcp", addr)
 	require.NoError(t, err)
-	s := &Server{Addr: ln.Addr().String(), Got: make(chan Got, 1000), ln: ln}
+	s := &Server{Addr: ln.Addr().String(), Got: make(chan Got, 1000), Ended: make(chan *Conn, 1000), ln: ln}
 	go s.accept()
 	t.Cleanup(s.Die)
 	return s
@@ -90,6 +91,10 @@
 	for {
 		m, err := isup.Read(c.In)
 		if err != nil {
+			select {
+			case s.Ended <- c:
+			default: // a test that does not look
+			}
 			return
 		}
 		g := Got{m, c, time.Now()}
