--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -42,10 +42,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn := stuck{begun: make(chan struct{}), free: make(chan struct{})}
-			p, c := start(t, Config{Dial: func(_ context.Context, address string) (_ net.Conn, err error) {
-				conn := conn
-				conn.Conn, err = net.Dial("tcp", address)
-				return conn, err
+			p, c := start(t, Config{Dial: func(_ context.Context, address string) (net.Conn, error) {
+				up, err := net.Dial("tcp", address)
+				if err != nil {
+					return nil, err
+				}
+				return stuck{up, conn.begun, conn.free}, nil
 			}})
 			s := standin.NewServer(t, "")
 			p.news(listed(s.Addr, policy.Up, time.Time{}))
