Tests over loopback: callers that leave while their calls wait, each way, by either front

A table of five ways to leave and a control that stays, in the wait for room and after a broken attempt; and closes right behind a set-up.

--- /dev/null
+++ b/internal/daemon/gone_test.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"woodrouter/internal/standin"
+	"woodrouter/isup"
+)
+
+// goneWithin is the rule: so long after its caller has left, no attempt of a call may begin.
+const goneWithin = 100 * time.Millisecond
+
+// TestCallerGone: a call whose caller leaves while it waits, for room at the servers or after a
+// broken attempt, is not sent on, whichever way the caller leaves by either front. The same call
+// is sent on where the caller stays.
+func TestCallerGone(t *testing.T) {
+	const waiting isup.CallID = 0x30
+	for name, leave := range map[string]func(c *standin.Caller){
+		"stays":       nil,
+		"closes":      func(c *standin.Caller) { c.Close() },
+		"half-closes": func(c *standin.Caller) { c.Conn.Conn.(*net.TCPConn).CloseWrite() },
+		"resets":      func(c *standin.Caller) { c.Conn.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+		"gives up": func(c *standin.Caller) {
+			c.Send(isup.Message{Type: isup.Release, Call: waiting}.WithCause(isup.Normal))
+		},
+		"closes its WebSocket": nil,
+	} {
+		sent := 1
+		if name == "stays" {
+			sent = 2
+		}
+		// begin sets the waiting call up and returns how its caller leaves.
+		begin := func(t *testing.T, s *site) func() {
+			if name == "closes its WebSocket" {
+				api, client := s.websocket(t)
+				go api(waiting, 9*time.Second)
+				return func() { client.Close() }
+			}
+			c := standin.NewCaller(t, s.addr)
+			c.SetUp(waiting, "voice", 9*time.Second, 0)
+			return func() {
+				if leave != nil {
+					leave(c)
+				}
+			}
+		}
+		seen := func(s *site) int {
+			return s.servers[0].Seen(isup.SetUp, waiting) + s.servers[1].Seen(isup.SetUp, waiting)
+		}
+		t.Run(name+", after a broken attempt", func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			c := standin.NewCaller(t, s.addr)
+			for id := range isup.CallID(8) { // first attempts earn the budget of further ones
+				c.SetUp(id+1, "voice", 9*time.Second, 0)
+				s.servers[0].Await(t, isup.SetUp).Answer("there")
+				c.Await(t, isup.Answer, id+1)
+			}
+			leaves := begin(t, s)
+			s.servers[0].Await(t, isup.SetUp).Release(isup.TempFailure, "")
+			leaves()
+			time.Sleep(2*300*time.Millisecond + goneWithin) // the release wait is over
+			assert.Equal(t, sent, seen(s))
+		})
+		t.Run(name+", waiting for room", func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			c := standin.NewCaller(t, s.addr)
+			c.SetUp(1, "voice", 9*time.Second, 0)
+			first := s.servers[0].Await(t, isup.SetUp)
+			c.SetUp(2, "voice", 9*time.Second, 1)
+			second := s.servers[1].Await(t, isup.SetUp)
+			leaves := begin(t, s)
+			time.Sleep(goneWithin) // it has come, and waits
+			assert.Zero(t, seen(s))
+			leaves()
+			time.Sleep(goneWithin)
+			first.Answer("there")
+			second.Answer("there")
+			time.Sleep(2 * goneWithin)
+			assert.Equal(t, sent-1, seen(s))
+		})
+	}
+}
+
+// TestCloseWithSetUp: a close that comes right behind a set-up, in the same segment or as a reset,
+// leaves nothing at a server: it is not sent on, or it is given up there.
+func TestCloseWithSetUp(t *testing.T) {
+	for name, end := range map[string]func(c *standin.Caller){
+		"close": func(c *standin.Caller) { c.Close() },
+		"reset": func(c *standin.Caller) { c.Conn.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+		"end":   func(c *standin.Caller) { c.Conn.Conn.(*net.TCPConn).CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			for id := range isup.CallID(20) {
+				c := standin.NewCaller(t, s.addr)
+				c.SetUp(id+1, "voice", 9*time.Second, int(id%2))
+				end(c)
+			}
+			c := standin.NewCaller(t, s.addr)
+			c.SetUp(99, "voice", 9*time.Second, 0)
+			g := s.servers[0].Await(t, isup.SetUp)
+			for g.Call != 99 {
+				g = s.servers[0].Await(t, isup.SetUp)
+			}
+			g.Answer("there")
+			c.Await(t, isup.Answer, 99)
+			assert.Eventually(t, func() bool {
+				for id := range isup.CallID(20) {
+					for _, server := range s.servers {
+						if server.Seen(isup.SetUp, id+1) != server.Seen(isup.Release, id+1) {
+							return false
+						}
+					}
+				}
+				return true
+			}, standin.Patience, time.Millisecond)
+		})
+	}
+}
