When to come back to a busy or stopping agent comes from the settings

An agent too busy to take a call, or refusing at the end of a stop, told its caller to stay away for 1 s whatever the settings (desk.go, StayAway; daemon.go, refuseOpen), also where callers heed less or are told nothing. Now it is the settings' figure, a second at most, and none where there is none. TestStayAway fails on the former code (no such field from the settings; the desk's default of 1 s in all three cases).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,9 @@
 	listRetry    = 100 * time.Millisecond
 )
 
+// busyAway is when to come back to an agent that is too busy or stops, where callers heed so much.
+const busyAway = time.Second
+
 // memoryShare is the part of the memory limit at which the collector works harder.
 const memoryShare = 0.75
 
@@ -76,6 +79,7 @@
 	drained  atomic.Bool // an operator has callers go elsewhere
 	emptying emptying
 	reloads  struct{ taken, refused atomic.Int64 }
+	stayAway time.Duration // told by the agent itself where it can't take a call
 }
 
 // ready tells whether callers may come.
@@ -126,9 +130,9 @@
 	if cfg.State != "" {
 		peers = cfg.Limits.Sockets / callerConnsOfTwo
 	}
-	d.front = isupfront.New(desk.Config{MaxPeers: peers, Log: log}, d.core,
-		d.ready)
-	d.second = second{d: d, front: callapi.New(desk.Config{Log: log}, d.core)}
+	d.stayAway = min(busyAway, set.Limits.CoolDown)
+	d.front = isupfront.New(desk.Config{MaxPeers: peers, StayAway: d.stayAway, Log: log}, d.core, d.ready)
+	d.second = second{d: d, front: callapi.New(desk.Config{StayAway: d.stayAway, Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, Patience: listPatience, Grace: listGrace,
 		Retry: listRetry, Source: cfg.source}
 	d.follower.Move(cfg.Bulletin)
@@ -304,7 +308,7 @@
 	d.log.Warn("stopping: refusing what is still open")
 	d.core.Hold(true) // what still comes is refused as it comes
 	refused := make(chan struct{})
-	d.core.RefuseAll(time.Second)
+	d.core.RefuseAll(d.stayAway)
 	d.core.Idle(func() { close(refused) })
 	<-refused
 }
--- a/internal/daemon/odd_test.go
+++ b/internal/daemon/odd_test.go
@@ -65,3 +65,29 @@
 		})
 	}
 }
+
+// TestStayAway: what the agent tells of its own when it can't take a call is what the settings have
+// callers heed, and nothing where they heed none.
+func TestStayAway(t *testing.T) {
+	for _, tc := range []struct {
+		limits string
+		want   time.Duration
+	}{
+		{`{"maxAttempts":5,"connectTimeout":500000,"retryAfter":true,"maxRetryAfter":2000000}`, time.Second},
+		{`{"maxAttempts":5,"connectTimeout":500000,"retryAfter":true,"maxRetryAfter":400000}`, 400 * time.Millisecond},
+		{`{"maxAttempts":5,"connectTimeout":500000,"retryAfter":false,"maxRetryAfter":2000000}`, 0},
+	} {
+		var all map[string]any
+		require.NoError(t, json.Unmarshal(configText(t, standin.NewBulletin(t)), &all))
+		all["settings"].(map[string]any)["limits"] = json.RawMessage(tc.limits)
+		text, err := json.Marshal(all)
+		require.NoError(t, err)
+		cfg, err := ParseConfig(text)
+		require.NoError(t, err)
+		d, err := New(cfg, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		for _, told := range []time.Duration{d.stayAway, d.front.StayAway, d.second.front.StayAway} {
+			require.Equal(t, tc.want, told)
+		}
+	}
+}
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -33,7 +33,7 @@
 	RoomAfter    time.Duration // a connection without a call, silent for so long, makes room in a full house
 	Idle         time.Duration // a connection that says nothing more is looked at after this
 	Linger       time.Duration // a caller may take so long to see that its connection ends
-	StayAway     time.Duration // told when the agent itself is too busy
+	StayAway     time.Duration // told when the agent itself is too busy; 0: callers heed none, and none is told
 	Goodbye      []byte        // the last that a connection hears when the desk closes
 	Log          *slog.Logger
 }
@@ -49,7 +49,6 @@
 	c.RoomAfter = cmp.Or(c.RoomAfter, 250*time.Millisecond)
 	c.Idle = cmp.Or(c.Idle, 2*time.Minute)
 	c.Linger = cmp.Or(c.Linger, 100*time.Millisecond) // a set-up crosses the end for 50 ms, by the protocol
-	c.StayAway = cmp.Or(c.StayAway, time.Second)
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
