--- a/internal/lab/crew/matrix_test.go
+++ b/internal/lab/crew/matrix_test.go
@@ -52,8 +52,12 @@
 	lab.Pause(ctx, 2*time.Second)
 	require.NoError(t, c.World.Return(servers[1]))
 	c.Procs[1].Term() // what it took must be answered; callers come for a while yet
+	asked := time.Now()
 	lab.Pause(ctx, 300*time.Millisecond)
 	calls.Divert(1, true)
+	if time.Since(asked) > 600*time.Millisecond { // by the platform's pages nobody comes so late: this test was kept from its processor
+		calls.Trouble(1, true)
+	}
 	<-c.Procs[1].Done()
 	calls.Trouble(1, true)
 	require.NoError(t, c.Launch(1))
