--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -79,10 +79,9 @@
 	}})
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
-	read := make(chan struct{})
-	p.trunks["s"].post(func() { close(read) }) // behind the news
-	<-read
-	assert.Empty(t, dials)
+	dialing, actor := make(chan bool, 1), p.trunks["s"]
+	actor.post(func() { dialing <- actor.dialing }) // behind the news
+	assert.False(t, standin.Next(t, dialing))
 	stand(t, p, c, s, one)
 	assert.Len(t, dials, 1)
 }
