The stop of a setup server's actor waits on a context, not on a channel closed by hand

Found reading the whole change over: trunk.stop kept a closed channel of its own so that one time-out served several connections; a context with a time-out is that.

--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -513,7 +513,8 @@
 			links[a.link] = true
 		}
 	}
-	last := time.After(t.cfg.StopLinger)
+	lingers, over := context.WithTimeout(context.Background(), t.cfg.StopLinger)
+	defer over()
 	for l := range links {
 		half, ok := l.conn.(*counted)
 		if !ok || half.CloseWrite() != nil {
@@ -523,12 +524,8 @@
 	for l := range links {
 		select {
 		case <-l.read:
-		case <-last:
-			last = closedNow
+		case <-lingers.Done():
 		}
 		l.conn.Close()
 	}
 }
-
-// closedNow is a wait that is over.
-var closedNow = func() chan time.Time { c := make(chan time.Time); close(c); return c }()
