Parts of a fleet that forgot one another meet again: a missing seed is asked, by turns

Seen (trial): eight members in two regions behind a faultnet.Hub, a seed in each, Rejoin twice a second. After a cut of 75 s each side still counted four 60 s after the heal; one Join of a seed of the other side mended it. Cause: members.Rejoin returned at once where more than half as many agents as seeds were alive, which each half of a split has, and memberlist gossips only to those it has not yet forgotten.

Now seeker (seek.go, no clock, I/O or chance of its own) says which seeds to ask at a look. A seed that is not among the members, by its address or the link that leads there, is asked by each agent at a mean of its count of agents times 2 s, with jitter, after two in vain times 8 s: the fleet's rate for a seed does not grow with the fleet. Who misses none asks one at its count times 30 s. An agent alone asks all in a random order until one answers, where before it asked every seed each time.

Stay keeps asking on a goroutine of its own for the placer and the spreader; the spreader's summaries waited up to 10 s for a silent seed before. A stream opens within 3 s and is answered within 10 s (30 s before where far), ends with the agent's part, and nothing is asked after Leave.

On the former Rejoin (scratch copy) TestSplitHeals fails ("all know all again: condition never satisfied", 10 s after the heal, both cases), TestShutEndsAsking fails (2 streams begun, want 1), and with Rejoin back in its loop TestSilentSeed fails ("no summary while a seed is silent").

--- a/internal/fleet/members/delegate.go
+++ b/internal/fleet/members/delegate.go
@@ -59,18 +59,26 @@
 	m *Members
 }
 
-func (t *transport) via(addr string) string {
-	if to, ok := t.m.cfg.Links[addr]; ok {
+// via is where to send what goes to an address.
+func (m *Members) via(addr string) string {
+	if to, ok := m.cfg.Links[addr]; ok {
 		return to
 	}
 	return addr
 }
 
+// How long a stream may take to open, and its far end to answer. Who accepts and says nothing, or
+// is not there at all, must not keep an agent long from asking another.
+const (
+	dialMost   = 3 * time.Second
+	streamMost = 10 * time.Second
+)
+
 // WriteToAddress sends a datagram.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	t.m.sent.Add(1)
 	t.m.bytes.Add(int64(len(b)))
-	a.Addr = t.via(a.Addr)
+	a.Addr = t.m.via(a.Addr)
 	return t.NetTransport.WriteToAddress(b, a)
 }
 
@@ -79,13 +87,29 @@
 	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
 }
 
-// DialAddressTimeout opens a stream.
+// DialAddressTimeout opens a stream, which ends at the latest with this agent's part.
 func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	t.m.sent.Add(1)
 	// From its own address, as datagrams go: who stands between may tell members apart by it.
 	host, _, _ := net.SplitHostPort(t.m.cfg.Bind)
-	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
-	return d.Dial("tcp", t.via(a.Addr))
+	d := net.Dialer{Timeout: min(timeout, dialMost), LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	c, err := d.DialContext(t.m.life, "tcp", t.m.via(a.Addr))
+	if err != nil {
+		return nil, err
+	}
+	return &stream{Conn: c, stop: context.AfterFunc(t.m.life, func() { c.Close() })}, nil
+}
+
+// stream is a connection that is closed where this agent's part ends.
+type stream struct {
+	net.Conn
+	stop func() bool
+}
+
+// Close ends it.
+func (s *stream) Close() error {
+	s.stop()
+	return s.Conn.Close()
 }
 
 // DialTimeout opens a stream.
--- /dev/null
+++ b/internal/fleet/members/leak_test.go
@@ -0,0 +1,9 @@
+package members
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -8,11 +8,13 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
@@ -28,12 +30,16 @@
 type Config struct {
 	Bind string `yaml:"bind"` // host:port, TCP and UDP, on which it listens for the others
 	// Advertise is where the others reach it, if that is not Bind: it stands behind something.
-	Advertise string            `yaml:"advertise,omitempty"`
-	Seeds     []string          `yaml:"seeds"` // some others' bind addresses, to join by
-	Links     map[string]string `yaml:"links"` // another's bind address -> where to send instead (a proxy)
+	Advertise string `yaml:"advertise,omitempty"`
+	// Seeds are some others' addresses, to join by, and to find together by after a split: at
+	// least one of each region.
+	Seeds []string          `yaml:"seeds"`
+	Links map[string]string `yaml:"links"` // another's bind address -> where to send instead (a proxy)
 	// Far lengthens the time-outs for members in several regions: hundreds of milliseconds
 	// from one to another.
 	Far bool `yaml:"far"`
+
+	tune func(*memberlist.Config, *seeker) // tests shorten the times by it
 }
 
 // Valid names the first field that can't be used.
@@ -87,7 +93,8 @@
 	Note json.RawMessage `json:"x,omitempty"`
 }
 
-// Members is an agent's view of the membership. Its methods do not wait, but for Open and Leave.
+// Members is an agent's view of the membership. Its methods do not wait, but for Open, Rejoin, Stay
+// and Leave.
 type Members struct {
 	cfg   Config
 	self  Member
@@ -97,6 +104,12 @@
 	bad   atomic.Int64 // messages that could not be read
 	sent  atomic.Int64 // datagrams and streams begun
 	bytes atomic.Int64 // in datagrams sent
+	began time.Time
+	life  context.Context // its streams end with it
+	end   context.CancelFunc
+
+	seekMu sync.Mutex
+	seek   *seeker
 
 	mu    sync.Mutex
 	known map[string]failover.Summary // the latest of each agent that told this one
@@ -105,9 +118,11 @@
 	note  func(from string, data []byte)
 }
 
-// Open takes part in the membership. It returns before others are met; Rejoin keeps trying.
+// Open takes part in the membership. It returns before others are met; Stay meets them.
 func Open(cfg Config, self Member, logger *slog.Logger) (*Members, error) {
-	m := &Members{cfg: cfg, self: self, log: logger, known: map[string]failover.Summary{}, news: make(chan struct{}, 1)}
+	m := &Members{cfg: cfg, self: self, log: logger, known: map[string]failover.Summary{}, news: make(chan struct{}, 1),
+		began: time.Now(), seek: newSeeker(cfg.Seeds, cfg.Bind, cfg.advertise())}
+	m.life, m.end = context.WithCancel(context.Background())
 	host, text, err := net.SplitHostPort(cfg.Bind)
 	if err != nil {
 		return nil, fmt.Errorf("field bind: %w", err)
@@ -138,25 +153,87 @@
 			return nil, fmt.Errorf("field advertise: %w", err)
 		}
 	}
+	c.TCPTimeout = streamMost
 	c.Transport = &transport{NetTransport: netTransport, m: m}
 	c.Delegate, c.Events, c.Logger, c.DeadNodeReclaimTime = m, m, lines, 10*time.Second
 	m.queue = memberlist.TransmitLimitedQueue{RetransmitMult: 3, NumNodes: m.Size}
+	if cfg.tune != nil {
+		cfg.tune(c, m.seek)
+	}
 	if m.list, err = memberlist.Create(c); err != nil {
+		m.end()
 		return nil, fmt.Errorf("membership: %w", err)
 	}
 	return m, nil
 }
 
-// Rejoin meets the seeds unless others are met already, and tells how many are alive. Two parts
-// of a split that each forgot the other find together by it, so it is called again and again.
+// Rejoin asks those seeds whose turn it is (seeker), and tells how many agents are alive and why
+// none of them answered. It waits for the answers, streamMost for each seed at most. Two parts of
+// a split that each forgot the other find together by it, so it is called again and again.
 func (m *Members) Rejoin() (alive int, err error) {
-	if n := m.Size(); n > 1 && n > len(m.cfg.Seeds)/2 {
-		return n, nil
+	before := m.Size()
+	m.seekMu.Lock()
+	ask := m.seek.look(time.Since(m.began), before, m.met(), rand.Float64)
+	m.seekMu.Unlock()
+	for _, seed := range ask {
+		if m.life.Err() != nil { // who has left does not come back by a stream
+			return m.Size(), m.life.Err()
+		}
+		if _, err = m.list.Join([]string{seed}); err == nil {
+			break
+		}
+	}
+	alive = m.Size()
+	if len(ask) == 1 && before > 1 {
+		m.tellMissing(ask[0], before, alive, err)
+	}
+	return alive, err
+}
+
+// met tells which seeds are among the agents thought alive, by their addresses or by the links
+// that lead there.
+func (m *Members) met() func(seed string) bool {
+	at := map[string]bool{}
+	for _, n := range m.list.Members() {
+		a := n.Address()
+		at[a], at[m.via(a)] = true, true
 	}
-	if len(m.cfg.Seeds) > 0 {
-		_, err = m.list.Join(m.cfg.Seeds)
+	return func(seed string) bool { return at[seed] }
+}
+
+// tellMissing tells the log what came of asking after a seed.
+func (m *Members) tellMissing(seed string, before, alive int, err error) {
+	m.seekMu.Lock()
+	vain := m.seek.vain(seed)
+	m.seekMu.Unlock()
+	switch {
+	case m.life.Err() != nil:
+	case err == nil && vain > 0 && m.met()(seed):
+		m.log.Info("membership: missing seed met", "seed", seed, "alive_before", before, "alive", alive)
+	case vain == mostVain+1: // once for each time that it goes
+		m.log.Warn("membership: seed missing", "seed", seed, "asked", vain, "answers", err == nil, "error", err)
+	}
+}
+
+// rejoinEvery is the mean time between two looks for seeds to ask.
+const rejoinEvery = time.Second
+
+// Stay keeps this agent among the others until ctx ends or it leaves.
+func (m *Members) Stay(ctx context.Context) {
+	told := false
+	for {
+		if alive, err := m.Rejoin(); err != nil && alive == 1 && !told && m.life.Err() == nil {
+			m.log.Warn("membership: no seed reached yet", "error", err)
+			told = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.life.Done():
+			return
+		case <-time.After(time.Duration((0.5 + rand.Float64()) * float64(rejoinEvery))):
+		}
 	}
-	return m.Size(), err
 }
 
 // Size is how many agents are thought alive, this one among them.
@@ -262,6 +339,7 @@
 
 // Leave tells the others that this agent goes, and ends its part.
 func (m *Members) Leave() {
+	m.end()
 	if err := m.list.Leave(time.Second); err != nil {
 		m.log.Info("left without telling all", "error", err)
 	}
@@ -269,7 +347,10 @@
 }
 
 // Shut ends this agent's part without a word, as a crash does.
-func (m *Members) Shut() { m.list.Shutdown() }
+func (m *Members) Shut() {
+	m.end()
+	m.list.Shutdown()
+}
 
 // hear keeps a summary if it is newer than the one there, with the time of the hearing: how old
 // it may be is then a matter of this agent's clock alone.
--- /dev/null
+++ b/internal/fleet/members/members_test.go
@@ -0,0 +1,164 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/faultnet"
+)
+
+// hasty has the library hold who is silent for dead within a second, and forget it at once: what
+// takes a minute of a cut otherwise.
+func hasty(c *memberlist.Config, s *seeker) {
+	c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = 100*time.Millisecond, 50*time.Millisecond, 300*time.Millisecond
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult, c.AwarenessMaxMultiplier = 2, 1, 2
+	c.GossipInterval, c.PushPullInterval, c.GossipToTheDeadTime = 20*time.Millisecond, 500*time.Millisecond, time.Nanosecond
+	s.missEvery, s.metEvery = 100*time.Millisecond, time.Second
+}
+
+// TestSplitHeals: two regions, a seed in each, are cut off from one another until each has
+// forgotten the other. Once the link is whole they are one fleet again: with the seeds of both
+// regions in the agents' files, and where only one agent knows the other side's.
+func TestSplitHeals(t *testing.T) {
+	for name, seeds := range map[string]func(i int) []int{
+		"each agent knows both seeds": func(int) []int { return []int{0, 4} },
+		"one agent knows the other side's": func(i int) []int {
+			if i == 2 {
+				return []int{0, 4}
+			}
+			return []int{i / 4 * 4}
+		},
+	} {
+		t.Run(name, func(t *testing.T) { split(t, seeds) })
+	}
+}
+
+func split(t *testing.T, seeds func(i int) []int) {
+	const agents = 8
+	octet, err := faultnet.TakeOctet()
+	require.NoError(t, err)
+	defer octet.Release()
+	bind := func(i int) string { return octet.Host(i+1) + ":7946" }
+	front := func(i int) string { return octet.Host(1000+i) + ":7946" }
+	hub := faultnet.NewHub(func(a net.Addr) int {
+		host, _, _ := net.SplitHostPort(a.String())
+		for i := range agents {
+			if host == octet.Host(i+1) {
+				return i
+			}
+		}
+		return -1
+	})
+	defer hub.Close()
+	var all []*Members
+	var staying sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		for _, m := range all {
+			staying.Go(m.Shut)
+		}
+		staying.Wait()
+	}()
+	for i := range agents {
+		require.NoError(t, hub.Add(i, front(i), bind(i)))
+		cfg := Config{Bind: bind(i), Advertise: front(i), tune: hasty}
+		for _, s := range seeds(i) {
+			cfg.Seeds = append(cfg.Seeds, front(s))
+		}
+		m, err := Open(cfg, Member{Name: fmt.Sprint("a", i)}, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		all = append(all, m)
+		staying.Go(func() {
+			for ctx.Err() == nil {
+				m.Rejoin()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	count := func(want int) func() bool {
+		return func() bool {
+			for _, m := range all {
+				if m.Size() != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, count(agents), 10*time.Second, 10*time.Millisecond, "all know all")
+	hub.Partition(0, 1, 2, 3)
+	require.Eventually(t, count(agents/2), 20*time.Second, 10*time.Millisecond, "each side knows its own")
+	hub.Partition()
+	assert.Eventually(t, count(agents), 10*time.Second, 10*time.Millisecond, "all know all again")
+}
+
+// silentSeed takes connections and says nothing.
+func silentSeed(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String()
+}
+
+// TestShutEndsAsking: who waits for the answer of a silent seed goes at once where its part ends,
+// and asks nobody after.
+func TestShutEndsAsking(t *testing.T) {
+	m, err := Open(Config{Bind: "127.0.0.1:0", Seeds: []string{silentSeed(t), silentSeed(t)}}, Member{Name: "a"}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() {
+		_, err := m.Rejoin()
+		done <- err
+	}()
+	for sent, _, _ := m.Traffic(); sent == 0; sent, _, _ = m.Traffic() {
+		time.Sleep(time.Millisecond)
+	}
+	m.Shut()
+	select {
+	case err := <-done:
+		assert.ErrorIs(t, err, context.Canceled)
+	case <-time.After(streamMost / 2):
+		t.Fatal("still asking")
+	}
+	sent, _, _ := m.Traffic()
+	assert.EqualValues(t, 1, sent, "streams begun")
+}
+
+// TestRejoinPastDeadSeeds: an agent alone asks on until a seed answers.
+func TestRejoinPastDeadSeeds(t *testing.T) {
+	host, err := faultnet.NewHost()
+	require.NoError(t, err)
+	seed, err := Open(Config{Bind: host + ":7946"}, Member{Name: "seed"}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer seed.Shut()
+	m, err := Open(Config{Bind: "127.0.0.1:0", Seeds: []string{host + ":1", host + ":2", host + ":7946", host + ":3"}}, Member{Name: "a"}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer m.Shut()
+	alive, err := m.Rejoin()
+	assert.NoError(t, err)
+	assert.Equal(t, 2, alive)
+}
+
+// TestMet: a seed is known by its agent's address, or by the link that leads there.
+func TestMet(t *testing.T) {
+	host, err := faultnet.NewHost()
+	require.NoError(t, err)
+	at := host + ":7946"
+	m, err := Open(Config{Bind: at, Links: map[string]string{at: "127.0.0.1:9"}}, Member{Name: "a"}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer m.Shut()
+	met := m.met()
+	assert.True(t, met(at))
+	assert.True(t, met("127.0.0.1:9"))
+	assert.False(t, met("127.0.0.1:10"))
+}
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -108,9 +108,11 @@
 	defer tick.Stop()
 	var news <-chan struct{}
 	if p.members != nil {
+		var staying sync.WaitGroup
+		defer staying.Wait()
 		defer p.members.Leave()
 		news = p.members.News()
-		go p.rejoin(ctx)
+		staying.Go(func() { p.members.Stay(ctx) })
 	}
 	for {
 		p.look(ctx)
@@ -133,24 +135,6 @@
 	}
 }
 
-// rejoinEvery is how often an agent that meets too few looks for its seeds.
-const rejoinEvery = 2 * time.Second
-
-func (p *Placer) rejoin(ctx context.Context) {
-	told := false
-	for {
-		if _, err := p.members.Rejoin(); err != nil && !told {
-			p.log.Warn("membership: no seed reached yet", "error", err)
-			told = true
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(rejoinEvery):
-		}
-	}
-}
-
 // look takes what this agent saw since the last look, tells the others, and looks itself at
 // servers that no call of its goes to.
 func (p *Placer) look(ctx context.Context) {
--- a/internal/fleet/spreader/spreader.go
+++ b/internal/fleet/spreader/spreader.go
@@ -124,16 +124,14 @@
 
 // Run sends a summary each period until ctx ends, then leaves the membership.
 func (s *Spreader) Run(ctx context.Context) {
+	var staying sync.WaitGroup
+	defer staying.Wait()
 	defer s.list.Leave()
+	staying.Go(func() { s.list.Stay(ctx) }) // no summary waits for a seed's answer
 	period := cmp.Or(s.cfg.Period, 500*time.Millisecond)
 	tick := time.NewTicker(period)
 	defer tick.Stop()
-	for n := 0; ; n++ {
-		if n%4 == 0 {
-			if _, err := s.list.Rejoin(); err != nil {
-				s.log.Debug("no other agent met", "error", err)
-			}
-		}
+	for {
 		s.tell()
 		select {
 		case <-ctx.Done():
--- a/internal/fleet/spreader/spreader_test.go
+++ b/internal/fleet/spreader/spreader_test.go
@@ -1,8 +1,10 @@
 package spreader
 
 import (
+	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -70,3 +72,47 @@
 	}
 	assert.EqualValues(t, 1, s.said.answered)
 }
+
+// told is a core that hands over nothing, and notes when it is asked to.
+type told chan struct{}
+
+func (c told) Spread(func(policy.Time, *spread.State)) { c <- struct{}{} }
+func (told) Follow(spread.View)                        {}
+
+// TestSilentSeed: a seed that takes connections and never answers holds up no summary, and no stop.
+func TestSilentSeed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	c := make(told)
+	file := Config{Mode: "common", Members: &members.Config{Bind: "127.0.0.1:0", Seeds: []string{ln.Addr().String()}}}
+	s, err := Open(file, spread.Config{Name: "a", Life: 1, Period: leastPeriod}, c, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(done)
+	}()
+	asked, err := ln.Accept()
+	require.NoError(t, err)
+	defer asked.Close()
+	late := time.After(5 * time.Second) // half of what it waits for an answer
+	for range 3 {
+		select {
+		case <-c:
+		case <-late:
+			t.Fatal("no summary while a seed is silent")
+		}
+	}
+	cancel()
+	for ended := false; !ended; {
+		select {
+		case <-c:
+		case <-done:
+			ended = true
+		case <-late:
+			t.Fatal("no stop while a seed is silent")
+		}
+	}
+}
