Members keep their own record of who is alive: a lock taken in two orders, and races with the library

Seen: TestSplitHeals under -race, five runs: "DATA RACE", aliveNode of memberlist writes Addr and Port of a node while members.met reads them. memberlist.Members hands out pointers into the library's live records; Alive, Names, Tell, Note and Summaries read them likewise, before as well.

Found while reading for it: Summaries held m.mu while it waited for the library's lock (list.Members), and NotifyLeave, called by the library with its lock held, waits for m.mu. Where a member died just while the deciding agent read its summaries, both stood still for good, and with them all membership of that agent.

Now the events' NotifyJoin, NotifyLeave and NotifyUpdate keep a copy of each agent thought alive under a lock of its own, under which nothing is called; nothing asks the library for its list any more. An agent's metadata is decoded once, not at every summary for every agent. NotifyUpdate was passed over: an agent back with another zone within a probe kept its former one.

On the former state (scratch copy) TestNoLockOfTheLibrary fails: "waits for the library's lock".

--- a/internal/fleet/members/delegate.go
+++ b/internal/fleet/members/delegate.go
@@ -37,21 +37,24 @@
 // MergeRemoteState takes another's.
 func (m *Members) MergeRemoteState(data []byte, _ bool) { m.take(data) }
 
-// NotifyJoin, NotifyLeave and NotifyUpdate tell the log.
+// NotifyJoin, NotifyLeave and NotifyUpdate keep who is alive, and tell the log. The library holds
+// its lock meanwhile.
 func (m *Members) NotifyJoin(n *memberlist.Node) {
+	m.put(n)
 	m.log.Info("agent joined", "agent", n.Name, "at", n.Address())
 }
 
-// NotifyLeave forgets what an agent saw: it left, or is held for dead.
+// NotifyLeave forgets an agent, and what it saw: it left, or is held for dead.
 func (m *Members) NotifyLeave(n *memberlist.Node) {
+	m.drop(n.Name)
 	m.mu.Lock()
 	delete(m.known, n.Name)
 	m.mu.Unlock()
 	m.log.Info("agent gone", "agent", n.Name, "left", n.State == memberlist.StateLeft)
 }
 
-// NotifyUpdate is of no interest: zones and regions do not change within a life.
-func (m *Members) NotifyUpdate(*memberlist.Node) {}
+// NotifyUpdate keeps changed metadata, as of an agent that was started again within a probe.
+func (m *Members) NotifyUpdate(n *memberlist.Node) { m.put(n) }
 
 // transport sends to some addresses by another way (the links of the file), and counts.
 type transport struct {
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -14,8 +14,10 @@
 	"fmt"
 	"log"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -111,7 +113,10 @@
 	seekMu sync.Mutex
 	seek   *seeker
 
-	mu    sync.Mutex
+	nodeMu sync.RWMutex // held for one look at nodes, and nothing is called under it
+	nodes  map[string]node
+
+	mu    sync.Mutex                  // the library's lock is never taken under it: the library calls with its own held
 	known map[string]failover.Summary // the latest of each agent that told this one
 	epoch uint64                      // the highest heard of
 	news  chan struct{}               // holds one item where the epoch has risen
@@ -121,7 +126,7 @@
 // Open takes part in the membership. It returns before others are met; Stay meets them.
 func Open(cfg Config, self Member, logger *slog.Logger) (*Members, error) {
 	m := &Members{cfg: cfg, self: self, log: logger, known: map[string]failover.Summary{}, news: make(chan struct{}, 1),
-		began: time.Now(), seek: newSeeker(cfg.Seeds, cfg.Bind, cfg.advertise())}
+		nodes: map[string]node{}, began: time.Now(), seek: newSeeker(cfg.Seeds, cfg.Bind, cfg.advertise())}
 	m.life, m.end = context.WithCancel(context.Background())
 	host, text, err := net.SplitHostPort(cfg.Bind)
 	if err != nil {
@@ -194,9 +199,8 @@
 // that lead there.
 func (m *Members) met() func(seed string) bool {
 	at := map[string]bool{}
-	for _, n := range m.list.Members() {
-		a := n.Address()
-		at[a], at[m.via(a)] = true, true
+	for _, n := range m.alive() {
+		at[n.at], at[m.via(n.at)] = true, true
 	}
 	return func(seed string) bool { return at[seed] }
 }
@@ -236,20 +240,49 @@
 	}
 }
 
+// node is an agent thought alive, as the library last told of it. What it hands out at other
+// times it changes meanwhile.
+type node struct {
+	Member
+	at    string          // its address
+	reads bool            // its metadata
+	lib   memberlist.Node // a copy
+}
+
+// put keeps an agent, drop forgets one.
+func (m *Members) put(n *memberlist.Node) {
+	var d meta
+	err := json.Unmarshal(n.Meta, &d)
+	kept := node{Member{n.Name, d.Zone, d.Region, d.Decides}, n.Address(), err == nil, *n}
+	m.nodeMu.Lock()
+	defer m.nodeMu.Unlock()
+	m.nodes[n.Name] = kept
+}
+
+func (m *Members) drop(name string) {
+	m.nodeMu.Lock()
+	defer m.nodeMu.Unlock()
+	delete(m.nodes, name)
+}
+
+func (m *Members) alive() []node {
+	m.nodeMu.RLock()
+	defer m.nodeMu.RUnlock()
+	return slices.Collect(maps.Values(m.nodes))
+}
+
 // Size is how many agents are thought alive, this one among them.
 func (m *Members) Size() int {
-	if m.list == nil { // asked while it is being made
-		return 1
-	}
-	return m.list.NumMembers()
+	m.nodeMu.RLock()
+	defer m.nodeMu.RUnlock()
+	return max(len(m.nodes), 1) // asked while it is being made, or after it left
 }
 
 // Alive are the agents thought alive.
 func (m *Members) Alive() (out []Member) {
-	for _, n := range m.list.Members() {
-		var d meta
-		if json.Unmarshal(n.Meta, &d) == nil {
-			out = append(out, Member{n.Name, d.Zone, d.Region, d.Decides})
+	for _, n := range m.alive() {
+		if n.reads {
+			out = append(out, n.Member)
 		}
 	}
 	return out
@@ -257,7 +290,7 @@
 
 // Names are the members thought alive.
 func (m *Members) Names() (out []string) {
-	for _, n := range m.list.Members() {
+	for _, n := range m.alive() {
 		out = append(out, n.Name)
 	}
 	return out
@@ -271,12 +304,11 @@
 	if err != nil {
 		return // a figure that is no number: it is not told
 	}
-	for _, n := range m.list.Members() {
-		var d meta
-		if n.Name == m.self.Name || json.Unmarshal(n.Meta, &d) != nil || !d.Decides {
+	for _, n := range m.alive() {
+		if n.Name == m.self.Name || !n.Decides {
 			continue
 		}
-		if err := m.list.SendBestEffort(n, data); err != nil {
+		if err := m.list.SendBestEffort(&n.lib, data); err != nil {
 			m.log.Debug("summary not sent", "to", n.Name, "error", err)
 		}
 	}
@@ -298,12 +330,13 @@
 	if data, err = json.Marshal(word{From: m.self.Name, Note: data}); err != nil {
 		return err
 	}
-	for _, n := range m.list.Members() {
-		if n.Name == to {
-			return m.list.SendBestEffort(n, data)
-		}
+	m.nodeMu.RLock()
+	n, ok := m.nodes[to]
+	m.nodeMu.RUnlock()
+	if !ok {
+		return fmt.Errorf("%s is no member", to)
 	}
-	return fmt.Errorf("%s is no member", to)
+	return m.list.SendBestEffort(&n.lib, data)
 }
 
 // Announce has the others hear that an epoch is in force.
@@ -322,9 +355,10 @@
 // Summaries are the latest of the agents thought alive that told this one, each with the time of
 // its hearing.
 func (m *Members) Summaries() (out []failover.Summary) {
+	alive := m.alive()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, n := range m.list.Members() {
+	for _, n := range alive {
 		if s, ok := m.known[n.Name]; ok {
 			out = append(out, s)
 		}
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"woodrouter/failover"
 	"woodrouter/internal/faultnet"
 )
 
@@ -162,3 +163,60 @@
 	assert.True(t, met("127.0.0.1:9"))
 	assert.False(t, met("127.0.0.1:10"))
 }
+
+// held is a log whose lines wait while the test holds them.
+type held struct{ begun, wait chan struct{} }
+
+func (h held) Enabled(context.Context, slog.Level) bool { return true }
+func (h held) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "agent joined" {
+		select {
+		case h.begun <- struct{}{}:
+			<-h.wait
+		default:
+		}
+	}
+	return nil
+}
+func (h held) WithAttrs([]slog.Attr) slog.Handler { return h }
+func (h held) WithGroup(string) slog.Handler      { return h }
+
+// TestNoLockOfTheLibrary: while the library tells of a change, and so holds its lock, all that
+// others ask of the membership is answered: a method that waited for that lock under its own would
+// never return where the library then waits for the other.
+func TestNoLockOfTheLibrary(t *testing.T) {
+	h := held{make(chan struct{}), make(chan struct{})}
+	m, err := Open(Config{Bind: "127.0.0.1:0"}, Member{Name: "a", Decides: true}, slog.New(h)) // its own joining passes: nobody waits for it yet
+	require.NoError(t, err)
+	defer m.Shut()
+	other, err := Open(Config{Bind: "127.0.0.1:0", Seeds: []string{m.list.LocalNode().Address()}}, Member{Name: "b"}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer other.Shut()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		other.Rejoin()
+	}()
+	defer func() { <-asked }()
+	defer close(h.wait)
+	<-h.begun
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		m.Tell(failover.Summary{Agent: "a", Seq: 1})
+		m.Summaries()
+		m.Alive()
+		m.Names()
+		m.Size()
+		m.Note("a", "hello")
+		m.Announce(1)
+		m.LocalState(false)
+		m.met()
+		m.GetBroadcasts(0, 1400)
+	}()
+	select {
+	case <-answered:
+	case <-time.After(5 * time.Second):
+		t.Error("waits for the library's lock")
+	}
+}
