--- a/internal/fleet/members/delegate.go
+++ b/internal/fleet/members/delegate.go
@@ -37,21 +37,24 @@
 // MergeRemoteState takes another's.
 func (m *Members) MergeRemoteState(data []byte, _ bool) { m.take(data) }
 
-// NotifyJoin, NotifyLeave and NotifyUpdate tell the log.
+// NotifyJoin, NotifyLeave and NotifyUpdate keep who is alive, and tell the log. The library holds
+// its lock meanwhile.
 func (m *Members) NotifyJoin(n *memberlist.Node) {
+	m.put(n)
 	m.log.Info("agent joined", "agent", n.Name, "at", n.Address())
 }
 
-// NotifyLeave forgets what an agent saw: it left, or is held for dead.
+// NotifyLeave forgets an agent, and what it saw: it left, or is held for dead.
 func (m *Members) NotifyLeave(n *memberlist.Node) {
+	m.drop(n.Name)
 	m.mu.Lock()
 	delete(m.known, n.Name)
 	m.mu.Unlock()
 	m.log.Info("agent gone", "agent", n.Name, "left", n.State == memberlist.StateLeft)
 }
 
-// NotifyUpdate is of no interest: zones and regions do not change within a life.
-func (m *Members) NotifyUpdate(*memberlist.Node) {}
+// NotifyUpdate keeps changed metadata, as of an agent that was started again within a probe.
+func (m *Members) NotifyUpdate(n *memberlist.Node) { m.put(n) }
 
 // transport sends to some addresses by another way (the links of the file), and counts.
 type transport struct {
@@ -59,18 +62,26 @@
 	m *Members
 }
 
-func (t *transport) via(addr string) string {
-	if to, ok := t.m.cfg.Links[addr]; ok {
+// via is where to send what goes to an address.
+func (m *Members) via(addr string) string {
+	if to, ok := m.cfg.Links[addr]; ok {
 		return to
 	}
 	return addr
 }
 
+// How long a stream may take to open, and its far end to answer. Who accepts and says nothing, or
+// is not there at all, must not keep an agent long from asking another.
+const (
+	dialMost   = 3 * time.Second
+	streamMost = 10 * time.Second
+)
+
 // WriteToAddress sends a datagram.
 func (t *transport) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
 	t.m.sent.Add(1)
 	t.m.bytes.Add(int64(len(b)))
-	a.Addr = t.via(a.Addr)
+	a.Addr = t.m.via(a.Addr)
 	return t.NetTransport.WriteToAddress(b, a)
 }
 
@@ -79,13 +90,29 @@
 	return t.WriteToAddress(b, memberlist.Address{Addr: addr})
 }
 
-// DialAddressTimeout opens a stream.
+// DialAddressTimeout opens a stream, which ends at the latest with this agent's part.
 func (t *transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
 	t.m.sent.Add(1)
 	// From its own address, as datagrams go: who stands between may tell members apart by it.
 	host, _, _ := net.SplitHostPort(t.m.cfg.Bind)
-	d := net.Dialer{Timeout: timeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
-	return d.Dial("tcp", t.via(a.Addr))
+	d := net.Dialer{Timeout: min(timeout, dialMost), LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
+	c, err := d.DialContext(t.m.life, "tcp", t.m.via(a.Addr))
+	if err != nil {
+		return nil, err
+	}
+	return &stream{Conn: c, stop: context.AfterFunc(t.m.life, func() { c.Close() })}, nil
+}
+
+// stream is a connection that is closed where this agent's part ends.
+type stream struct {
+	net.Conn
+	stop func() bool
+}
+
+// Close ends it.
+func (s *stream) Close() error {
+	s.stop()
+	return s.Conn.Close()
 }
 
 // DialTimeout opens a stream.
