One decision looks at each server a fixed number of times, not once for every other server

Cause: capacity() walked all servers for each server without a measured mu, and spare() asks it for each candidate of a call; callOff() walked them for each suspect server (a tick in a zone's loss, so the worst moment); weigh() summed the flow for each tenant's group; spread's Steward.level() guessed the rates of unmeasured servers the same way.

That count() drops the sums has no test that fails without it: nothing sums before it in an event today.

--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,186 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"woodrouter/spread"
+)
+
+// sizes are the numbers of servers that the benchmarks of one decision go through.
+var sizes = []int{10, 27, 100, 300, 730, 1460}
+
+// grown returns a controller with n servers that have told of their lines, and, where measured, each
+// with a capacity of its own.
+func grown(tb testing.TB, n int, measured bool, tenants ...Tenant) (*Controller, Time) {
+	tb.Helper()
+	set := testSettings()
+	set.Tenants, set.Senders, set.Spread = tenants, 240, spread.Config{Name: "a1", Life: 1}
+	c, err := New(set, 7)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	now := time.Hour
+	c.Handle(now, List{Whole: true, Servers: up(n)})
+	for i := range 4 {
+		now += 450 * ms
+		for j, s := range c.servers {
+			c.Handle(now, told(s.ID, float64(60+i+j%5), 400))
+		}
+	}
+	for i, s := range c.servers {
+		s.room = 4
+		if measured {
+			s.mu = float64(40 + i%7)
+		}
+	}
+	return c, now
+}
+
+// eachSize runs a benchmark at every size, with and without measured capacities.
+func eachSize(b *testing.B, f func(b *testing.B, c *Controller, now Time)) {
+	for _, measured := range []bool{true, false} {
+		for _, n := range sizes {
+			b.Run(fmt.Sprintf("measured=%v/servers=%d", measured, n), func(b *testing.B) {
+				c, now := grown(b, n, measured)
+				b.ReportAllocs()
+				b.ResetTimer()
+				f(b, c, now)
+			})
+		}
+	}
+}
+
+// BenchmarkArrival takes a call through its life, a call each millisecond; ns/decision is its
+// arrival alone, with the choice of its server.
+func BenchmarkArrival(b *testing.B) {
+	for _, first := range []bool{true, false} {
+		b.Run(fmt.Sprintf("first=%v", first), func(b *testing.B) {
+			eachSize(b, func(b *testing.B, c *Controller, now Time) {
+				var spent time.Duration
+				sent := 0
+				for i := range b.N {
+					now += ms
+					a := Arrival{ID: "c", Class: "look", Left: 3 * time.Second, Pool: -1}
+					if first {
+						a.Pool = i * 7 % len(c.servers)
+					}
+					at := time.Now()
+					acts := c.Handle(now, a)
+					spent += time.Since(at)
+					to := pick[Send](acts)
+					if len(to) == 0 {
+						c.Handle(now, Departed{ID: "c"})
+						continue
+					}
+					sent++
+					now += ms
+					c.Handle(now, Standing{ID: "c", Server: to[0].Server})
+					c.Handle(now, Ended{ID: "c", Server: to[0].Server, Result: OK, Complete: true, Report: NoReport()})
+				}
+				b.ReportMetric(float64(spent.Nanoseconds())/float64(b.N), "ns/decision")
+				b.ReportMetric(float64(sent)/float64(b.N), "sent/op")
+			})
+		})
+	}
+}
+
+// BenchmarkTick is a timer's event with nothing to do; with three quarters of the servers suspect;
+// with all of them suspect; and with 50 calls held that find no room.
+func BenchmarkTick(b *testing.B) {
+	for _, tc := range []struct {
+		name string
+		set  func(c *Controller, now Time)
+	}{
+		{"calm", func(*Controller, Time) {}},
+		{"suspect=3of4", func(c *Controller, now Time) { shun(c, now, len(c.servers)*3/4) }},
+		{"suspect=all", func(c *Controller, now Time) { shun(c, now, len(c.servers)) }},
+		{"held=50", func(c *Controller, now Time) {
+			for _, s := range c.servers {
+				s.shutTill = now + time.Hour
+			}
+			for i := range 50 {
+				c.Handle(now, Arrival{ID: fmt.Sprint(i), Class: "look", Left: time.Hour, Pool: -1})
+			}
+			for _, cl := range c.held {
+				cl.at = now + time.Hour // they wait on
+			}
+		}},
+	} {
+		b.Run(tc.name, func(b *testing.B) {
+			eachSize(b, func(b *testing.B, c *Controller, now Time) {
+				tc.set(c, now)
+				b.ResetTimer()
+				for range b.N {
+					now = max(now, c.wakeAt)
+					c.Handle(now, Tick{})
+					if now > 2*time.Hour { // before the held calls are given up
+						b.StopTimer()
+						c, now = grown(b, len(c.servers), c.servers[0].mu > 0)
+						tc.set(c, now)
+						b.StartTimer()
+					}
+				}
+			})
+		})
+	}
+}
+
+// shun makes the first n servers suspect, as a zone's loss does.
+func shun(c *Controller, now Time, n int) {
+	for _, s := range c.servers[:n] {
+		s.suspect, s.since, s.flow, s.inst = true, now, 0, 0
+	}
+}
+
+// BenchmarkTold is a server's unasked news of its lines.
+func BenchmarkTold(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *Controller, now Time) {
+		for i := range b.N {
+			s := c.servers[i%len(c.servers)]
+			if i%len(c.servers) == 0 {
+				now += 450 * ms
+			}
+			c.Handle(now, told(s.ID, float64(60+i%9), 400))
+		}
+	})
+}
+
+// BenchmarkProbed is the answer to a probe.
+func BenchmarkProbed(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *Controller, now Time) {
+		for i := range b.N {
+			now += ms
+			r := NoReport()
+			r.Util = 0.3 + float64(i%9)/100
+			c.Handle(now, Probed{Server: c.servers[i%len(c.servers)].ID, Result: OK, Asked: true, Report: r})
+		}
+	})
+}
+
+// BenchmarkList is the news of a whole list.
+func BenchmarkList(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *Controller, now Time) {
+		list := up(len(c.servers))
+		for range b.N {
+			now += ms
+			c.Handle(now, List{Whole: true, Servers: list})
+		}
+	})
+}
+
+// BenchmarkFollow is a steward's view of all servers.
+func BenchmarkFollow(b *testing.B) {
+	eachSize(b, func(b *testing.B, c *Controller, now Time) {
+		for i := range b.N {
+			now += 100 * ms
+			v := spread.View{From: spread.Stamp{Name: "a2", Life: 1, Seq: uint64(i + 1)},
+				Echo: spread.Stamp{Name: "a1", Life: 1, Seq: uint64(i + 1)}, Senders: 240}
+			for j, s := range c.servers {
+				v.Dues = append(v.Dues, spread.Due{Server: s.ID, Share: 40, Rate: float64(50 + (i+j)%9)})
+			}
+			c.Follow(now, v)
+		}
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -152,6 +152,7 @@
 	trialAt            Time // no trial before this
 	coldFrom, coldTill Time // its warming
 	probeAt            Time
+	seat               spread.Seat
 }
 
 // Controller decides for one gateway. It is not safe for concurrent use.
@@ -176,6 +177,10 @@
 	pace             spread.Pace // at which servers tell of their lines
 	own              spread.Part // of all calls
 	spread           *spread.State
+	fleet            spread.Fleet // sums over the servers,
+	summed           bool         // as they are now
+	openAt           int          // in a watch: no server before this place is trusted and open
+	looks            int          // at servers, for the test that counts them
 }
 
 // New returns the controller of one gateway, or tells why the settings can't be used.
@@ -228,7 +233,7 @@
 
 // Handle takes one event and returns what to do, in order, valid until the next call.
 func (c *Controller) Handle(now Time, ev Event) []Action {
-	c.acts = c.acts[:0]
+	c.acts, c.summed = c.acts[:0], false
 	if now-c.now > stallGap {
 		c.woke = now
 	}
@@ -259,6 +264,9 @@
 	return c.acts
 }
 
+// each is the servers, for a walk over all of them.
+func (c *Controller) each() []*server { c.looks += len(c.servers); return c.servers }
+
 func (c *Controller) do(a Action) { c.acts = append(c.acts, a) }
 
 func (c *Controller) logf(format string, args ...any) { c.do(Log{fmt.Sprintf(format, args...)}) }
@@ -538,7 +546,7 @@
 	if n > s.lines {
 		s.roseAt = c.now
 	}
-	s.lines, s.linesAt, s.total, s.noLines = n, c.now, r.Total, false
+	s.lines, s.linesAt, s.total, s.noLines, c.summed = n, c.now, r.Total, false, false
 	s.reported = c.now
 	c.throttle(s)
 }
@@ -548,15 +556,12 @@
 	c.count(s, r)
 	now := r
 	now.Spare, now.Total = None, None
-	if now == NoReport() {
-		return
-	}
-	if now == s.last {
+	if now == NoReport() || now == s.last {
 		return
 	}
 	gap := c.now - s.loadAt
 	c.spread.Saw(c.now, s.ID, spread.Seen{Lines: s.total, Util: r.Util, Wait: r.Wait})
-	s.last, s.reported, s.loadAt = now, c.now, c.now
+	s.last, s.reported, s.loadAt, c.summed = now, c.now, c.now, false
 	s.period = time.Duration(blend(float64(s.period), float64(gap), 0.125))
 	switch {
 	case s.cold(c.now): // tells little of the warm server
@@ -607,16 +612,19 @@
 	if s.mu > 0 {
 		return s.mu
 	}
-	var mu, lines, n float64
-	for _, o := range c.servers {
-		if o.mu > 0 {
-			mu, lines, n = mu+o.mu, lines+o.total, n+1
+	return c.joint().Guess(s.total)
+}
+
+// joint is what all servers are known to take, and the flow there, of all senders. It is summed
+// once in an event, and again where a figure changed in it.
+func (c *Controller) joint() *spread.Fleet {
+	if !c.summed {
+		c.fleet, c.summed = spread.Fleet{}, true
+		for _, s := range c.each() {
+			c.fleet.Add(s.mu, s.total, s.flow)
 		}
 	}
-	if lines > 0 && s.total > 0 {
-		return mu * s.total / lines
-	}
-	return mu / max(n, 1)
+	return &c.fleet
 }
 
 func (c *Controller) allows(cl *call, s *server) bool {
@@ -628,8 +636,8 @@
 func (c *Controller) route(cl *call) (to *server, stay bool) {
 	var best *server
 	var most float64
-	part := c.own.Allowed(c.now, c.joint(), c.set.Senders, c.aim, len(c.servers))
-	for _, s := range c.servers {
+	part := c.own.Allowed(c.now, c.joint().Flow, c.set.Senders, c.aim, len(c.servers))
+	for _, s := range c.each() {
 		if !c.allows(cl, s) || s.b > 0 && c.blocks(s, cl) {
 			continue
 		}
@@ -641,7 +649,7 @@
 		if s.Pool == cl.pool && s != cl.last {
 			return s, true
 		}
-		o := c.spread.Order(c.now, s.ID, c.spare(s))
+		o := c.spread.Order(c.now, s.ID, &s.seat, c.spare(s))
 		if best == nil || best == cl.last || len(s.waiting) < len(best.waiting) ||
 			len(s.waiting) == len(best.waiting) && o > most {
 			best, most = s, o
@@ -650,14 +658,6 @@
 	return best, stay
 }
 
-// joint is the calls a second that come to stand anywhere, of all senders.
-func (c *Controller) joint() (sum float64) {
-	for _, s := range c.servers {
-		sum += s.flow
-	}
-	return sum
-}
-
 // spare is what a server's processor and lines can take beyond its flow. Ties between companions
 // are drawn by it: in the order of the list all senders would turn to one server at once.
 func (c *Controller) spare(s *server) float64 {
@@ -677,11 +677,6 @@
 	return cmp.Or(c.linesOf(s).Gap(c.set.Senders), fullHold)
 }
 
-// short tells whether a server's lines are short for all senders together.
-func (c *Controller) short(s *server) bool {
-	return c.linesOf(s).Short(c.now, c.pace)
-}
-
 // blocks draws against b, whose mean is kept but spent on the calls of least worth.
 func (c *Controller) blocks(s *server, cl *call) bool {
 	var below, same, all float64
@@ -723,7 +718,7 @@
 		g, in := &c.groups[i], 1.0
 		if g.tenant < len(c.set.Tenants) && tenants[g.tenant] > 0 {
 			n := tenants[g.tenant]
-			if a, r := c.set.Tenants[g.tenant].Allowance, c.joint()*n/all; a > 0 && r > a*(1+1/math.Sqrt(n)) {
+			if a, r := c.set.Tenants[g.tenant].Allowance, c.joint().Flow*n/all; a > 0 && r > a*(1+1/math.Sqrt(n)) {
 				in = a / r
 			}
 		}
@@ -744,7 +739,8 @@
 
 // open tells whether a server has room for one more set-up.
 func (c *Controller) open(s *server) bool {
-	if s.State != Up || c.now < s.shutTill || !c.coldRoom(s) || c.now < s.lineAt && c.short(s) {
+	if s.State != Up || c.now < s.shutTill || !c.coldRoom(s) ||
+		c.now < s.lineAt && c.linesOf(s).Short(c.now, c.pace) {
 		return false
 	}
 	if s.suspect {
@@ -780,8 +776,7 @@
 // guards against lost set-ups, lost answers and dead servers. In a jam it must stay
 // its hand, for what is given up may still be worked on and feeds it.
 func (c *Controller) callOff(s *server) {
-	dead := s.suspect && s.flow < 1 &&
-		slices.ContainsFunc(c.servers, func(o *server) bool { return o != s && !o.suspect && c.open(o) })
+	dead := s.suspect && s.flow < 1 && c.elsewhere()
 	for _, cl := range s.waiting {
 		over := cl.sentAt < s.overtaken
 		after, next := c.lost(s), c.target(s)
@@ -796,6 +791,17 @@
 	}
 }
 
+// elsewhere tells whether any trusted server is open. None comes to be so in the course of a watch.
+func (c *Controller) elsewhere() bool {
+	for ; c.openAt < len(c.servers); c.openAt++ {
+		c.looks++
+		if o := c.servers[c.openAt]; !o.suspect && c.open(o) {
+			return true
+		}
+	}
+	return false
+}
+
 // dispatch sends the waiting calls that find room, the most worth first.
 func (c *Controller) dispatch() {
 	slices.SortStableFunc(c.held, func(a, b *call) int {
@@ -831,7 +837,7 @@
 	}
 	cl.attempts++
 	cl.last, cl.sentAt, cl.out, cl.off = s, c.now, true, false
-	if s.waiting = append(s.waiting, cl); c.short(s) {
+	if s.waiting = append(s.waiting, cl); c.linesOf(s).Short(c.now, c.pace) {
 		s.lineAt = c.now + c.part(0.5, c.lineGap(s))
 	}
 	s.allowed.Spend()
@@ -862,11 +868,10 @@
 	}
 	c.settle(cl)
 	silent := c.now - max(s.answered, s.heard)
-	s.answered = c.now
+	if s.answered = c.now; s.suspect {
+		c.trust(s, silent)
+	}
 	if cl.sentAt < s.overtaken && d > c.target(s) { // it alone was late: no sign of a queue
-		if s.suspect {
-			c.trust(s, silent)
-		}
 		return
 	}
 	s.overtaken = max(s.overtaken, cl.sentAt)
@@ -876,13 +881,10 @@
 	s.base += s.base / 200
 	s.delay += (d - s.delay) / 4
 	t := c.target(s)
-	if s.suspect {
-		c.trust(s, silent)
-	}
 	c.queued(s, d-s.base)
 	// With a queue a server serves what it can: its flow is its capacity.
 	if d > t && s.flow > 0 && !s.cold(c.now) && (s.mu == 0 || c.set.Reports == WhenProbed) {
-		s.mu = blend(s.mu, min(s.inst, max(s.mu, s.flow)), 0.3)
+		s.mu, c.summed = blend(s.mu, min(s.inst, max(s.mu, s.flow)), 0.3), false
 	}
 	c.throttle(s)
 	s.allowed.Back(d <= t, s.mu*c.aim.Seconds()/float64(c.set.Senders))
@@ -911,7 +913,8 @@
 	if c.now == c.woke { // what came meanwhile is read first
 		return
 	}
-	for _, s := range c.servers {
+	c.openAt = 0
+	for _, s := range c.each() {
 		if !s.suspect && float64(min(c.age(s), c.now-s.answered)) > suspectAge*float64(c.aim) && !c.serves(s) {
 			c.doubt(s, 0)
 		}
@@ -924,7 +927,7 @@
 		}
 		if c.set.Limits.Probes && c.set.Reports == WhenProbed && s.State == Up &&
 			c.now >= s.probeAt && c.coldRoom(s) {
-			s.probeAt = c.now + c.part(0.5, max(probeMost, c.jointGap(probeJoint)))
+			s.probeAt = c.now + c.part(0.5, max(probeMost, spread.Gap(c.set.Senders, probeJoint)))
 			c.spread.Spend(c.now, s.ID)
 			c.do(Probe{s.ID})
 		}
@@ -1005,15 +1008,7 @@
 // trials is the time between this sender's trials of a suspect server: all senders'
 // together can't keep it full, and grow with the calls that it is seen to take.
 func (c *Controller) trials(s *server) time.Duration {
-	return c.jointGap(max(trialShare*c.capacity(s), trialFlow*min(s.inst, s.flow)))
-}
-
-// jointGap is the time between one sender's actions when all take perSecond together.
-func (c *Controller) jointGap(perSecond float64) time.Duration {
-	if perSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(c.set.Senders) / perSecond * float64(time.Second))
+	return spread.Gap(c.set.Senders, max(trialShare*c.capacity(s), trialFlow*min(s.inst, s.flow)))
 }
 
 func (c *Controller) part(from float64, d time.Duration) time.Duration {
--- a/spread/alone.go
+++ b/spread/alone.go
@@ -59,6 +59,39 @@
 	return time.Duration(float64(senders)*l.Hold/l.Total*float64(time.Second)) + 1
 }
 
+// Fleet sums what is known of all servers, so that a guess at one of them costs no walk over the others.
+type Fleet struct {
+	Flow                float64 // calls a second that come to stand, of all senders
+	rates, lines, known float64 // of the servers whose capacity was measured
+}
+
+// Add counts a server: the set-ups a second that it can take (0: not measured), its lines (0: not
+// known) and its flow.
+func (f *Fleet) Add(rate, lines, flow float64) {
+	f.Flow += flow
+	if rate > 0 {
+		f.rates, f.lines, f.known = f.rates+rate, f.lines+lines, f.known+1
+	}
+}
+
+// Guess is the set-ups a second that a server of so many lines (0: not known) can take: by its
+// lines as the others by theirs, or as the mean of the others; 0 where nothing was measured.
+func (f Fleet) Guess(lines float64) float64 {
+	if f.lines > 0 && lines > 0 {
+		return f.rates * lines / f.lines
+	}
+	return f.rates / max(f.known, 1)
+}
+
+// Gap is the time between one sender's actions when all of so many take perSecond together; 0 where
+// they take none.
+func Gap(senders int, perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(senders) / perSecond * float64(time.Second))
+}
+
 // Pace is the time from one telling to the next, as learned; 0: not known yet.
 type Pace time.Duration
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -66,6 +66,9 @@
 	due               Due
 }
 
+// Seat keeps where a server's part of a State is, once found.
+type Seat struct{ v *server }
+
 // State is one sender's part. It is not safe for concurrent use.
 type State struct {
 	cfg     Config
@@ -78,6 +81,7 @@
 	seq     uint64
 	rng     *rand.Rand
 	alive   []string
+	asked   []*server // those asked for their order since the last set-up
 
 	summaries [8]sentAt // the latest, by number
 }
@@ -140,12 +144,13 @@
 func (s *State) Sent(now Time, id string, inOrder bool) {
 	v := s.get(id)
 	passed := max(v.turn, 0) / max(v.weight(), 1e-9)
-	for _, o := range s.servers {
-		if o.asked && inOrder {
+	for _, o := range s.asked {
+		if inOrder {
 			o.turn = max(o.turn-passed*o.weight(), 0) // whose turn was passed over is next, and owed no more
 		}
 		o.asked = false
 	}
+	s.asked = s.asked[:0]
 	v.turn++
 	v.sent++
 	if v.cold(now) {
@@ -191,10 +196,17 @@
 // Order is a server's place among others that are equal to the module: the largest goes first.
 // The next is whose turn comes soonest at its weight (stride scheduling, Waldspurger and Weihl
 // 1995), so that this sender's set-ups lie evenly, however few they are.
-// own is what this sender alone thinks that the server can take beyond its load.
-func (s *State) Order(now Time, id string, own float64) float64 {
-	v := s.get(id)
-	v.own, v.asked = own, true
+// own is what this sender alone thinks that the server can take beyond its load. The seat is the
+// caller's, one for each server until that is forgotten, and saves a look-up.
+func (s *State) Order(now Time, id string, seat *Seat, own float64) float64 {
+	if seat.v == nil {
+		seat.v = s.get(id)
+	}
+	v := seat.v
+	if v.own = own; !v.asked {
+		v.asked = true
+		s.asked = append(s.asked, v)
+	}
 	if s.Follows(now) && s.onDuty(now, id, v) {
 		return math.Inf(1)
 	}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -166,7 +166,7 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		if o := s.Order(0, id, weights[id]); o > most {
+		if o := s.Order(0, id, new(Seat), weights[id]); o > most {
 			best, most = id, o
 		}
 	}
@@ -206,10 +206,11 @@
 	for i := range 24 {
 		ids = append(ids, fmt.Sprint("s", i))
 	}
+	seats := make([]Seat, len(ids))
 	b.ReportAllocs()
 	for b.Loop() {
 		for i, id := range ids {
-			s.Order(0, id, float64(i+1))
+			s.Order(0, id, &seats[i], float64(i+1))
 		}
 		s.Sent(0, ids[0], true)
 	}
--- a/spread/steward.go
+++ b/spread/steward.go
@@ -266,9 +266,14 @@
 		j         *joint
 		rate, top float64 // the wait that its queue makes beyond what it works off in t
 	}
+	var known Fleet
+	for _, j := range w.servers {
+		known.Add(j.rate, j.lines, 0)
+	}
 	var all []vessel
 	for _, j := range w.servers {
-		r := cmp.Or(j.rate, w.guess(j))
+		// A server that has not shown what it can take stands for as much as the others of its size.
+		r := cmp.Or(j.rate, known.Guess(j.lines), max(j.lines, 1))
 		if j.coldRate > 0 {
 			r = min(r, j.coldRate)
 		}
@@ -290,24 +295,6 @@
 	}
 }
 
-// guess is what a server can take before it has shown it: by its lines as the others by theirs, or
-// as the mean of the others; 1 where nothing is known.
-func (w *Steward) guess(j *joint) float64 {
-	rates, lines, n := 0.0, 0.0, 0.0
-	for _, o := range w.servers {
-		if o.rate > 0 {
-			rates, lines, n = rates+o.rate, lines+o.lines, n+1
-		}
-	}
-	switch {
-	case j.lines > 0 && lines > 0:
-		return rates * j.lines / lines
-	case n > 0:
-		return rates / n
-	}
-	return max(j.lines, 1)
-}
-
 // borrow takes the rights that a summary lends, by the clock of the view that it echoes.
 func (w *Steward) borrow(now Time, n *sender, s Summary) {
 	at, ok := w.sent[s.Echo.Seq]
