--- /dev/null
+++ b/spread/bench_test.go
@@ -0,0 +1,136 @@
+package spread
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sizes are the numbers of servers, or of senders, that the benchmarks go through.
+var sizes = []int{10, 27, 100, 300, 730, 1460}
+
+func names(prefix string, n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("%s%d.example:5060", prefix, i))
+	}
+	return out
+}
+
+// grown is a sender's state that has sent to and seen n servers.
+func grown(name string, n int) *State {
+	s := New(Config{Name: name, Life: 1, Senders: 240})
+	s.Alive(names("agent", 240))
+	for i, id := range names("server", n) {
+		s.Listed(id, true)
+		v := s.get(id) // figures as long as a working day's
+		v.sent, v.done, v.stood = uint64(20_000+i), uint64(19_998+i), uint64(19_000+i)
+		s.Saw(time.Hour-437_123_456, id, Seen{Lines: 400, Util: 1 / (1.7 + float64(i%7)), Wait: 1 / (31 + float64(i%11))})
+	}
+	return s
+}
+
+func encoded(b *testing.B, v any) float64 {
+	data, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(data))
+}
+
+// stewarded is a steward that knows n servers and has heard so many senders.
+func stewarded(n, senders int) (*Steward, []Summary) {
+	w := NewSteward(Config{Name: "agent0.example:5060", Life: 1, Senders: senders})
+	for _, id := range names("server", n) {
+		w.Listed(time.Hour, id, true)
+	}
+	var all []Summary
+	for _, name := range names("agent", senders) {
+		all = append(all, grown(name, n).Summary(time.Hour, "agent0.example:5060"))
+	}
+	for _, s := range all {
+		w.Hear(time.Hour, s)
+	}
+	return w, all
+}
+
+// BenchmarkSummary words what a sender knows of n servers.
+func BenchmarkSummary(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := grown("agent1.example:5060", n)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Summary(time.Hour, "agent0.example:5060")
+			}
+			b.ReportMetric(encoded(b, s.Summary(time.Hour, "agent0.example:5060")), "bytes/message")
+		})
+	}
+}
+
+// BenchmarkHearSized takes one summary at the steward and answers it with a view: as the servers grow in
+// number, with 24 senders, and as the senders do, with 27 servers.
+func BenchmarkHearSized(b *testing.B) {
+	run := func(name string, n, senders int) {
+		b.Run(name, func(b *testing.B) {
+			w, all := stewarded(n, senders)
+			now, seq := time.Hour, uint64(1)
+			var v View
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				s := all[i%senders]
+				if i%senders == 0 { // a period goes round
+					now, seq = now+500*time.Millisecond, seq+1
+				}
+				s.From.Seq, s.Demand = seq, 1.0/3
+				for j := range s.Counts {
+					s.Counts[j].Sent += uint64(j % 3)
+					s.Counts[j].Done = s.Counts[j].Sent
+				}
+				v, _ = w.Hear(now, s)
+			}
+			b.ReportMetric(encoded(b, v), "bytes/message")
+		})
+	}
+	for _, n := range sizes {
+		run(fmt.Sprintf("servers=%d", n), n, 24)
+	}
+	for _, n := range sizes {
+		run(fmt.Sprintf("senders=%d", n), 27, n)
+	}
+}
+
+// BenchmarkFollow takes a view of n servers at a sender.
+func BenchmarkFollow(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := grown("agent1.example:5060", n)
+			w, _ := stewarded(n, 2)
+			s.Summary(time.Hour, "agent0.example:5060") // its first was heard already
+			v, ok := w.Hear(time.Hour, s.Summary(time.Hour, "agent0.example:5060"))
+			if !ok {
+				b.Fatal("the summary was not news")
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				v.From.Seq = uint64(1000 + i)
+				s.Hear(time.Hour, v)
+			}
+		})
+	}
+}
+
+// BenchmarkStewardAt names the steward among n senders, as each does for each summary.
+func BenchmarkStewardAt(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("senders=%d", n), func(b *testing.B) {
+			alive := names("agent", n)
+			b.ReportAllocs()
+			for b.Loop() {
+				StewardAt(alive, 0)
+			}
+		})
+	}
+}
