A steward's view is read as a whole and decided on once, not once for each server in it

Found while looking for work that grows faster than the servers: Controller.Follow handed each due to Handle, which looks at all servers each time: 532900 looks for one view of 730 (TestLooks, "a view", on the code before; it fails there). At one view each 500 ms that is some ms of the core's actor each time.

Change: Follow sets the time, reads all dues, then decides once; one look at each server where no call is held. This one is not bit for bit: with calls held, the former code decided for them with the first due read and the others not yet; and a view without any rate now ends in a decision too, which finds nothing new. Tests of policy, spread, agent and internal/fleet/spreader pass.

--- a/policy/api.go
+++ b/policy/api.go
@@ -245,20 +245,21 @@
 func (Wake) action()   {}
 func (Log) action()    {}
 
-// Follow takes a steward's view of the fleet: the order of servers by its shares, and for each of
-// them what all senders together have measured, which is worth more than this one's few reports.
-func (c *Controller) Follow(now Time, v spread.View) (acts []Action) {
+// Follow takes a steward's view of the fleet: the order of servers by its shares, and what all senders
+// have measured of each, worth more than this one's few reports. All of it is read, then decided on once.
+func (c *Controller) Follow(now Time, v spread.View) []Action {
 	if !c.spread.Hear(now, v) {
 		return nil
 	}
+	c.Handle(now, Probed{}) // of no server: the time alone
 	for _, d := range v.Dues {
 		if d.Rate > 0 {
 			r := NoReport()
 			r.Rate, r.HoldBack = d.Rate, v.Hold
-			acts = append(acts, c.Handle(now, Probed{Server: d.Server, Result: OK, Asked: true, Report: r})...)
+			c.probed(Probed{Server: d.Server, Result: OK, Asked: true, Report: r})
 		}
 	}
-	return acts
+	return c.Handle(now, Probed{Asked: true})
 }
 
 // Spread is the sender's part in spreading the load of all, for whoever carries its messages.
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -203,6 +203,13 @@
 		}},
 		{"lines told", func(c *Controller, now Time) { c.Handle(now+450*ms, told(c.servers[0].ID, 70, 400)) }},
 		{"a whole list", func(c *Controller, now Time) { c.Handle(now, List{Whole: true, Servers: up(len(c.servers))}) }},
+		{"a view", func(c *Controller, now Time) {
+			v := spread.View{From: spread.Stamp{Name: "a2", Life: 1, Seq: 1}, Echo: spread.Stamp{Name: "a1", Life: 1, Seq: 1}}
+			for _, s := range c.servers {
+				v.Dues = append(v.Dues, spread.Due{Server: s.ID, Share: 1, Rate: 50})
+			}
+			c.Follow(now, v)
+		}},
 		{"tick, most are suspect", func(c *Controller, now Time) {
 			shun(c, now, len(c.servers)-1)
 			c.Handle(now+100*ms, Tick{})
