--- /dev/null
+++ b/rollout/state.go
@@ -0,0 +1,467 @@
+package rollout
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of an entry's words.
+const (
+	// MaxFirst bounds the agents of a first stage.
+	MaxFirst = 4096
+	// MaxHaltWhy bounds the bytes of a halt's words: an agent's name and its refusal fit.
+	MaxHaltWhy = MaxWhy + 2*maxWord
+	// ByRollout is the author of the revisions that a halt makes.
+	ByRollout = "rollout"
+)
+
+// State is the replicated state: every document with its revisions. It is deterministic: states
+// that have applied the same entries are equal. The zero value is not ready; use New. It is not
+// safe for use by several goroutines at once. What it returns shares texts and lists with it:
+// nobody may write into them.
+type State struct {
+	applied uint64
+	docs    map[Name]*doc
+	scopes  map[Scope][]*doc // those of a scope, by key
+	open    map[*doc]bool    // with a revision waiting or at its first stage
+	total   int              // bytes of all texts kept
+}
+
+// doc is a document. Its revisions are never written into, so that an Image may share them.
+type doc struct {
+	name   Name
+	key    string      // name.String()
+	now    *Revision   // everywhere; nil: none yet
+	first  *Revision   // at its first stage
+	next   *Revision   // waiting
+	former []*Revision // superseded and halted, by number
+}
+
+// New returns the empty state, at index 0.
+func New() *State {
+	return &State{docs: map[Name]*doc{}, scopes: map[Scope][]*doc{}, open: map[*doc]bool{}}
+}
+
+// Sum is the checksum of a text, as Document.Sum has it.
+func Sum(text []byte) uint64 { return xxhash.Sum64(text) }
+
+// Encode is an entry's bytes in the log.
+func Encode(e Entry) []byte {
+	b, _ := json.Marshal(e) // a struct of strings and numbers always marshals
+	return b
+}
+
+// Apply applies the entry at index; entries come in log order, each once. An index at or below
+// the last applied one is refused with ErrEntry and changes nothing. An entry that is malformed,
+// unknown or over a bound is refused with ErrEntry naming the field or byte and the figure, a put
+// against another than the latest revision with ErrConflict naming that and its author; both
+// change nothing but Applied, as every replica has to skip them alike.
+//
+// A put's number is its index. It waits, and takes the place of one that waited; OpStart brings
+// it to its first stage, OpAdvance everywhere, OpHalt gives it up and has the former text again
+// under the halt's index (removed, if there was none). A put that waits behind a halted one,
+// written against it, stays: its author saw that text, and what is wrong with both is found by
+// a first stage of its own. Its number is now below that of the restored text, and an agent's
+// number must not fall, so its OpStart puts it under the start's own index, with Restores naming
+// its former one, which is Superseded. An OpStart of a revision at its first stage adds agents
+// there and takes none away. Any other start, advance or halt does nothing: Changed is false.
+func (s *State) Apply(index uint64, data []byte) (Result, error) {
+	if index <= s.applied {
+		return Result{}, fmt.Errorf("%w: index %d already applied (at %d)", ErrEntry, index, s.applied)
+	}
+	s.applied = index
+	var e Entry
+	if err := json.Unmarshal(data, &e); err != nil {
+		return Result{}, fmt.Errorf("%w %d: %s", ErrEntry, index, describe(data, err))
+	}
+	if err := e.valid(); err != nil {
+		return Result{}, fmt.Errorf("%w %d: %w", ErrEntry, index, err)
+	}
+	if e.Op == OpPut {
+		return s.put(index, e)
+	}
+	for d := range s.open {
+		if d.first != nil && d.first.Revision == e.Revision || d.next != nil && d.next.Revision == e.Revision {
+			return s.stage(index, d, e), nil
+		}
+	}
+	return Result{}, nil
+}
+
+func (s *State) put(index uint64, e Entry) (Result, error) {
+	d := s.docs[e.Name]
+	latest := d.latest()
+	if latest.Revision != e.Base {
+		return Result{}, fmt.Errorf("%w: %v is at %s, not at %d", ErrConflict, e.Name, latest.by(), e.Base)
+	}
+	r := Revision{Document: Document{Name: e.Name, Revision: index, Text: e.Text, Removed: e.Remove},
+		Base: e.Base, Author: e.Author, AtUs: e.AtUs, Stage: Waiting, Restores: e.Restore}
+	refuse := func(format string, args ...any) (Result, error) {
+		return Result{}, fmt.Errorf("%w %d: field "+format, append([]any{ErrEntry, index}, args...)...)
+	}
+	switch {
+	case e.Remove && (d == nil || latest.Removed):
+		return refuse("remove: %v has no text to remove", e.Name)
+	case e.Restore > 0:
+		was := d.find(e.Restore)
+		if was == nil {
+			return refuse("restore: revision %d of %v is not kept", e.Restore, e.Name)
+		}
+		r.Text, r.Removed = was.Text, was.Removed
+	case d == nil && len(s.docs) >= MaxDocuments:
+		return refuse("name: %d documents, most %d", len(s.docs)+1, MaxDocuments)
+	}
+	if n := s.total + len(r.Text); n > MaxTotal {
+		if n -= s.droppable(d); n > MaxTotal {
+			return refuse("text: %d bytes of texts in force or on their way, most %d", n, MaxTotal)
+		}
+	}
+	if d == nil {
+		d = s.add(e.Name)
+	}
+	r.Sum = Sum(r.Text)
+	s.retire(d, d.next, Superseded, "")
+	d.next = &r
+	s.total += len(r.Text)
+	s.settle(d)
+	return Result{Revision: index}, nil
+}
+
+// stage applies OpStart, OpAdvance and OpHalt to a document with an open revision.
+func (s *State) stage(index uint64, d *doc, e Entry) Result {
+	started := d.first != nil && d.first.Revision == e.Revision
+	switch {
+	case e.Op == OpStart && started:
+		r := *d.first
+		r.First = union(r.First, e.First)
+		if len(r.First) == len(d.first.First) {
+			return Result{}
+		}
+		d.first = &r
+		return Result{Revision: r.Revision, Changed: true}
+	case e.Op == OpStart && d.first == nil:
+		r := *d.next
+		if d.now != nil && d.now.Revision > r.Revision {
+			s.retire(d, d.next, Superseded, "")
+			r.Restores, r.Revision = r.Revision, index
+			s.total += len(r.Text)
+		}
+		r.Stage, r.First = First, union(nil, e.First)
+		d.first, d.next = &r, nil
+	case e.Op == OpAdvance && started:
+		r := *d.first
+		r.Stage = Everywhere
+		s.retire(d, d.now, Superseded, "")
+		d.now, d.first = &r, nil
+	case e.Op == OpHalt && started:
+		r := Revision{Document: Document{Name: d.name, Revision: index, Removed: true}, Base: d.first.Revision,
+			Author: ByRollout, AtUs: e.AtUs, Stage: Everywhere}
+		if d.now != nil {
+			r.Text, r.Removed, r.Restores = d.now.Text, d.now.Removed, d.now.Revision
+		}
+		r.Sum = Sum(r.Text)
+		s.retire(d, d.now, Superseded, "")
+		s.retire(d, d.first, Halted, e.Why)
+		d.now, d.first = &r, nil
+		s.total += len(r.Text)
+	default:
+		return Result{}
+	}
+	s.settle(d)
+	if e.Op == OpHalt {
+		return Result{Revision: index, Changed: true}
+	}
+	if e.Op == OpAdvance {
+		return Result{Revision: d.now.Revision, Changed: true}
+	}
+	return Result{Revision: d.first.Revision, Changed: true}
+}
+
+// retire puts a revision among the former ones.
+func (s *State) retire(d *doc, r *Revision, as Stage, why string) {
+	if r == nil {
+		return
+	}
+	c := *r
+	c.Stage, c.Why = as, why
+	at, _ := slices.BinarySearchFunc(d.former, c.Revision, byNumber)
+	d.former = slices.Insert(slices.Clone(d.former), at, &c) // an Image may share the old list
+}
+
+// settle keeps the bounds and the index of open documents after a change of d.
+func (s *State) settle(d *doc) {
+	if d.first != nil || d.next != nil {
+		s.open[d] = true
+	} else {
+		delete(s.open, d)
+	}
+	for len(d.former) > MaxHistory {
+		s.drop(d)
+	}
+	for s.total > MaxTotal {
+		var oldest *doc
+		for _, d := range s.docs {
+			if len(d.former) > 0 && (oldest == nil || d.former[0].Revision < oldest.former[0].Revision) {
+				oldest = d
+			}
+		}
+		if oldest == nil {
+			return // can't be: put looked
+		}
+		s.drop(oldest)
+	}
+}
+
+func (s *State) drop(d *doc) {
+	s.total -= len(d.former[0].Text)
+	d.former = d.former[1:]
+}
+
+// droppable is how many bytes the former texts have, with the one that a put to d supersedes.
+func (s *State) droppable(to *doc) (n int) {
+	for _, d := range s.docs {
+		for _, r := range d.former {
+			n += len(r.Text)
+		}
+	}
+	if to != nil && to.next != nil {
+		n += len(to.next.Text)
+	}
+	return n
+}
+
+// add enters a new document.
+func (s *State) add(n Name) *doc {
+	d := &doc{name: n, key: n.String()}
+	s.docs[n] = d
+	list := s.scopes[n.Scope]
+	at, _ := slices.BinarySearchFunc(list, d, byKey)
+	s.scopes[n.Scope] = slices.Insert(list, at, d)
+	return d
+}
+
+// For returns the documents whose scope holds an agent, removed ones among them, as it should
+// have them now: the revision at its first stage where the agent is in that, otherwise the one
+// that is everywhere; by name. Of a name the number that an agent gets never falls as the log
+// goes on. The cost grows with the documents of the agent alone.
+func (s *State) For(a Agent) []Document {
+	var docs [5][]*doc
+	n := 0
+	for i, scope := range a.scopes() {
+		docs[i] = s.scopes[scope]
+		n += len(docs[i])
+	}
+	if n == 0 {
+		return nil
+	}
+	out := make([]Document, 0, n)
+	for { // the lists are in order: merge them
+		least := -1
+		for i, l := range docs {
+			if len(l) > 0 && (least < 0 || l[0].key < docs[least][0].key) {
+				least = i
+			}
+		}
+		if least < 0 {
+			return out
+		}
+		if r := docs[least][0].at(a); r != nil {
+			out = append(out, r.Document)
+		}
+		docs[least] = docs[least][1:]
+	}
+}
+
+// InFirst tells whether an agent is in some first stage that is open.
+func (s *State) InFirst(a Agent) bool {
+	for d := range s.open {
+		if d.inFirst(a.Name) && d.name.Scope.Holds(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// Latest returns a document's head, with which a put's Base is compared: the one that waits,
+// else the one at its first stage, else the one everywhere; false if there is no such document.
+func (s *State) Latest(n Name) (Revision, bool) {
+	r := s.docs[n].latest()
+	return r, r.Revision > 0
+}
+
+// History returns the revisions of a document that are kept, the highest number first.
+func (s *State) History(n Name) (out []Revision) {
+	if d := s.docs[n]; d != nil {
+		for _, r := range slices.Concat(d.former, []*Revision{d.now, d.first, d.next}) {
+			if r != nil {
+				out = append(out, *r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Revision) int { return cmp.Compare(b.Revision, a.Revision) })
+	return out
+}
+
+// Names lists the documents, removed ones among them, by name.
+func (s *State) Names() []Name {
+	out := make([]Name, 0, len(s.docs))
+	for _, d := range s.byKey() {
+		out = append(out, d.name)
+	}
+	return out
+}
+
+// Open lists the revisions that wait or are at their first stage, the oldest first.
+func (s *State) Open() (out []Revision) {
+	for d := range s.open {
+		for _, r := range []*Revision{d.first, d.next} {
+			if r != nil {
+				out = append(out, *r)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Revision) int { return cmp.Compare(a.Revision, b.Revision) })
+	return out
+}
+
+// Applied is the index of the last entry applied.
+func (s *State) Applied() uint64 { return s.applied }
+
+// scopes are the scopes that hold an agent, the widest first.
+func (a Agent) scopes() [5]Scope {
+	return [5]Scope{{Level: All}, {Region, a.Region}, {Zone, a.Zone}, {Service, a.Service}, {One, a.Name}}
+}
+
+func (s *State) byKey() []*doc {
+	out := make([]*doc, 0, len(s.docs))
+	for _, d := range s.docs {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, byKey)
+	return out
+}
+
+func byKey(a, b *doc) int { return cmp.Compare(a.key, b.key) }
+
+func byNumber(r *Revision, n uint64) int { return cmp.Compare(r.Revision, n) }
+
+func (d *doc) inFirst(agent string) bool {
+	if d.first == nil {
+		return false
+	}
+	_, ok := slices.BinarySearch(d.first.First, agent)
+	return ok
+}
+
+// at is the revision that an agent of the scope should have; nil: none.
+func (d *doc) at(a Agent) *Revision {
+	if d.inFirst(a.Name) {
+		return d.first
+	}
+	return d.now
+}
+
+func (d *doc) latest() Revision {
+	if d != nil {
+		for _, r := range []*Revision{d.next, d.first, d.now} {
+			if r != nil {
+				return *r
+			}
+		}
+	}
+	return Revision{}
+}
+
+// find returns a revision that is kept.
+func (d *doc) find(n uint64) *Revision {
+	if d != nil {
+		for _, r := range append([]*Revision{d.now, d.first, d.next}, d.former...) {
+			if r != nil && r.Revision == n {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// by words a revision with its author.
+func (r Revision) by() string {
+	switch {
+	case r.Revision == 0:
+		return "0 (there is none)"
+	case r.Removed:
+		return fmt.Sprintf("%d, removed by %s", r.Revision, r.Author)
+	}
+	return fmt.Sprintf("%d by %s", r.Revision, r.Author)
+}
+
+// union is the sorted union of a sorted list and another; it writes into neither.
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// valid names the first field of an entry that can't be applied.
+func (e Entry) valid() error {
+	switch e.Op {
+	case OpPut:
+		if !e.Name.valid() {
+			return fmt.Errorf("field name: %.80q is no name of a document", e.Name.String())
+		}
+		switch {
+		case !line(e.Author):
+			return fmt.Errorf("field author: %.80q is not a word of 1 to %d bytes", e.Author, maxWord)
+		case len(e.Text) > MaxText:
+			return fmt.Errorf("field text: %d bytes, most %d", len(e.Text), MaxText)
+		case e.Remove && (len(e.Text) > 0 || e.Restore > 0):
+			return errors.New("field remove: a removal has neither text nor restore")
+		case e.Restore > 0 && len(e.Text) > 0:
+			return errors.New("field restore: a former text comes again without a text")
+		}
+		return nil
+	case OpStart, OpAdvance, OpHalt:
+		switch {
+		case e.Revision == 0:
+			return errors.New("field revision: 0 is none")
+		case e.Op == OpStart && len(e.First) > MaxFirst:
+			return fmt.Errorf("field first: %d agents, most %d", len(e.First), MaxFirst)
+		case e.Op == OpStart && slices.ContainsFunc(e.First, func(s string) bool { return !word(s) }):
+			return errors.New("field first: an agent's name is empty, longer than 128 bytes, or has blanks, @ or /")
+		case e.Op == OpHalt && len(e.Why) > MaxHaltWhy:
+			return fmt.Errorf("field why: %d bytes, most %d", len(e.Why), MaxHaltWhy)
+		}
+		return nil
+	}
+	return fmt.Errorf("field op: %.80q is no operation", e.Op)
+}
+
+// valid tells whether ParseName reads a name back as it is.
+func (n Name) valid() bool {
+	back, err := ParseName(n.String())
+	return err == nil && back == n
+}
+
+// line tells whether a text may be a word of a console's line, such as an author.
+func line(s string) bool {
+	return s != "" && len(s) <= maxWord && strings.IndexFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f }) < 0
+}
+
+// describe words a JSON error with the byte it stands at.
+func describe(data []byte, err error) string {
+	var syn *json.SyntaxError
+	if errors.As(err, &syn) {
+		return fmt.Sprintf("byte %d: %v", syn.Offset, err)
+	}
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) {
+		return fmt.Sprintf("field %s, byte %d: %v", typ.Field, typ.Offset, err)
+	}
+	return fmt.Sprintf("byte %d: %v", len(data), err)
+}
--- /dev/null
+++ b/rollout/state_test.go
@@ -0,0 +1,317 @@
+package rollout
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	routes = Name{Kind: "routes", Scope: Scope{Level: All}}
+	byZone = Name{Kind: "routes", Scope: Scope{Level: Zone, Of: "z1"}}
+)
+
+// log applies entries from index 1 on.
+type log struct {
+	t interface {
+		Helper()
+		Fatalf(string, ...any)
+	}
+	*State
+	starts int
+}
+
+func (l *log) do(e Entry) (Result, error) {
+	if e.Op == OpStart {
+		l.starts++
+	}
+	return l.Apply(l.Applied()+1, Encode(e))
+}
+
+func (l *log) must(e Entry) uint64 {
+	l.t.Helper()
+	r, err := l.do(e)
+	if err != nil || e.Op != OpPut && !r.Changed {
+		l.t.Fatalf("%+v: %+v, %v", e, r, err)
+	}
+	return r.Revision
+}
+
+func (l *log) put(n Name, text string) uint64 {
+	l.t.Helper()
+	head, _ := l.Latest(n)
+	return l.must(Entry{Op: OpPut, Name: n, Base: head.Revision, Text: []byte(text), Author: "anna"})
+}
+
+// settled puts a text and brings it everywhere.
+func (l *log) settled(n Name, text string) uint64 {
+	l.t.Helper()
+	r := l.must(Entry{Op: OpStart, Revision: l.put(n, text)})
+	return l.must(Entry{Op: OpAdvance, Revision: r})
+}
+
+// words tells the kept revisions of a document, the newest first.
+func (l *log) words(n Name) string {
+	var out []string
+	for _, r := range l.History(n) {
+		w := fmt.Sprintf("%d %s %q", r.Revision, r.Stage, r.Text)
+		if r.Removed {
+			w += " removed"
+		}
+		if r.Restores > 0 {
+			w += fmt.Sprint(" of ", r.Restores)
+		}
+		out = append(out, w)
+	}
+	return strings.Join(out, ", ")
+}
+
+func TestStages(t *testing.T) {
+	start := func(r uint64, first ...string) Entry { return Entry{Op: OpStart, Revision: r, First: first} }
+	advance := func(r uint64) Entry { return Entry{Op: OpAdvance, Revision: r} }
+	halt := func(r uint64) Entry { return Entry{Op: OpHalt, Revision: r, Why: "a1: no"} }
+	put := func(base uint64, text string) Entry {
+		return Entry{Op: OpPut, Name: routes, Base: base, Text: []byte(text), Author: "anna"}
+	}
+	cases := []struct {
+		name    string
+		entries []Entry
+		want    string
+		a1, b1  string // what a first-stage agent has, and another
+	}{
+		{"waits", []Entry{put(0, "x")}, `1 waiting "x"`, "", ""},
+		{"first stage", []Entry{put(0, "x"), start(1, "a1")}, `1 first "x"`, "1 x", ""},
+		{"everywhere", []Entry{put(0, "x"), start(1, "a1"), advance(1)}, `1 everywhere "x"`, "1 x", "1 x"},
+		{"one waits behind the first, the newest", []Entry{put(0, "x"), start(1, "a1"), put(1, "y"), put(3, "z"), start(4, "a1")},
+			`4 waiting "z", 3 superseded "y", 1 first "x"`, "1 x", ""},
+		{"halted: nothing was there before", []Entry{put(0, "x"), start(1, "a1"), halt(1)}, `3 everywhere "" removed, 1 halted "x"`, "3 -", "3 -"},
+		{"halted: the former text under a new number", []Entry{put(0, "x"), start(1, "a1"), advance(1), put(1, "y"), start(4, "a1"), halt(4)},
+			`6 everywhere "x" of 1, 4 halted "y", 1 superseded "x"`, "6 x", "6 x"},
+		{"halted while the next waits: that one stays, and starts under a higher number",
+			[]Entry{put(0, "x"), start(1, "a1"), put(1, "y"), halt(1), start(3, "b1")},
+			`5 first "y" of 3, 4 everywhere "" removed, 3 superseded "y", 1 halted "x"`, "4 -", "5 y"},
+		{"late proposals do nothing", []Entry{put(0, "x"), advance(1), halt(1), start(1, "a1"), advance(1), advance(1), halt(1), start(1, "b1")},
+			`1 everywhere "x"`, "1 x", "1 x"},
+		{"a second start adds agents", []Entry{put(0, "x"), start(1, "a1"), start(1, "b1")}, `1 first "x"`, "1 x", "1 x"},
+		{"removed by stages, and back", []Entry{put(0, "x"), start(1), advance(1), {Op: OpPut, Name: routes, Base: 1, Remove: true, Author: "b"},
+			start(4, "a1"), advance(4), {Op: OpPut, Name: routes, Base: 4, Restore: 1, Author: "b"}, start(7, "b1")},
+			`7 first "x" of 1, 4 everywhere "" removed, 1 superseded "x"`, "4 -", "7 x"},
+	}
+	for _, c := range cases {
+		l := &log{t: t, State: New()}
+		for _, e := range c.entries {
+			if _, err := l.do(e); err != nil {
+				t.Errorf("%s: %v", c.name, err)
+			}
+		}
+		if got := l.words(routes); got != c.want {
+			t.Errorf("%s:\n got %s\nwant %s", c.name, got, c.want)
+		}
+		for agent, want := range map[string]string{"a1": c.a1, "b1": c.b1} {
+			got := ""
+			for _, d := range l.For(Agent{Name: agent}) {
+				if got = fmt.Sprint(d.Revision, " ", string(d.Text)); d.Removed {
+					got = fmt.Sprint(d.Revision, " -")
+				}
+			}
+			if got != want {
+				t.Errorf("%s: %s has %q, want %q", c.name, agent, got, want)
+			}
+		}
+	}
+}
+
+func TestRefusedEntries(t *testing.T) {
+	put := Entry{Op: OpPut, Name: byZone, Base: 0, Text: []byte("x"), Author: "anna"}
+	with := func(change func(*Entry)) []byte {
+		e := put
+		change(&e)
+		return Encode(e)
+	}
+	cases := []struct {
+		data []byte
+		err  error
+		says string
+	}{
+		{[]byte("\x00\xff"), ErrEntry, "byte 1"},
+		{[]byte(`{"op":"put","base":"x"}`), ErrEntry, "field base"},
+		{[]byte(`null`), ErrEntry, "field op"},
+		{[]byte(`{"op":"put"`), ErrEntry, "byte 11"},
+		{append(Encode(put), '!'), ErrEntry, "byte"},
+		{Encode(Entry{Op: "merge"}), ErrEntry, `field op: "merge"`},
+		{Encode(Entry{Op: OpStart}), ErrEntry, "field revision"},
+		{Encode(Entry{Op: OpStart, Revision: 1, First: []string{"a b"}}), ErrEntry, "field first"},
+		{Encode(Entry{Op: OpStart, Revision: 1, First: make([]string, MaxFirst+1)}), ErrEntry, "4097 agents"},
+		{Encode(Entry{Op: OpHalt, Revision: 1, Why: strings.Repeat("x", MaxHaltWhy+1)}), ErrEntry, "field why: 657 bytes, most 656"},
+		{with(func(e *Entry) { e.Text = make([]byte, MaxText+1) }), ErrEntry, "field text: 262145 bytes, most 262144"},
+		{with(func(e *Entry) { e.Author = "" }), ErrEntry, "field author"},
+		{with(func(e *Entry) { e.Name.Scope.Level = "planet" }), ErrEntry, "field name"},
+		{with(func(e *Entry) { e.Name.Scope = Scope{All, "z1"} }), ErrEntry, "field name"},
+		{with(func(e *Entry) { e.Remove = true }), ErrEntry, "field remove"},
+		{with(func(e *Entry) { e.Remove, e.Text = true, nil }), ErrEntry, "routes@zone/z1 has no text to remove"},
+		{with(func(e *Entry) { e.Restore = 1 }), ErrEntry, "field restore"},
+		{with(func(e *Entry) { e.Name, e.Base, e.Text, e.Restore = routes, 1, nil, 7 }), ErrEntry, "revision 7 of routes@all is not kept"},
+		{with(func(e *Entry) { e.Base = 9 }), ErrConflict, "routes@zone/z1 is at 0 (there is none), not at 9"},
+		{with(func(e *Entry) { e.Name = routes }), ErrConflict, "routes@all is at 1 by anna, not at 0"},
+	}
+	l := &log{t: t, State: New()}
+	l.put(routes, "x")
+	docs := l.Image().i.Docs
+	for _, c := range cases {
+		r, err := l.Apply(l.Applied()+1, c.data)
+		if !errors.Is(err, c.err) || !strings.Contains(fmt.Sprint(err), c.says) || r != (Result{}) {
+			t.Errorf("%.80q: %v, %v; want %q", c.data, r, err, c.says)
+		}
+	}
+	if _, err := l.Apply(l.Applied(), Encode(put)); !errors.Is(err, ErrEntry) {
+		t.Error("an index applied twice:", err)
+	}
+	if got := fmt.Sprint(l.Image().i.Docs); got != fmt.Sprint(docs) {
+		t.Errorf("a refused entry changed the state: %s", got)
+	}
+}
+
+func TestBounds(t *testing.T) {
+	l := &log{t: t, State: New()}
+	for range 3 * MaxHistory {
+		l.settled(routes, "x")
+	}
+	if got := len(l.History(routes)); got != MaxHistory+1 {
+		t.Errorf("%d revisions kept, want %d and the one in force", got, MaxHistory)
+	}
+	// Of MaxTotal two thirds are former texts: they go, the oldest first, and what is in force stays.
+	l = &log{t: t, State: New()}
+	text := strings.Repeat("x", MaxText)
+	names := make([]Name, MaxTotal/MaxText)
+	for i := range names {
+		names[i] = Name{"routes", Scope{One, fmt.Sprint("a", i)}}
+	}
+	for range 3 {
+		for _, n := range names[:len(names)/3] {
+			l.settled(n, text)
+		}
+	}
+	if l.total > MaxTotal {
+		t.Errorf("%d bytes kept", l.total)
+	}
+	for _, n := range names[len(names)/3:] {
+		l.settled(n, text)
+	}
+	for _, n := range names {
+		if h := l.History(n); len(h) != 1 || h[0].Stage != Everywhere || len(h[0].Text) != MaxText {
+			t.Fatalf("%v: %d revisions", n, len(h))
+		}
+	}
+	if _, err := l.do(Entry{Op: OpPut, Name: routes, Text: []byte("y"), Author: "b"}); !errors.Is(err, ErrEntry) ||
+		!strings.Contains(err.Error(), fmt.Sprintf("field text: %d bytes of texts in force or on their way, most %d", MaxTotal+1, MaxTotal)) {
+		t.Error(err)
+	}
+	l = &log{t: t, State: New()}
+	for i := range MaxDocuments {
+		l.put(Name{"routes", Scope{One, fmt.Sprint("a", i)}}, "")
+	}
+	if _, err := l.do(Entry{Op: OpPut, Name: routes, Author: "b"}); err == nil || !strings.Contains(err.Error(), "field name: 1025 documents, most 1024") {
+		t.Error(err)
+	}
+}
+
+// TestNumbersNeverFall: over random entries, with restores from snapshots between, of each name
+// the number an agent gets never falls, one number never has two texts or names, a former
+// agent of a first stage keeps what it has, and a restored state goes on as the other does.
+func TestNumbersNeverFall(t *testing.T) {
+	agents := []Agent{{"a1", "s", "z1", "r"}, {"a2", "s", "z1", "r"}, {"b1", "t", "z2", "r"}, {"b2", "t", "z2", "q"}}
+	names := []Name{routes, byZone, {"routes", Scope{One, "b1"}}, {"spread", Scope{Service, "s"}}}
+	rapid.Check(t, func(t *rapid.T) {
+		s, other := New(), New()
+		numbers := map[string]uint64{}
+		texts := map[uint64]string{}
+		for range rapid.IntRange(1, 60).Draw(t, "entries") {
+			n := rapid.SampledFrom(names).Draw(t, "name")
+			head, _ := s.Latest(n)
+			e := Entry{Op: rapid.SampledFrom([]Op{OpPut, OpStart, OpAdvance, OpHalt}).Draw(t, "op"), Name: n,
+				Base: head.Revision, Author: "anna", Revision: head.Revision, Why: "no"}
+			for _, a := range agents {
+				if rapid.Bool().Draw(t, "in") {
+					e.First = append(e.First, a.Name)
+				}
+			}
+			if open := s.Open(); len(open) > 0 && rapid.Bool().Draw(t, "open") {
+				e.Revision = rapid.SampledFrom(open).Draw(t, "revision").Revision
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "how") {
+			case 0:
+				e.Remove = true
+			case 1:
+				if h := s.History(n); len(h) > 0 {
+					e.Restore = rapid.SampledFrom(h).Draw(t, "restore").Revision
+				}
+			case 2:
+				e.Base = rapid.Uint64Range(0, 9).Draw(t, "base")
+			default:
+				e.Text = []byte(rapid.StringN(1, 2, 2).Draw(t, "text"))
+			}
+			index := s.Applied() + rapid.Uint64Range(1, 3).Draw(t, "gap")
+			r1, err1 := s.Apply(index, Encode(e))
+			r2, err2 := other.Apply(index, Encode(e))
+			if r1 != r2 || fmt.Sprint(err1) != fmt.Sprint(err2) || !bytes.Equal(s.Image().Bytes(), other.Image().Bytes()) {
+				t.Fatalf("two replicas differ at %d: %v %v, %v %v", index, r1, err1, r2, err2)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				var err error
+				if other, err = Restore(other.Image().Bytes()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, a := range agents {
+				last := ""
+				for _, d := range s.For(a) {
+					id := a.Name + " " + d.Name.String()
+					if d.Revision < numbers[id] || d.Name.String() <= last || !d.Name.Scope.Holds(a) {
+						t.Fatalf("%s gets %d after %d (after %s)", id, d.Revision, numbers[id], last)
+					}
+					numbers[id], last = d.Revision, d.Name.String()
+					text := fmt.Sprint(d.Name, string(d.Text), d.Removed, d.Sum == Sum(d.Text))
+					if was, ok := texts[d.Revision]; ok && was != text {
+						t.Fatalf("%d has two texts: %s, %s", d.Revision, was, text)
+					}
+					texts[d.Revision] = text
+				}
+			}
+			for id, n := range numbers {
+				if n > s.Applied() {
+					t.Fatalf("%s at %d, applied %d", id, n, s.Applied())
+				}
+			}
+		}
+	})
+}
+
+func TestSnapshotRefused(t *testing.T) {
+	l := &log{t: t, State: New()}
+	l.settled(routes, "x")
+	l.put(byZone, "y")
+	whole := l.Image()
+	data := whole.Bytes()
+	l.settled(routes, "z") // an image stays as it was
+	if !bytes.Equal(whole.Bytes(), data) {
+		t.Error("an image changed with its state")
+	}
+	for i := range data {
+		flipped := bytes.Clone(data)
+		flipped[i] ^= 0x20
+		for _, torn := range [][]byte{data[:i], flipped} {
+			if _, err := Restore(torn); !errors.Is(err, ErrSnapshot) || !strings.Contains(err.Error(), "byte ") {
+				t.Fatalf("at byte %d: %v", i, err)
+			}
+		}
+	}
+	for _, img := range []string{`{"docs":[{}]}`, `{"applied":"x"}`, `{"applied":1,"docs":[{"now":{"name":{"kind":"a","scope":{"level":"all"}},"revision":2}}]}`} {
+		if _, err := Restore(seal(snapshotMagic, []byte(img))); !errors.Is(err, ErrSnapshot) {
+			t.Errorf("%s: %v", img, err)
+		}
+	}
+}
