--- /dev/null
+++ b/rollout/held_test.go
@@ -0,0 +1,177 @@
+package rollout
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+)
+
+var a1 = Agent{Name: "a1", Service: "s", Zone: "z1", Region: "r"}
+
+func document(n Name, revision uint64, text string) Document {
+	return Document{Name: n, Revision: revision, Text: []byte(text), Sum: Sum([]byte(text)), Removed: text == ""}
+}
+
+// TestHeld plays orders to an agent's set: "take N:TEXT" tells it of a document, "ok" and "no"
+// are what its loader makes of it; "" as a text is a removal. Wide is routes@all, near routes@zone/z1.
+func TestHeld(t *testing.T) {
+	cases := []struct {
+		name, play, force, seen, refused string
+	}{
+		{"nothing told", "", "-", "map[]", ""},
+		{"told, not yet taken", "wide 1:x", "-", "map[]", ""},
+		{"accepted", "wide 1:x ok", "1 x", "map[routes@all:1]", ""},
+		{"the latest refused: the former stays", "wide 1:x ok wide 2:y no", "1 x", "map[routes@all:1]", "routes@all 2 no"},
+		{"the next after a refused one", "wide 1:x ok wide 2:y no wide 3:z ok", "3 z", "map[routes@all:3]", ""},
+		{"the narrower wins", "near 1:x ok wide 2:y ok", "1 x", "map[routes@all:2 routes@zone/z1:1]", ""},
+		{"the narrower refused: the wider", "wide 1:x ok near 2:y no", "1 x", "map[routes@all:1]", "routes@zone/z1 2 no"},
+		{"the narrower removed: the wider", "wide 1:x ok near 2:y ok near 3: ok", "1 x", "map[routes@all:1 routes@zone/z1:3]", ""},
+		{"all removed: the own file", "wide 1:x ok wide 2: ok", "-", "map[routes@all:2]", ""},
+		{"older ones are passed over", "wide 3:x ok wide 2:y", "3 x", "map[routes@all:3]", ""},
+		{"accepted, and refused by a new program", "wide 1:x ok no", "-", "map[]", "routes@all 1 no"},
+		{"the former accepted late", "wide 1:x old wide 2:y late", "1 x", "map[routes@all:1]", ""},
+	}
+	for _, c := range cases {
+		h := NewHeld(a1)
+		n := routes
+		var last, old Document
+		for _, w := range strings.Fields(c.play) {
+			switch w {
+			case "wide", "near":
+				n = map[string]Name{"wide": routes, "near": byZone}[w]
+			case "ok":
+				h.Accept(last)
+			case "no":
+				h.Refuse(last, "no")
+			case "old":
+				old = last
+			case "late":
+				h.Accept(old)
+			default:
+				var revision uint64
+				number, text, _ := strings.Cut(w, ":")
+				fmt.Sscan(number, &revision)
+				if fresh, err := h.Take(WatchReply{Version: revision, Docs: []Document{document(n, revision, text)}}); err != nil {
+					t.Fatalf("%s: %v", c.name, err)
+				} else if len(fresh) > 0 {
+					last = fresh[0]
+				}
+			}
+			back, err := DecodeHeld(a1, h.Bytes())
+			if err != nil || !bytes.Equal(back.Bytes(), h.Bytes()) {
+				t.Fatalf("%s: after %s: %v", c.name, w, err)
+			}
+			h = back
+		}
+		force := "-"
+		if d, ok := h.Effective("routes"); ok {
+			force = fmt.Sprint(d.Revision, " ", string(d.Text))
+		}
+		seen, refusals := h.Report()
+		var refused []string
+		for _, r := range refusals {
+			refused = append(refused, fmt.Sprint(r.Name, " ", r.Revision, " ", r.Why))
+		}
+		if got := strings.Join(refused, ", "); force != c.force || fmt.Sprint(seen) != c.seen || got != c.refused {
+			t.Errorf("%s: in force %s, seen %v, refused %s; want %s, %s, %s", c.name, force, seen, got, c.force, c.seen, c.refused)
+		}
+	}
+	h := NewHeld(a1)
+	if _, err := h.Take(WatchReply{Version: 7, Docs: []Document{document(routes, 5, "x"), document(byZone, 4, "y")}}); err != nil {
+		t.Fatal(err)
+	}
+	h.Accept(document(routes, 5, "x"))
+	h.Accept(document(routes, 9, "z")) // never told of
+	h.Refuse(document(byZone, 3, "y"), "an older one")
+	if p := h.Pending(); len(p) != 1 || p[0].Revision != 4 || h.Version() != 7 || !h.Behind(WatchReply{Version: 6}) || h.Behind(WatchReply{Version: 7}) ||
+		!maps.Equal(h.Have(), map[string]uint64{"routes@all": 5, "routes@zone/z1": 4}) {
+		t.Errorf("pending %v, version %d, have %v", p, h.Version(), h.Have())
+	}
+	h.Refuse(document(byZone, 4, "y"), strings.Repeat("é", MaxWhy))
+	if _, refused := h.Report(); len(refused) != 1 || refused[0].Why != strings.Repeat("é", MaxWhy/2) {
+		t.Errorf("refused %v", refused)
+	}
+}
+
+func TestForged(t *testing.T) {
+	with := func(d Document, change func(*Document)) Document { change(&d); return d }
+	good := document(routes, 2, "x")
+	cases := []struct {
+		name string
+		docs []Document
+	}{
+		{"field sum", []Document{with(good, func(d *Document) { d.Sum++ })}},
+		{"not a document of agent a1", []Document{document(Name{"routes", Scope{Zone, "z2"}}, 2, "x")}},
+		{"not a document of agent a1", []Document{document(Name{"", Scope{Level: All}}, 2, "x")}},
+		{"field text: 262145 bytes", []Document{document(routes, 2, strings.Repeat("x", MaxText+1))}},
+		{"outside 1 to 9", []Document{document(routes, 10, "x")}},
+		{"outside 1 to 9", []Document{document(routes, 0, "x")}},
+		{"had another text", []Document{document(routes, 1, "y")}},
+		{"had another text", []Document{document(routes, 1, "")}},
+		{"that number is routes@all", []Document{document(byZone, 1, "x")}},
+		{"that number is routes@all", []Document{good, document(byZone, 2, "x")}},
+		{"twice in one answer", []Document{document(routes, 3, "x"), good}},
+		{"of a removed document", []Document{with(good, func(d *Document) { d.Removed = true })}},
+	}
+	for _, c := range cases {
+		h := NewHeld(a1)
+		if _, err := h.Take(WatchReply{Version: 1, Docs: []Document{document(routes, 1, "x")}}); err != nil {
+			t.Fatal(err)
+		}
+		was := h.Bytes()
+		fresh, err := h.Take(WatchReply{Version: 9, Docs: append([]Document{document(Name{"spread", Scope{Level: All}}, 8, "z")}, c.docs...)})
+		if !errors.Is(err, ErrForged) || !strings.Contains(err.Error(), c.name) || fresh != nil || !bytes.Equal(was, h.Bytes()) {
+			t.Errorf("%s: %v, %v", c.name, fresh, err)
+		}
+	}
+}
+
+// TestTornHeld: each cut and each flipped byte of what is kept is refused, naming a byte.
+func TestTornHeld(t *testing.T) {
+	h := NewHeld(a1)
+	for i, text := range []string{"x", "y"} {
+		if _, err := h.Take(WatchReply{Version: 9, Docs: []Document{document(routes, uint64(i+1), text)}}); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			h.Accept(document(routes, 1, "x"))
+		}
+	}
+	h.Refuse(document(routes, 2, "y"), "line 1: no")
+	data := h.Bytes()
+	for i := range data {
+		for bit := range 8 {
+			flipped := bytes.Clone(data)
+			flipped[i] ^= 1 << bit
+			if _, err := DecodeHeld(a1, flipped); !errors.Is(err, ErrHeld) || !strings.Contains(err.Error(), "byte ") {
+				t.Fatalf("bit %d of byte %d: %v", bit, i, err)
+			}
+		}
+		if _, err := DecodeHeld(a1, data[:i]); !errors.Is(err, ErrHeld) || !strings.Contains(err.Error(), "byte ") {
+			t.Fatalf("cut at byte %d: %v", i, err)
+		}
+	}
+	moved := a1
+	moved.Zone = "z2"
+	for name, c := range map[string]struct {
+		a    Agent
+		data []byte
+	}{
+		"another agent's": {Agent{Name: "a2"}, data}, "of a zone left": {moved, data}, "longer": {a1, append(bytes.Clone(data), 0)},
+		"a snapshot": {a1, New().Image().Bytes()}, "junk": {a1, []byte("\x00\xff\x00\xff\x00\xff\x00\xff\x00\xff\x00\xff\x00\xff\x00\xff\x00")},
+	} {
+		if _, err := DecodeHeld(c.a, c.data); !errors.Is(err, ErrHeld) || !strings.Contains(err.Error(), "byte ") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	doc := `{"name":{"kind":"routes","scope":{"level":"all"}},"revision":1,"sum":17241709254077376921}`
+	for _, docs := range []string{"null", `{"told":` + doc + `,"taken":true,"refused":true}`, `{"told":` + doc + `},{"told":` + doc + `}`, `{"told":{}}`} {
+		img := `{"agent":{"name":"a1","service":"s","zone":"z1","region":"r"},"version":1,"docs":[` + docs + `]}`
+		if _, err := DecodeHeld(a1, seal(heldMagic, []byte(img))); !errors.Is(err, ErrHeld) || !strings.Contains(err.Error(), "docs[") {
+			t.Errorf("%s: %v", docs, err)
+		}
+	}
+}
