--- /dev/null
+++ b/rollout/table_test.go
@@ -0,0 +1,53 @@
+package rollout
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func TestTable(t *testing.T) {
+	tab := NewTable()
+	words := func(reports []Report) string {
+		var out []string
+		for _, r := range reports {
+			out = append(out, fmt.Sprint(r.Agent.Name, " ", r.Life, ".", r.Seq, "@", r.AtUs))
+		}
+		return strings.Join(out, ", ")
+	}
+	for _, c := range []struct {
+		agent     string
+		life      int64
+		seq       uint64
+		now       int64
+		taken     bool
+		table     string
+		sinceMark string // what was heard since the step before
+	}{
+		{"a", 5, 1, 10, true, "a 5.1@10", "a 5.1@10"},
+		{"b", 5, 1, 11, true, "a 5.1@10, b 5.1@11", "b 5.1@11"},
+		{"a", 5, 1, 12, false, "a 5.1@10, b 5.1@11", ""}, // doubled
+		{"a", 5, 3, 13, true, "b 5.1@11, a 5.3@13", "a 5.3@13"},
+		{"a", 5, 2, 14, false, "b 5.1@11, a 5.3@13", ""}, // overtaken
+		{"a", 6, 1, 15, true, "b 5.1@11, a 6.1@15", "a 6.1@15"},
+		{"a", 5, 9, 16, false, "b 5.1@11, a 6.1@15", ""}, // a former life, late
+	} {
+		_, mark := tab.Changed(0)
+		if taken := tab.Hear(Report{Agent: Agent{Name: c.agent}, Life: c.life, Seq: c.seq, AtUs: 99}, c.now); taken != c.taken {
+			t.Errorf("at %d: taken %v", c.now, taken)
+		}
+		news, _ := tab.Changed(mark)
+		if got := words(tab.Reports()); got != c.table || words(news) != c.sinceMark {
+			t.Errorf("at %d: %s, news %s; want %s, %s", c.now, got, words(news), c.table, c.sinceMark)
+		}
+	}
+	if all, _ := tab.Changed(0); words(all) != "a 6.1@15, b 5.1@11" {
+		t.Error(words(all))
+	}
+	if tab.Forget(12); words(tab.Reports()) != "a 6.1@15" {
+		t.Error(words(tab.Reports()))
+	}
+	if !tab.Hear(Report{Agent: Agent{Name: "b"}, Life: 5, Seq: 1}, 17) {
+		t.Error("a forgotten agent is not heard again")
+	}
+}
