--- /dev/null
+++ b/rollout/steward_test.go
@@ -0,0 +1,374 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// fleet plays agents, a control machine's table and its steward in steps of 100 ms.
+type fleet struct {
+	log
+	now     int64
+	agents  []*player
+	table   *Table
+	steward *Steward
+	// takes is what becomes of an agent that applies a text: "" well, "refuse", "fail" its
+	// calls, "crash" for good, "loop" start again every 500 ms.
+	takes  func(a *player, text string) string
+	during func(f *fleet) // each step
+	mute   bool           // no report comes to the table
+}
+
+type player struct {
+	Agent
+	held          *Held
+	life          int64
+	seq           uint64
+	calls, failed uint64
+	bad, down     bool
+	again         int64
+}
+
+const step = 100_000
+
+// play makes a fleet of services with so many agents each, of which all have the text "old".
+func play(t *testing.T, services ...int) *fleet {
+	f := &fleet{log: log{t: t, State: New()}, now: 1e9, table: NewTable(), steward: NewSteward(Defaults),
+		takes: func(*player, string) string { return "" }, during: func(*fleet) {}}
+	for s, n := range services {
+		for i := range n {
+			a := Agent{Name: fmt.Sprintf("s%d-%d", s, i), Service: fmt.Sprint("s", s), Zone: fmt.Sprint("z", i%2)}
+			f.agents = append(f.agents, &player{Agent: a, held: NewHeld(a), life: f.now, calls: 200})
+		}
+	}
+	f.settled(routes, "old")
+	f.run(500 * time.Millisecond)
+	f.starts = 0
+	return f
+}
+
+func (f *fleet) run(span time.Duration) {
+	for end := f.now + span.Microseconds(); f.now < end; {
+		f.now += step
+		f.during(f)
+		for _, a := range f.agents {
+			if !a.down {
+				if r := a.act(f); !f.mute {
+					f.table.Hear(r, f.now)
+				}
+			}
+		}
+		for _, e := range f.steward.Decide(f.State, f.table.Reports(), f.now) {
+			if _, err := f.do(e); err != nil {
+				f.t.Fatalf("%+v: %v", e, err)
+			}
+		}
+	}
+}
+
+// act has an agent take what it should have, carry ten calls, and report.
+func (a *player) act(f *fleet) Report {
+	if a.again > 0 && f.now >= a.again {
+		a.restart(f)
+	}
+	fresh, err := a.held.Take(WatchReply{Version: f.Applied(), Whole: true, Docs: f.For(a.Agent)})
+	if err != nil {
+		f.t.Fatalf("%s: %v", a.Name, err)
+	}
+	for _, d := range fresh {
+		how := f.takes(a, string(d.Text))
+		if how == "refuse" {
+			a.held.Refuse(d, "line 1: no")
+			continue
+		}
+		a.held.Accept(d)
+		a.bad = how == "fail"
+		a.again = 0
+		if how == "loop" {
+			a.again = f.now + 5*step
+		}
+		a.down = how == "crash"
+	}
+	a.calls += 10
+	if a.bad {
+		a.failed += 5
+	}
+	a.seq++
+	r := Report{Agent: a.Agent, Life: a.life, Seq: a.seq, Calls: a.calls, Failed: a.failed, InForce: map[string]uint64{}}
+	r.Seen, r.Refused = a.held.Report()
+	if d, ok := a.held.Effective("routes"); ok {
+		r.InForce["routes"] = d.Revision
+	}
+	return r
+}
+
+// restart begins a new life, from what the disk kept.
+func (a *player) restart(f *fleet) {
+	held, err := DecodeHeld(a.Agent, a.held.Bytes())
+	if err != nil {
+		f.t.Fatalf("%s: %v", a.Name, err)
+	}
+	a.held, a.life, a.seq, a.calls, a.failed, a.down = held, f.now, 0, 0, 0, false
+	if a.again > 0 {
+		a.again = f.now + 5*step
+	}
+}
+
+// first returns the agents of the open first stage.
+func (f *fleet) first() (out []*player) {
+	for _, a := range f.agents {
+		if f.InFirst(a.Agent) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (f *fleet) player(name string) *player {
+	return f.agents[slices.IndexFunc(f.agents, func(a *player) bool { return a.Name == name })]
+}
+
+// texts tells what agents serve by and how many each: "new 8".
+func (f *fleet) texts() string {
+	n := map[string]int{}
+	for _, a := range f.agents {
+		if d, ok := a.held.Effective("routes"); ok && !a.down {
+			n[string(d.Text)]++
+		}
+	}
+	return strings.TrimSuffix(strings.TrimPrefix(fmt.Sprint(n), "map["), "]")
+}
+
+func TestSteward(t *testing.T) {
+	is := func(how string, bad func(a *player) bool) func(*player, string) string {
+		return func(a *player, text string) string {
+			if strings.HasPrefix(text, "new") && bad(a) {
+				return how
+			}
+			return ""
+		}
+	}
+	all := func(*player) bool { return true }
+	once := func(do func(f *fleet)) func(*fleet) {
+		return func(f *fleet) {
+			if len(f.first()) > 0 && do != nil {
+				do(f)
+				do = nil
+			}
+		}
+	}
+	put := func(text string) func(f *fleet) { return func(f *fleet) { f.put(routes, text) } }
+	cases := []struct {
+		name     string
+		services []int
+		takes    func(*player, string) string
+		during   func(*fleet)
+		within   time.Duration
+		texts    string // after that
+		starts   int
+		why      string // of a halt
+	}{
+		{"calm", []int{5, 5}, nil, nil, 1500 * time.Millisecond, "new:10", 1, ""},
+		{"services of one, two and three", []int{1, 2, 3}, nil, nil, 1500 * time.Millisecond, "new:6", 1, ""},
+		{"refused: halted", []int{5, 5}, is("refuse", all), nil, time.Second, "old:10", 1, "line 1: no"},
+		{"refused by one agent: halted", []int{5, 5}, is("refuse", func(a *player) bool { return a.Service == "s1" }), nil, time.Second, "old:10", 1, "agent s1-"},
+		{"more calls fail: halted", []int{5, 5}, is("fail", all), nil, 2 * time.Second, "old:10", 1, "calls failed since it took it; all of the first stage"},
+		{"all agents fail alike: not its fault", []int{5, 5}, nil, once(func(f *fleet) {
+			for _, a := range f.agents {
+				a.bad = true
+			}
+			f.takes = is("fail", all)
+		}), 2 * time.Second, "new:10", 1, ""},
+		{"a service of one has nobody to compare with", []int{1}, is("fail", all), nil, 2 * time.Second, "new:1", 1, ""},
+		{"halted while the next waits: that one goes on", []int{5, 5}, func(a *player, text string) string {
+			if text == "new" {
+				return "refuse"
+			}
+			return ""
+		}, once(put("mended")), 3 * time.Second, "mended:10", 2, "line 1: no"},
+		{"halted while the next waits, which is as bad", []int{5, 5}, is("refuse", all), once(put("new2")), 3 * time.Second, "old:10", 2, "line 1: no"},
+		{"one first-stage agent restarts", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].again = f.now + 5*step }), 3 * time.Second, "new:10", 1, ""},
+		{"one vanishes", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].down = true }), 4500 * time.Millisecond, "new:9", 1, ""},
+		{"all vanish: others are chosen", []int{5, 5}, nil, once(func(f *fleet) {
+			for _, a := range f.first() {
+				a.down = true
+			}
+		}), 5500 * time.Millisecond, "new:6", 2, ""},
+		{"it kills its agents: halted at the second choice", []int{9}, is("crash", all), nil, 9 * time.Second, "old:5", 2, "was not heard since"},
+		{"it has its agents restart again and again", []int{9}, is("loop", all), nil, 8 * time.Second, "old:9", 1, "restarts after it accepted"},
+		{"another leads in between", []int{5, 5}, nil, once(func(f *fleet) { f.steward = NewSteward(Defaults) }), 2500 * time.Millisecond, "new:10", 1, ""},
+	}
+	for _, c := range cases {
+		f := play(t, c.services...)
+		if c.takes != nil {
+			f.takes = c.takes
+		}
+		if c.during != nil {
+			f.during = c.during
+		}
+		f.put(routes, "new")
+		f.run(c.within)
+		if got := f.texts(); got != c.texts || f.starts != c.starts || len(f.Open()) > 0 {
+			t.Errorf("%s: %s after %v, %d starts, open %v; want %s, %d starts", c.name, got, c.within, f.starts, f.Open(), c.texts, c.starts)
+		}
+		why := ""
+		for _, r := range f.History(routes) {
+			if r.Stage == Halted {
+				why = r.Why
+			}
+		}
+		if (why == "") != (c.why == "") || !strings.Contains(why, c.why) {
+			t.Errorf("%s: halted %q, want %q", c.name, why, c.why)
+		}
+	}
+}
+
+// TestNobodyHeard: with no report a revision goes everywhere at once, but a steward that was
+// asked for the first time waits a Patience for agents that its machine has not heard yet.
+func TestNobodyHeard(t *testing.T) {
+	f := play(t, 3)
+	f.mute, f.steward = true, NewSteward(Defaults)
+	f.table.Forget(f.now + 1)
+	f.put(routes, "new")
+	if f.run(Defaults.Patience); f.texts() != "old:3" || f.starts != 0 {
+		t.Errorf("%s, %d starts in a Patience", f.texts(), f.starts)
+	}
+	if f.run(3 * step * time.Microsecond); f.texts() != "new:3" {
+		t.Errorf("%s after it", f.texts())
+	}
+	f.put(routes, "newer")
+	if f.run(3 * step * time.Microsecond); f.texts() != "newer:3" || f.starts != 2 {
+		t.Errorf("%s, %d starts", f.texts(), f.starts)
+	}
+}
+
+// TestTenPuts: ten changes within a second, of two authors of whom one always looks too early,
+// cost two stages; of two puts on one base one is refused, naming the other.
+func TestTenPuts(t *testing.T) {
+	f := play(t, 5, 5)
+	began := f.now
+	conflicts, n := 0, 0
+	f.during = func(f *fleet) {
+		if n++; n > 10 {
+			return
+		}
+		head, _ := f.Latest(routes)
+		f.must(Entry{Op: OpPut, Name: routes, Base: head.Revision, Text: fmt.Append(nil, "new", n), Author: "anna"})
+		_, err := f.do(Entry{Op: OpPut, Name: routes, Base: head.Revision, Text: []byte("other"), Author: "bert"})
+		if want := fmt.Sprintf("routes@all is at %d by anna, not at %d", f.Applied()-1, head.Revision); errors.Is(err, ErrConflict) && strings.Contains(err.Error(), want) {
+			conflicts++
+		}
+	}
+	for len(f.Open()) > 0 || n < 10 {
+		if f.run(step * time.Microsecond); f.now-began > 5e6 {
+			t.Fatal("not everywhere after 5 s")
+		}
+	}
+	f.run(2 * step * time.Microsecond)
+	if f.texts() != "new10:10" || f.starts != 2 || conflicts != 10 {
+		t.Errorf("%s, %d starts, %d conflicts", f.texts(), f.starts, conflicts)
+	}
+}
+
+// TestRefusedEverywhere: who refuses a revision that is everywhere keeps the last known good,
+// and operators see who, why, and where.
+func TestRefusedEverywhere(t *testing.T) {
+	f := play(t, 6)
+	f.put(routes, "new")
+	f.run(step * time.Microsecond)
+	first := f.first()
+	var odd *player
+	for _, a := range f.agents {
+		if !slices.Contains(first, a) {
+			odd = a
+		}
+	}
+	f.takes = func(a *player, text string) string {
+		if a == odd {
+			return "refuse"
+		}
+		return ""
+	}
+	cover := func() Coverage {
+		return Cover(f.State, routes, f.table.Reports(), f.now, Defaults.Fresh.Microseconds())
+	}
+	var late []string
+	for _, a := range first {
+		late = append(late, a.Name)
+	}
+	if c := cover(); c.Stage != First || c.Agents != 6 || c.InForce != 0 || !slices.Equal(c.Behind, late) {
+		t.Errorf("at its first stage, before agents took it: %+v, first %v", c, late)
+	}
+	f.run(2 * time.Second)
+	if f.texts() != "new:5 old:1" {
+		t.Error(f.texts())
+	}
+	c := cover()
+	if c.Stage != Everywhere || c.Agents != 6 || c.InForce != 5 || len(c.Behind)+len(c.OutOfReach) > 0 || len(c.Refused) != 1 ||
+		c.Refused[0].Agent != odd.Name || c.Refused[0].Why != "line 1: no" || c.Refused[0].Revision != c.Revision {
+		t.Errorf("%+v", c)
+	}
+	for zone, got := range c.Zones {
+		want := ZoneCoverage{3, 3}
+		if zone == odd.Zone {
+			want.InForce = 2
+		}
+		if got != want {
+			t.Errorf("zone %s: %+v", zone, got)
+		}
+	}
+	// A narrower document shadows it: what lies beneath counts where it was accepted.
+	f.takes = func(*player, string) string { return "" }
+	f.settled(byZone, "zonal")
+	f.settled(routes, "newer")
+	gone := f.agents[0]
+	gone.down = true
+	f.run(Defaults.Fresh + 2*step*time.Microsecond)
+	if f.texts() != "newer:2 zonal:3" {
+		t.Error(f.texts())
+	}
+	if c := cover(); c.InForce != 5 || c.Agents != 6 || !slices.Equal(c.OutOfReach, []string{gone.Name}) || len(c.Refused)+len(c.Behind) > 0 {
+		t.Errorf("%+v", c)
+	}
+	if c := Cover(f.State, Name{"spread", Scope{Level: All}}, f.table.Reports(), f.now, 1); c.Revision != 0 || c.Agents != 0 {
+		t.Errorf("of no document: %+v", c)
+	}
+}
+
+// TestPick: how many of each service, and not always the same ones.
+func TestPick(t *testing.T) {
+	f := play(t, 1, 2, 3, 30)
+	used := map[string]bool{}
+	for range 20 {
+		f.put(routes, "new")
+		f.run(step * time.Microsecond)
+		counts := map[string]int{}
+		for _, a := range f.first() {
+			counts[a.Service]++
+			used[a.Name] = true
+		}
+		if got := fmt.Sprint(counts); got != "map[s0:1 s1:1 s2:2 s3:2]" {
+			t.Fatal(got)
+		}
+		f.run(2 * time.Second)
+	}
+	if len(used) < 20 {
+		t.Errorf("20 first stages used %d of 36 agents", len(used))
+	}
+}
+
+func TestSettings(t *testing.T) {
+	if errs := Defaults.Check(); len(errs) > 0 {
+		t.Error(errs)
+	}
+	errs := Settings{Worse: 2, Dwell: -1, Patience: 1}.Check()
+	for i, field := range []string{"per_service:", "dwell:", "patience:", "fresh:", "worse:", "least_calls:"} {
+		if len(errs) != 6 || !strings.HasPrefix(errs[i].Error(), field) {
+			t.Fatal(errs)
+		}
+	}
+}
