rollout: tests of a slow first-stage agent, of shares worse than before, and of images that are shared

Found by changing single lines on a scratch copy: of 22 changes three went without a failure (an image's list written into, an older accept after a newer, the refusal of one accepted before), and of two more both (a stage that doesn't wait for the slow, and one that waits for ever). Each fails a test now. go test ./rollout passes.

--- a/rollout/held_test.go
+++ b/rollout/held_test.go
@@ -32,6 +32,8 @@
 		{"all removed: the own file", "wide 1:x ok wide 2: ok", "-", "map[routes@all:2]", ""},
 		{"older ones are passed over", "wide 3:x ok wide 2:y", "3 x", "map[routes@all:3]", ""},
 		{"accepted, and refused by a new program", "wide 1:x ok no", "-", "map[]", "routes@all 1 no"},
+		{"an older one accepted after a newer", "wide 1:x old wide 2:y ok wide 3:z late", "2 y", "map[routes@all:2]", ""},
+		{"the one in force refused by a new program", "wide 1:x old ok wide 2:y undo", "-", "map[]", ""},
 		{"the former accepted late", "wide 1:x old wide 2:y late", "1 x", "map[routes@all:1]", ""},
 	}
 	for _, c := range cases {
@@ -48,6 +50,8 @@
 				h.Refuse(last, "no")
 			case "old":
 				old = last
+			case "undo":
+				h.Refuse(old, "no")
 			case "late":
 				h.Accept(old)
 			default:
--- a/rollout/state_test.go
+++ b/rollout/state_test.go
@@ -229,6 +229,7 @@
 		s, other := New(), New()
 		numbers := map[string]uint64{}
 		texts := map[uint64]string{}
+		kept, was := s.Image(), s.Image().Bytes()
 		for range rapid.IntRange(1, 60).Draw(t, "entries") {
 			n := rapid.SampledFrom(names).Draw(t, "name")
 			head, _ := s.Latest(n)
@@ -261,6 +262,10 @@
 				t.Fatalf("two replicas differ at %d: %v %v, %v %v", index, r1, err1, r2, err2)
 			}
 			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				if !bytes.Equal(kept.Bytes(), was) {
+					t.Fatal("an image changed with its state")
+				}
+				kept, was = s.Image(), s.Image().Bytes()
 				var err error
 				if other, err = Restore(other.Image().Bytes()); err != nil {
 					t.Fatal(err)
@@ -293,10 +298,13 @@
 func TestSnapshotRefused(t *testing.T) {
 	l := &log{t: t, State: New()}
 	l.settled(routes, "x")
-	l.put(byZone, "y")
+	l.must(Entry{Op: OpStart, Revision: l.put(routes, "y")})
+	for range 6 {
+		l.put(routes, "waits") // so that the former ones have room before the next
+	}
 	whole := l.Image()
 	data := whole.Bytes()
-	l.settled(routes, "z") // an image stays as it was
+	l.must(Entry{Op: OpHalt, Revision: 4}) // an image stays as it was
 	if !bytes.Equal(whole.Bytes(), data) {
 		t.Error("an image changed with its state")
 	}
--- a/rollout/steward_test.go
+++ b/rollout/steward_test.go
@@ -17,7 +17,7 @@
 	table   *Table
 	steward *Steward
 	// takes is what becomes of an agent that applies a text: "" well, "refuse", "fail" its
-	// calls, "crash" for good, "loop" start again every 500 ms.
+	// calls, "crash" for good, "loop" start again every 500 ms, "hang" no answer.
 	takes  func(a *player, text string) string
 	during func(f *fleet) // each step
 	mute   bool           // no report comes to the table
@@ -83,6 +83,8 @@
 		how := f.takes(a, string(d.Text))
 		if how == "refuse" {
 			a.held.Refuse(d, "line 1: no")
+		}
+		if how == "refuse" || how == "hang" {
 			continue
 		}
 		a.held.Accept(d)
@@ -339,6 +341,50 @@
 	}
 }
 
+// TestWorseThanBefore: agents that fail half their calls with a revision halt it, but not where
+// they did so before.
+func TestWorseThanBefore(t *testing.T) {
+	for before, want := range map[uint64]string{0: "old:10", 125: "new:10"} {
+		probe := play(t, 5, 5)
+		probe.put(routes, "new")
+		probe.run(step * time.Microsecond)
+		f := play(t, 5, 5) // plays alike: the same agents are chosen
+		for _, a := range probe.first() {
+			f.player(a.Name).failed = before // of 250
+		}
+		f.takes = func(a *player, _ string) string {
+			if a.failed > 0 || before == 0 && slices.ContainsFunc(f.first(), func(o *player) bool { return o == a }) {
+				return "fail"
+			}
+			return ""
+		}
+		f.put(routes, "new")
+		if f.run(2 * time.Second); f.texts() != want {
+			t.Errorf("%d failed of 250 before: %s, want %s", before, f.texts(), want)
+		}
+	}
+}
+
+// TestSlow: an agent that is heard but doesn't take the revision holds it up for two Patiences.
+func TestSlow(t *testing.T) {
+	f := play(t, 5, 5)
+	f.put(routes, "new")
+	f.run(step * time.Microsecond)
+	slow := f.first()[0]
+	f.takes = func(a *player, _ string) string {
+		if a == slow {
+			return "hang"
+		}
+		return ""
+	}
+	if f.run(2 * Defaults.Patience); len(f.Open()) != 1 || f.texts() != "new:3 old:7" {
+		t.Errorf("%s, %d open after two Patiences", f.texts(), len(f.Open()))
+	}
+	if f.run(3 * step * time.Microsecond); len(f.Open()) != 0 || f.texts() != "new:9 old:1" {
+		t.Errorf("%s, %d open after that", f.texts(), len(f.Open()))
+	}
+}
+
 // TestPick: how many of each service, and not always the same ones.
 func TestPick(t *testing.T) {
 	f := play(t, 1, 2, 3, 30)
