rollout: design note; the played agents of the steward's test do restart

The case of a restarting first-stage agent set a time that the same step cleared, so none restarted; it does now, a case where all four do is added, and each case of the name fails if none did. go test passes.

--- a/rollout/steward_test.go
+++ b/rollout/steward_test.go
@@ -21,6 +21,8 @@
 	takes  func(a *player, text string) string
 	during func(f *fleet) // each step
 	mute   bool           // no report comes to the table
+
+	restarts int
 }
 
 type player struct {
@@ -30,7 +32,8 @@
 	seq           uint64
 	calls, failed uint64
 	bad, down     bool
-	again         int64
+	again         int64 // when it restarts next; 0: not
+	loop          bool  // and again 500 ms later
 }
 
 const step = 100_000
@@ -89,9 +92,8 @@
 		}
 		a.held.Accept(d)
 		a.bad = how == "fail"
-		a.again = 0
-		if how == "loop" {
-			a.again = f.now + 5*step
+		if a.loop || how == "loop" {
+			a.loop, a.again = how == "loop", f.now+5*step
 		}
 		a.down = how == "crash"
 	}
@@ -114,10 +116,11 @@
 	if err != nil {
 		f.t.Fatalf("%s: %v", a.Name, err)
 	}
-	a.held, a.life, a.seq, a.calls, a.failed, a.down = held, f.now, 0, 0, 0, false
-	if a.again > 0 {
+	a.held, a.life, a.seq, a.calls, a.failed, a.again = held, f.now, 0, 0, 0, 0
+	if a.loop {
 		a.again = f.now + 5*step
 	}
+	f.restarts++
 }
 
 // first returns the agents of the open first stage.
@@ -193,7 +196,12 @@
 			return ""
 		}, once(put("mended")), 3 * time.Second, "mended:10", 2, "line 1: no"},
 		{"halted while the next waits, which is as bad", []int{5, 5}, is("refuse", all), once(put("new2")), 3 * time.Second, "old:10", 2, "line 1: no"},
-		{"one first-stage agent restarts", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].again = f.now + 5*step }), 3 * time.Second, "new:10", 1, ""},
+		{"one first-stage agent restarts", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].again = f.now + 5*step }), 2 * time.Second, "new:10", 1, ""},
+		{"all first-stage agents restart, one after another", []int{5, 5}, nil, once(func(f *fleet) {
+			for i, a := range f.first() {
+				a.again = f.now + int64(i+1)*5*step
+			}
+		}), 3500 * time.Millisecond, "new:10", 1, ""},
 		{"one vanishes", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].down = true }), 4500 * time.Millisecond, "new:9", 1, ""},
 		{"all vanish: others are chosen", []int{5, 5}, nil, once(func(f *fleet) {
 			for _, a := range f.first() {
@@ -223,6 +231,9 @@
 				why = r.Why
 			}
 		}
+		if strings.Contains(c.name, "restart") && f.restarts == 0 {
+			t.Errorf("%s: none did", c.name)
+		}
 		if (why == "") != (c.why == "") || !strings.Contains(why, c.why) {
 			t.Errorf("%s: halted %q, want %q", c.name, why, c.why)
 		}
