--- a/rollout/steward_test.go
+++ b/rollout/steward_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // fleet plays agents, a control machine's table and its steward in steps of 100 ms.
@@ -396,6 +398,49 @@
 	}
 }
 
+// TestSettles: whatever agents did, restart, vanish, come back, refuse, and whoever led, 9 s after
+// the last of it nothing is open, all have one text, and no text went everywhere that all refuse.
+func TestSettles(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := play(t, 2, 4, 5)
+		f.takes = func(a *player, text string) string {
+			if strings.HasPrefix(text, "bad") {
+				return "refuse"
+			}
+			return ""
+		}
+		for range rapid.IntRange(1, 25).Draw(rt, "events") {
+			a := rapid.SampledFrom(f.agents).Draw(rt, "agent")
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0, 1:
+				f.put(routes, fmt.Sprint(rapid.SampledFrom([]string{"bad", "new"}).Draw(rt, "text"), f.Applied()))
+			case 2:
+				a.again = f.now + 1
+			case 3:
+				a.down = true
+			case 4:
+				a.down = false
+			case 5:
+				f.steward = NewSteward(Defaults)
+			}
+			f.run(time.Duration(rapid.IntRange(0, 15).Draw(rt, "steps")) * step * time.Microsecond)
+		}
+		f.run(9 * time.Second)
+		for _, a := range f.agents {
+			a.down = false
+		}
+		f.run(2 * step * time.Microsecond)
+		if texts := f.texts(); len(f.Open()) > 0 || strings.Contains(texts, " ") || strings.Contains(texts, "bad") {
+			rt.Fatalf("%s, open %+v", texts, f.Open())
+		}
+		for _, r := range f.History(routes) {
+			if r.Stage == Everywhere && strings.HasPrefix(string(r.Text), "bad") {
+				rt.Fatalf("%d is everywhere: %s", r.Revision, r.Text)
+			}
+		}
+	})
+}
+
 // TestPick: how many of each service, and not always the same ones.
 func TestPick(t *testing.T) {
 	f := play(t, 1, 2, 3, 30)
