rollout: words of a refusal fit one line of a console

A loader's words come from a file's text: a newline and EOT in them would have ended the console's answer. Shown: TestHeld; go test ./rollout passes.

--- a/rollout/held.go
+++ b/rollout/held.go
@@ -129,7 +129,7 @@
 }
 
 // Refuse notes that the loader could not take the latest document of a name, and its words, of
-// which MaxWhy bytes are kept. The one accepted before stays. A document that was accepted and
+// which MaxWhy bytes are kept, control characters as blanks. The one accepted before stays. A document that was accepted and
 // is refused now, as a new program may do after a restart, is not accepted any more.
 func (h *Held) Refuse(d Document, why string) {
 	k := h.docs[d.Name]
@@ -140,7 +140,7 @@
 		k.Accepted = nil
 	}
 	if d.Revision == k.Told.Revision {
-		k.Taken, k.Refused, k.Why = false, true, clip(why, MaxWhy)
+		k.Taken, k.Refused, k.Why = false, true, plain(why, MaxWhy)
 	}
 }
 
@@ -265,8 +265,15 @@
 	return &c
 }
 
-// clip cuts a text to at most n bytes, at the end of a rune.
-func clip(s string, n int) string {
+// plain makes words fit for one line of a console: valid UTF-8 without control characters, of
+// at most n bytes, cut at the end of a rune.
+func plain(s string, n int) string {
+	s = strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return ' '
+		}
+		return r
+	}, strings.ToValidUTF8(s[:min(len(s), n+utf8.UTFMax)], "?"))
 	if len(s) <= n {
 		return s
 	}
--- a/rollout/held_test.go
+++ b/rollout/held_test.go
@@ -95,6 +95,11 @@
 		t.Errorf("pending %v, version %d, have %v", p, h.Version(), h.Have())
 	}
 	h.Refuse(document(byZone, 4, "y"), strings.Repeat("é", MaxWhy))
+	for words, want := range map[string]string{"line 1:\nEOT\x00": "line 1: EOT ", "\xff\xfe": "?", strings.Repeat("\xff", 2*MaxWhy): "?"} {
+		if got := plain(words, MaxWhy); got != want {
+			t.Errorf("%.20q: %.20q", words, got)
+		}
+	}
 	if _, refused := h.Report(); len(refused) != 1 || refused[0].Why != strings.Repeat("é", MaxWhy/2) {
 		t.Errorf("refused %v", refused)
 	}
--- a/rollout/steward.go
+++ b/rollout/steward.go
@@ -285,7 +285,7 @@
 }
 
 func (d *decision) halt(e *Entry, format string, args ...any) {
-	e.Op, e.Why = OpHalt, clip(fmt.Sprintf(format, args...), MaxHaltWhy)
+	e.Op, e.Why = OpHalt, plain(fmt.Sprintf(format, args...), MaxHaltWhy)
 }
 
 // see notes what an agent of a first stage says of the revision; r is nil where it was not heard.
@@ -310,12 +310,12 @@
 	return r != nil && m.lives > 0 && m.at.life == r.Life && r.AtUs-m.takenUs >= dwell.Microseconds()
 }
 
-// refusal is an agent's NACK of a revision.
+// refusal is an agent's NACK of a revision, in words that fit a line.
 func refusal(r *Report, n Name, revision uint64) (why string, no bool) {
 	if r != nil {
 		for _, no := range r.Refused {
 			if no.Revision == revision && no.Name == n {
-				return no.Why, true
+				return plain(no.Why, MaxWhy), true
 			}
 		}
 	}
