The raft engine of promises is a package of its own (internal/fleet/quorum), for a second machine

Its tests are the same but for names: Follow for the field leader, Address for the field of a line, Raft and Transport for raft and trans.

--- a/internal/fleet/replica/raftlog.go
+++ b/internal/fleet/quorum/raftlog.go
@@ -1,4 +1,4 @@
-package replica
+package quorum
 
 import (
 	"context"
--- a/internal/fleet/replica/client_test.go
+++ b/internal/fleet/replica/client_test.go
@@ -57,7 +57,7 @@
 	for _, c := range cases {
 		client := members(t, c.scripts)
 		client.CallTimeout = 100 * time.Millisecond
-		client.leader = c.leader
+		client.Follow(c.leader)
 		_, err := client.Propose(context.Background(), promise.Entry{Op: promise.OpClaim})
 		require.ErrorIs(t, err, c.want, c.name)
 		var later *Later
--- a/internal/fleet/replica/config.go
+++ b/internal/fleet/replica/config.go
@@ -1,15 +1,13 @@
-// Package replica keeps a call agent's promises (package promise) in a replicated log on
-// github.com/hashicorp/raft, stored by github.com/hashicorp/raft-boltdb/v2, so that a quorum
-// holds each promise before its caller hears it. It is the thin part: transport, disk and
-// timers round the pure state machine; docs/replication.md weighs the ways.
+// Package replica keeps a call agent's promises (package promise) in a replicated log (package
+// quorum), so that a quorum holds each promise before its caller hears it;
+// docs/replication.md weighs the ways.
 package replica
 
 import (
-	"errors"
 	"fmt"
-	"net"
 	"time"
 
+	"woodrouter/internal/fleet/quorum"
 	"woodrouter/internal/yamlfile"
 )
 
@@ -27,18 +25,13 @@
 }
 
 // Peer is one member: its id and advertised log address.
-type Peer struct {
-	ID   string `yaml:"id"`
-	Raft string `yaml:"raft"`
-}
+type Peer = quorum.Peer
 
 // SnapshotConfig says when the log is compacted.
-type SnapshotConfig struct {
-	Entries uint64 `yaml:"entries"` // entries since the last snapshot that start a new one; 0: 8192
-	Keep    int    `yaml:"keep"`    // snapshots kept on disk; 0: 2
-}
+type SnapshotConfig = quorum.SnapshotConfig
 
-// TimingConfig gives raft's timers; zero fields keep the defaults of Defaults.
+// TimingConfig gives raft's timers, and how long promises are kept; empty fields keep the
+// defaults.
 type TimingConfig struct {
 	Heartbeat string `yaml:"heartbeat"` // a Go duration; a follower calls an election after this without news
 	Election  string `yaml:"election"`
@@ -53,80 +46,39 @@
 
 // Valid names the first field that can't be used.
 func (c Config) Valid() error {
-	if c.ID == "" {
-		return errors.New("field id: empty")
-	}
-	if c.Data == "" {
-		return errors.New("field data: empty; a member needs a directory of its own")
-	}
-	for _, f := range []struct{ name, addr string }{{"raft", c.Raft}, {"client", c.Client}} {
-		if err := loopbackOrAny(f.addr); err != nil {
-			return fmt.Errorf("field %s: %w", f.name, err)
-		}
-	}
-	seen := map[string]bool{}
-	for i, p := range c.Bootstrap {
-		if p.ID == "" || p.Raft == "" {
-			return fmt.Errorf("field bootstrap[%d]: a member needs id and raft", i)
-		}
-		if seen[p.ID] {
-			return fmt.Errorf("field bootstrap[%d].id: %q twice", i, p.ID)
-		}
-		seen[p.ID] = true
-	}
-	if len(c.Bootstrap) > 0 && !seen[c.ID] {
-		return fmt.Errorf("field bootstrap: this member %q is not among them", c.ID)
-	}
-	if _, err := c.Timing.durations(); err != nil {
+	if err := c.member().Valid(); err != nil {
 		return err
 	}
-	return nil
+	_, err := c.Timing.keep()
+	return err
 }
 
-func loopbackOrAny(addr string) error {
-	if addr == "" {
-		return errors.New("empty; host:port")
-	}
-	if _, _, err := net.SplitHostPort(addr); err != nil {
-		return err
-	}
-	return nil
+// member is what the file says of the member apart from promises.
+func (c Config) member() quorum.Config {
+	t := c.Timing
+	return quorum.Config{ID: c.ID, Raft: c.Raft, Advertise: c.Advertise, Client: c.Client, Data: c.Data,
+		Bootstrap: c.Bootstrap, Links: c.Links, Snapshot: c.Snapshot,
+		Timing: quorum.TimingConfig{Heartbeat: t.Heartbeat, Election: t.Election, Commit: t.Commit, Lease: t.Lease}}
 }
 
-// Timing is raft's timers as durations.
-type Timing struct{ Heartbeat, Election, Commit, Lease, Keep time.Duration }
+// Defaults are raft's timers where the file gives none.
+var Defaults = quorum.Defaults
 
-// Defaults are the timers for members on one campus: a new leader within about a second of
-// a kill. Raft's own defaults (1 s heartbeat) suit wide-area groups.
-var Defaults = Timing{Heartbeat: 300 * time.Millisecond, Election: 300 * time.Millisecond,
-	Commit: 20 * time.Millisecond, Lease: 150 * time.Millisecond, Keep: 10 * time.Minute}
-
-// keepLeast is the shortest time promises may be kept: the longest deadline that a platform
-// gives its callers (9 s), a caller's way to another agent, and clocks that differ.
-const keepLeast = 30 * time.Second
+// keepDefault is how long promises are kept where the file does not say; keepLeast is the
+// shortest they may be: the longest deadline that a platform gives its callers (9 s), a
+// caller's way to another agent, and clocks that differ.
+const (
+	keepDefault = 10 * time.Minute
+	keepLeast   = 30 * time.Second
+)
 
-func (t TimingConfig) durations() (Timing, error) {
-	out := Defaults
-	for _, f := range []struct {
-		name, text string
-		to         *time.Duration
-	}{{"heartbeat", t.Heartbeat, &out.Heartbeat}, {"election", t.Election, &out.Election},
-		{"commit", t.Commit, &out.Commit}, {"lease", t.Lease, &out.Lease},
-		{"keep", t.Keep, &out.Keep}} {
-		if f.text == "" {
-			continue
-		}
-		d, err := time.ParseDuration(f.text)
-		if err != nil || d <= 0 {
-			return out, fmt.Errorf("field timing.%s: %q is no positive duration", f.name, f.text)
-		}
-		*f.to = d
-	}
-	if out.Keep < keepLeast {
-		return out, fmt.Errorf("field timing.keep: %v is under %v, in which a caller may ask again", out.Keep, keepLeast)
+func (t TimingConfig) keep() (time.Duration, error) {
+	keep := keepDefault
+	if err := quorum.Duration("timing.keep", t.Keep, &keep); err != nil {
+		return keep, err
 	}
-	if out.Lease > out.Heartbeat {
-		return out, fmt.Errorf("field timing.lease: %v beyond the heartbeat %v (raft refuses it)", out.Lease, out.Heartbeat)
+	if keep < keepLeast {
+		return keep, fmt.Errorf("field timing.keep: %v is under %v, in which a caller may ask again", keep, keepLeast)
 	}
-	return out, nil
+	return keep, nil
 }
--- a/internal/fleet/replica/corrupt_test.go
+++ b/internal/fleet/replica/corrupt_test.go
@@ -29,8 +29,8 @@
 
 // alone makes it a group.
 func alone(t *testing.T, n *Node) {
-	one := raft.Configuration{Servers: []raft.Server{{ID: "n1", Address: n.trans.LocalAddr()}}}
-	require.NoError(t, n.raft.BootstrapCluster(one).Error())
+	one := raft.Configuration{Servers: []raft.Server{{ID: "n1", Address: n.Transport.LocalAddr()}}}
+	require.NoError(t, n.Raft.BootstrapCluster(one).Error())
 }
 
 func propose(t *testing.T, c *Client, call string) {
@@ -48,7 +48,7 @@
 	alone(t, n)
 	propose(t, c, "before")
 	rng := rand.New(rand.NewPCG(5, 5))
-	for _, addr := range []string{string(n.trans.LocalAddr()), c.members["n1"].addr} {
+	for _, addr := range []string{string(n.Transport.LocalAddr()), c.Address("n1")} {
 		for i := range 40 {
 			conn, err := net.Dial("tcp", addr)
 			require.NoError(t, err)
@@ -71,7 +71,7 @@
 	n, c, end := member(t, dir)
 	alone(t, n)
 	propose(t, c, "kept")
-	require.NoError(t, n.raft.Snapshot().Error())
+	require.NoError(t, n.Raft.Snapshot().Error())
 	end()
 	snaps, err := filepath.Glob(filepath.Join(dir, "snapshots", "*", "state.bin"))
 	require.NoError(t, err)
