--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -19,6 +19,9 @@
 	c := &Console{Log: slog.New(slog.DiscardHandler), Calls: map[string]func() string{
 		"READY":  func() string { return Success + " ready" },
 		"BROKEN": func() string { panic("no more") },
+	}, Orders: map[string]Order{
+		"LOOK":     {Usage: "LOOK [NAME]", Most: 1, Do: func(w []string, _ []byte) string { return fmt.Sprint(Success, " ", w) }},
+		"LOOK PUT": {Usage: "LOOK PUT NAME", Least: 1, Most: 1, Body: true, Do: func(w []string, b []byte) string { return fmt.Sprintf("%s %v %d %.20q", Success, w, len(b), b) }},
 	}}
 	go c.Serve(ln)
 	t.Cleanup(func() { ln.Close(); c.Close() })
@@ -71,3 +74,27 @@
 	_, err := first.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF, "the oldest has made room")
 }
+
+// TestOrders: an order takes words and, where it says so, a text; both are bounded, and a text
+// that does not come whole changes nothing.
+func TestOrders(t *testing.T) {
+	address := start(t)
+	long := strings.Repeat("x", MostBody-1) + "\n"
+	for _, tc := range []struct{ line, answer string }{
+		{"LOOK\n", "SUCCESS []\n"},
+		{"look a@Zone/B\n", "SUCCESS [a@Zone/B]\n"},
+		{"LOOK a b\n", "FAILURE usage: LOOK [NAME]\n"},
+		{"look put n\na: 1\r\n EOT\nEOT\n", "SUCCESS [n] 11 \"a: 1\\r\\n EOT\\n\"\n"},
+		{"LOOK PUT n\nEOT\n", "SUCCESS [n] 0 \"\"\n"},
+		{"LOOK PUT n\n" + long + "EOT\n", fmt.Sprintf("SUCCESS [n] %d \"xxxxxxxxxxxxxxxxxxxx\"\n", MostBody)},
+		{"LOOK PUT n\nx" + long + "EOT\n", fmt.Sprintf("FAILURE text over %d bytes; nothing changed\n", MostBody)},
+		{"LOOK PUT\n", "FAILURE usage: LOOK PUT NAME\n"},
+	} {
+		assert.Equal(t, tc.answer, ask(t, address, tc.line), "%.40q", tc.line)
+	}
+	conn := dial(t, address)
+	fmt.Fprint(conn, "LOOK PUT n\na: 1\n")
+	conn.(*net.TCPConn).CloseWrite()
+	answer, _ := io.ReadAll(conn)
+	assert.Equal(t, "FAILURE text without a line EOT; nothing changed\n", string(answer))
+}
--- a/internal/daemon/replica.go
+++ b/internal/daemon/replica.go
@@ -8,40 +8,74 @@
 	"os/signal"
 	"syscall"
 
+	"woodrouter/internal/fleet/control"
 	"woodrouter/internal/fleet/replica"
 )
 
 type replicaCommand struct {
-	Config    string `arg:"" help:"The member's operators' file (YAML), as deploy/replica.yaml."`
+	Config    string `arg:"" help:"The member's operators' file (YAML), as deploy/replica.yaml, or a control machine's, as deploy/control.yaml."`
 	LogFormat string `help:"text (key=value) or json, one line each." enum:"text,json" default:"text"`
 }
 
-// runReplica runs one member of a group that replicates promises until SIGTERM or SIGINT.
-// A file or data directory that can't be used ends it with the reason, before it joins.
+// runReplica runs one member of a group that replicates promises, or, where its file has a
+// section of rollout, a control machine, until SIGTERM or SIGINT. A file or data directory that
+// can't be used ends it with the reason, before it joins.
 func runReplica(c replicaCommand, logs io.Writer) error {
-	cfg, err := replica.LoadConfig(c.Config)
-	if err != nil {
-		return err
-	}
 	var handler slog.Handler = slog.NewTextHandler(logs, nil)
 	if c.LogFormat == "json" {
 		handler = slog.NewJSONHandler(logs, nil)
 	}
-	log := slog.New(handler).With("member", cfg.ID)
-	n, err := replica.Open(cfg, log)
-	if err != nil {
-		return err
+	log := slog.New(handler)
+	open := openMember
+	if control.Is(c.Config) {
+		open = openControl
 	}
-	ln, err := n.Serve()
+	end, log, err := open(c.Config, log)
 	if err != nil {
-		n.Close()
 		return err
 	}
-	log.Info("member started", "raft", cfg.Raft, "client", ln.Addr().String(), "data", cfg.Data)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
-	ln.Close()
 	log.Info("member stopping")
-	return n.Close()
+	return end()
+}
+
+// openMember starts a member of a group that replicates promises.
+func openMember(path string, log *slog.Logger) (end func() error, _ *slog.Logger, err error) {
+	cfg, err := replica.LoadConfig(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	log = log.With("member", cfg.ID)
+	n, err := replica.Open(cfg, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	ln, err := n.Serve()
+	if err != nil {
+		n.Close()
+		return nil, nil, err
+	}
+	log.Info("member started", "raft", cfg.Raft, "client", ln.Addr().String(), "data", cfg.Data)
+	return func() error { ln.Close(); return n.Close() }, log, nil
+}
+
+// openControl starts a control machine.
+func openControl(path string, log *slog.Logger) (end func() error, _ *slog.Logger, err error) {
+	cfg, err := control.LoadConfig(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	log = log.With("member", cfg.ID)
+	n, err := control.Open(cfg, log)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := n.Serve(); err != nil {
+		n.Close()
+		return nil, nil, err
+	}
+	log.Info("control machine started", "raft", cfg.Raft, "client", cfg.Client, "data", cfg.Data)
+	return n.Close, log, nil
 }
--- a/internal/fleet/quorum/member.go
+++ b/internal/fleet/quorum/member.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -115,7 +116,7 @@
 		m.store.Close()
 		return nil, fmt.Errorf("data directory %s: %w", cfg.Data, err)
 	}
-	if err := m.bootstrap(cfg.Bootstrap, snaps); err != nil {
+	if err := m.bootstrap(cfg.ID, cfg.Bootstrap, snaps); err != nil {
 		m.Close()
 		return nil, err
 	}
@@ -148,7 +149,7 @@
 
 // bootstrap gives a new group its first members, once: a member with state of its own, or
 // with no bootstrap list, waits to be added by the leader.
-func (m *Member) bootstrap(peers []Peer, snaps raft.SnapshotStore) error {
+func (m *Member) bootstrap(id string, peers []Peer, snaps raft.SnapshotStore) error {
 	if len(peers) == 0 {
 		return nil
 	}
@@ -163,6 +164,9 @@
 			servers[i].Suffrage = raft.Nonvoter
 		}
 	}
+	if i := slices.IndexFunc(peers, func(p Peer) bool { return p.ID == id }); i < 0 || !peers[i].Votes() {
+		return nil // the voters' leader brings it the log
+	}
 	err = m.Raft.BootstrapCluster(raft.Configuration{Servers: servers}).Error()
 	if errors.Is(err, raft.ErrCantBootstrap) {
 		return nil
@@ -190,6 +194,7 @@
 	}
 	err := m.Raft.Shutdown().Error()
 	m.Transport.Close()
+	m.Transport.CloseStreams()
 	m.store.Close()
 	return err
 }
