--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"path/filepath"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 	for i, id := range ids {
 		cfg := Config{Config: quorum.Config{ID: id, Raft: boot[i].Raft, Client: peers[id], Data: filepath.Join(t.TempDir(), id),
 			Bootstrap: boot, Timing: quorum.TimingConfig{Heartbeat: "150ms", Election: "150ms", Commit: "10ms", Lease: "100ms"}},
-			Rollout: RolloutConfig{Console: free(t), Peers: peers, Dwell: "50ms"}}
+			Rollout: RolloutConfig{Console: free(t), Peers: peers, Dwell: "50ms", Patience: "1s"}}
 		require.NoError(t, cfg.Valid())
 		g.configs[id] = cfg
 		g.open(id)
@@ -115,55 +116,70 @@
 	t    *testing.T
 	conn *rpc.Client
 	args rollout.WatchArgs
+
+	mu    sync.Mutex
+	last  rollout.WatchReply
+	texts map[string]string // by name
 }
 
 func (g *machines) agent(id, name string) *agent {
 	conn, err := rpc.Dial("tcp", g.configs[id].Client)
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { conn.Close() })
-	return &agent{g.t, conn, rollout.WatchArgs{Have: map[string]uint64{}, PatienceMs: 2000,
+	return &agent{t: g.t, conn: conn, texts: map[string]string{}, args: rollout.WatchArgs{Have: map[string]uint64{}, PatienceMs: 500,
 		Report: rollout.Report{Agent: rollout.Agent{Name: name, Service: "lessons", Zone: "z1", Region: "r1"}, Life: 1}}}
 }
 
-func (a *agent) ask() *rpc.Call {
+// watch asks once, and takes the answer.
+func (a *agent) watch() (rollout.WatchReply, error) {
 	a.args.Report.Seq++
 	args := a.args
 	args.Have = maps.Clone(a.args.Have)
-	return a.conn.Go("Rollout.Watch", args, &rollout.WatchReply{}, make(chan *rpc.Call, 1))
-}
-
-func (a *agent) answer(call *rpc.Call) rollout.WatchReply {
-	select {
-	case <-call.Done:
-	case <-time.After(wait):
-		require.FailNow(a.t, "no answer")
+	args.Report.Seen = args.Have
+	if a.last.AgainMs > 0 {
+		args.PatienceMs = a.last.AgainMs
+	}
+	var r rollout.WatchReply
+	if err := a.conn.Call("Rollout.Watch", args, &r); err != nil {
+		return r, err
 	}
-	require.NoError(a.t, call.Error)
-	r := *call.Reply.(*rollout.WatchReply)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = r
 	a.args.Version = max(a.args.Version, r.Version)
 	for _, d := range r.Docs {
-		a.args.Have[d.Name.String()] = d.Revision
+		key := d.Name.String()
+		if d.Revision <= a.args.Have[key] {
+			a.t.Errorf("%s: %s went from %d to %d", a.args.Report.Agent.Name, key, a.args.Have[key], d.Revision)
+		}
+		a.args.Have[key], a.texts[key] = d.Revision, string(d.Text)
 	}
-	return r
+	return r, nil
 }
 
-func (a *agent) watch() rollout.WatchReply { return a.answer(a.ask()) }
-
-// until watches until an answer is as wished.
-func (a *agent) until(what string, ok func(rollout.WatchReply) bool) rollout.WatchReply {
-	for began := time.Now(); time.Since(began) < wait; {
-		if r := a.watch(); ok(r) {
-			return r
+// run watches until the connection ends.
+func (a *agent) run() *agent {
+	go func() {
+		for {
+			if _, err := a.watch(); err != nil {
+				return
+			}
 		}
-	}
-	require.FailNow(a.t, what)
-	return rollout.WatchReply{}
+	}()
+	return a
 }
 
-func has(text string) func(rollout.WatchReply) bool {
-	return func(r rollout.WatchReply) bool {
-		return slices.ContainsFunc(r.Docs, func(d rollout.Document) bool { return string(d.Text) == text })
-	}
+// until waits for an agent's state to be as wished.
+func (a *agent) until(what string, ok func() bool) {
+	require.Eventually(a.t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return ok()
+	}, wait, 10*time.Millisecond, "%s: %s", a.args.Report.Agent.Name, what)
+}
+
+func (a *agent) has(name, text string) {
+	a.until(text, func() bool { return a.texts[name] == text })
 }
 
 // TestPutAndWatch: a change taken at the leader comes to watchers of every machine, the one
@@ -171,18 +187,18 @@
 // comes late gets the whole set.
 func TestPutAndWatch(t *testing.T) {
 	g := start(t)
-	agents := map[string]*agent{}
+	agents := []*agent{}
 	for i, id := range []string{"c1", "c2", "c3", "c4"} {
-		agents[id] = g.agent(id, fmt.Sprintf("a%d", i+1))
-		agents[id].until("up to date", func(r rollout.WatchReply) bool { return !r.Lagging })
+		a := g.agent(id, fmt.Sprintf("a%d", i+1)).run()
+		a.until("up to date", func() bool { return a.last.Machine != "" && !a.last.Lagging })
+		agents = append(agents, a)
 	}
 	routes := name(t, "routes@all")
 	first, err := g.put(rollout.Entry{Name: routes, Text: []byte("routes: 1")})
 	require.NoError(t, err)
-	require.Positive(t, first)
-	for id, a := range agents {
-		r := a.until(id, has("routes: 1"))
-		require.Equal(t, first, r.Docs[0].Revision, id)
+	for _, a := range agents {
+		a.has("routes@all", "routes: 1")
+		a.until("its number", func() bool { return a.args.Have["routes@all"] == first })
 	}
 	_, err = g.put(rollout.Entry{Name: routes, Base: first - 1, Text: []byte("routes: 2")})
 	require.ErrorIs(t, err, rollout.ErrConflict)
@@ -192,12 +208,15 @@
 		_, err = g.put(e)
 		require.ErrorIs(t, err, rollout.ErrEntry)
 	}
-	late := g.agent("c4", "late").until("late", has("routes: 1"))
-	require.True(t, late.Whole)
+	r, err := g.agent("c4", "late").watch()
+	require.NoError(t, err)
+	require.True(t, r.Whole)
+	require.Len(t, r.Docs, 1)
 	second, err := g.put(rollout.Entry{Name: routes, Base: first, Text: []byte("routes: 2")})
 	require.NoError(t, err)
 	require.Greater(t, second, first)
-	r := agents["c4"].until("second", has("routes: 2"))
-	require.False(t, r.Whole)
-	require.Len(t, r.Docs, 1)
+	for _, a := range agents {
+		a.has("routes@all", "routes: 2")
+		a.until("not whole", func() bool { return !a.last.Whole })
+	}
 }
--- a/internal/fleet/control/node.go
+++ b/internal/fleet/control/node.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -22,11 +23,12 @@
 
 	table struct {
 		sync.Mutex
-		rollout.Table
+		*rollout.Table
 	}
 	watchers  atomic.Int64
-	answering chan struct{} // a place for each look at the state for a watcher
-	stop      chan struct{} // closed when the machine ends
+	answering chan struct{}   // a place for each look at the state for a watcher
+	ctx       context.Context // done when the machine ends
+	cancel    context.CancelFunc
 	ended     sync.WaitGroup
 	server    *server
 	console   func() // ends the operators' console
@@ -110,10 +112,12 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, settings: settings, log: log, fsm: newMachine(log), stop: make(chan struct{}),
+	n := &Node{cfg: cfg, settings: settings, log: log, fsm: newMachine(log),
 		answering: make(chan struct{}, mostAnswering)}
-	n.table.Table = *rollout.NewTable()
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.table.Table = rollout.NewTable()
 	if n.Member, err = quorum.Open(cfg.Config, n.fsm, log); err != nil {
+		n.cancel()
 		return nil, err
 	}
 	n.ended.Go(n.watchLag)
@@ -129,7 +133,7 @@
 // Close ends the machine's part in the group without leaving it: its callers are answered or
 // cut first, and go to another machine.
 func (n *Node) Close() error {
-	close(n.stop)
+	n.cancel()
 	if n.server != nil {
 		n.server.close()
 	}
@@ -157,7 +161,7 @@
 	lagging, before := true, uint64(0)
 	for {
 		select {
-		case <-n.stop:
+		case <-n.ctx.Done():
 			return
 		case <-tick.C:
 		}
@@ -189,29 +193,26 @@
 // two leaders propose late changes nothing: the entries name the revision and its stage.
 func (n *Node) steer() {
 	leads := n.Raft.LeaderCh()
-	var steward *rollout.Steward
+	steward, sure := rollout.NewSteward(n.settings), false                                // sure: of what was committed before this lead
+	n.fsm.read(func(s *rollout.State) { steward.Decide(s, nil, time.Now().UnixMicro()) }) // its time begins: who was not heard may yet be
 	timer := time.NewTimer(steerEvery)
 	defer timer.Stop()
 	for {
 		select {
-		case <-n.stop:
+		case <-n.ctx.Done():
 			return
 		case <-leads:
 		case <-n.fsm.opened:
 		case <-timer.C:
 		}
 		if !n.Leading() {
-			steward = nil
+			sure = false
 			continue
 		}
-		if steward == nil {
-			if a := n.Barrier(); a.Outcome != quorum.Committed {
-				timer.Reset(steerEvery)
-				continue
-			}
-			steward = rollout.NewSteward(n.settings)
+		if !sure {
+			sure = n.Barrier().Outcome == quorum.Committed
 		}
-		if n.decide(steward) {
+		if !sure || n.decide(steward) {
 			timer.Reset(steerEvery)
 		}
 	}
@@ -219,13 +220,13 @@
 
 // decide proposes what the steward decides now, and tells whether a revision is still open.
 func (n *Node) decide(steward *rollout.Steward) (open bool) {
+	n.fsm.read(func(s *rollout.State) { open = len(s.Open()) > 0 })
+	var reports []rollout.Report
+	if open {
+		reports = n.reports()
+	}
 	var entries []rollout.Entry
-	reports, now := n.reports(), time.Now().UnixMicro()
-	n.fsm.read(func(s *rollout.State) {
-		if open = len(s.Open()) > 0; open {
-			entries = steward.Decide(s, reports, now)
-		}
-	})
+	n.fsm.read(func(s *rollout.State) { entries = steward.Decide(s, reports, time.Now().UnixMicro()) })
 	for _, e := range entries {
 		r, a, err := n.Propose(rollout.Encode(e))
 		switch {
--- a/internal/fleet/control/orders.go
+++ b/internal/fleet/control/orders.go
@@ -77,7 +77,7 @@
 func (n *Node) change(e rollout.Entry) string {
 	client := NewClient(n.cfg.Rollout.Peers)
 	defer client.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+	ctx, cancel := context.WithTimeout(n.ctx, orderWait)
 	defer cancel()
 	for {
 		number, err := client.Put(ctx, e)
@@ -92,8 +92,6 @@
 		}
 		select {
 		case <-time.After(max(later.After/4, 20*time.Millisecond)):
-		case <-n.stop:
-			return failure(errStopping)
 		case <-ctx.Done():
 			return fmt.Sprintf("%s not taken: %v", console.Failure, err)
 		}
--- a/internal/fleet/control/peers.go
+++ b/internal/fleet/control/peers.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"time"
@@ -55,19 +54,13 @@
 	client := quorum.NewClient(map[string]string{id: n.cfg.Rollout.Peers[id]})
 	client.CallTimeout = tellTimeout
 	defer client.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	n.ended.Go(func() { // a call under way ends with the machine
-		<-n.stop
-		cancel()
-	})
 	tick := time.NewTicker(tellEvery)
 	defer tick.Stop()
 	var mark uint64
 	var last time.Time
 	for {
 		select {
-		case <-n.stop:
+		case <-n.ctx.Done():
 			return
 		case <-tick.C:
 		}
@@ -78,7 +71,7 @@
 		}
 		mark, last = next, time.Now()
 		for _, part := range parts(reports) {
-			err := client.Call(ctx, id, "Rollout.Reports", ReportsArgs{From: n.cfg.ID, Reports: part}, &ReportsReply{})
+			err := client.Call(n.ctx, id, "Rollout.Reports", ReportsArgs{From: n.cfg.ID, Reports: part}, &ReportsReply{})
 			if err != nil {
 				mark = 0
 				break
--- a/internal/fleet/control/service.go
+++ b/internal/fleet/control/service.go
@@ -70,7 +70,7 @@
 			select {
 			case <-l.changed:
 				continue
-			case <-n.stop:
+			case <-n.ctx.Done():
 				return errStopping
 			case <-call.from.gone:
 				return errStopping
