YAML nested without end is refused: 250 KB of brackets took over 6 GB

A document of up to 256 KiB goes to every agent's loader, and a control machine looks whether it is YAML.

--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/token"
 )
 
 // MaxSize bounds a file: a larger one is no operators' file.
@@ -23,9 +25,35 @@
 	if len(text) > MaxSize {
 		return fmt.Errorf("%d bytes, more than %d", len(text), MaxSize)
 	}
+	if err := shallow(text); err != nil {
+		return err
+	}
 	return yaml.UnmarshalWithOptions(text, v, yaml.Strict(), yaml.DisallowUnknownField())
 }
 
+// Bounds of nesting: the library takes memory with its square (250 KB of "[" take over 6 GB).
+const (
+	mostDeep  = 100  // flow sequences and mappings in one another
+	mostRight = 1000 // the column of a block sequence's entry, as in "- - - a"
+)
+
+// shallow refuses a text that is nested deeper than any operators' file.
+func shallow(text []byte) error {
+	depth := 0
+	for _, t := range lexer.Tokenize(string(text)) {
+		switch t.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			depth++
+		case token.SequenceEndType, token.MappingEndType:
+			depth = max(depth-1, 0)
+		}
+		if depth > mostDeep || t.Type == token.SequenceEntryType && t.Position.Column > mostRight {
+			return fmt.Errorf("[%d:%d] nested too deep", t.Position.Line, t.Position.Column)
+		}
+	}
+	return nil
+}
+
 // Read returns the value that a file holds. An error names the file.
 func Read[T any](path string) (v T, err error) {
 	text, err := os.ReadFile(path)
--- a/internal/yamlfile/yamlfile_test.go
+++ b/internal/yamlfile/yamlfile_test.go
@@ -30,6 +30,13 @@
 		"b:\n  ! 0":      "not YAML this program can read", // the library panics on it
 		"a: [":           "v.yaml",
 		"\x00\xff\xfe\n": "v.yaml",
+
+		// The library takes gigabytes for these.
+		"b: " + strings.Repeat("[", 250_000):                                "[1:104] nested too deep",
+		"b: " + strings.Repeat("{a: ", 60_000):                              "nested too deep",
+		"b:\n  " + strings.Repeat("- ", 125_000):                            "[2:1001] nested too deep",
+		"b: " + strings.Repeat("[", 120_000) + strings.Repeat("]", 120_000): "nested too deep",
+		"a: 1 # " + strings.Repeat("[", 1000) + "\n":                        "",
 	} {
 		path := filepath.Join(t.TempDir(), "v.yaml")
 		os.WriteFile(path, []byte(text), 0o600)
