Control machines: tests of cuts, stops, old disks, junk and late stages; mends they asked for

TestJunk found that a connection whose request could not be decoded was answered, and then stood until it was idle for 30 s: it ends now. TestCutOff: watchers at a machine without a leader hear Lagging, and one with an old disk brings its agents up without a step back. A machine that was stopped looks at the leader's last word as it answers, not only each 50 ms. rollout.Table is bounded at 8,192 agents: names are whatever a caller says.

--- a/internal/fleet/control/conn.go
+++ b/internal/fleet/control/conn.go
@@ -171,6 +171,9 @@
 
 // await waits for a request's first byte; the rest is to come within requestTime.
 func (c *codec) await() error {
+	if c.in.err != nil {
+		return c.in.err
+	}
 	if err := c.readBy(idleTime); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/control/fault_test.go
@@ -0,0 +1,315 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/fleet/quorum"
+	"woodrouter/rollout"
+)
+
+// TestCutOff: a machine that has no leader says that it lags, to those who wait at once and to
+// those who come, and still has what it had; nothing is taken without a quorum. One that comes
+// back with an old disk lags until it is brought up, and its agents never go back.
+func TestCutOff(t *testing.T) {
+	g := start(t)
+	at4, at3 := g.agent("c4", "a4").run(), g.agent("c3", "a3").run()
+	routes := name(t, "routes@all")
+	first, err := g.put(rollout.Entry{Name: routes, Text: []byte("routes: 1")})
+	require.NoError(t, err)
+	at3.has("routes@all", "routes: 1")
+	at4.has("routes@all", "routes: 1")
+
+	g.close("c3")
+	second, err := g.put(rollout.Entry{Name: routes, Base: first, Text: []byte("routes: 2")})
+	require.NoError(t, err)
+	at4.has("routes@all", "routes: 2")
+	g.open("c3")
+	back := g.agent("c3", "a3")
+	back.args.Have, back.args.Version, back.args.Report.Life = map[string]uint64{"routes@all": first}, first, 2
+	r, err := back.watch()
+	require.NoError(t, err)
+	require.True(t, r.Lagging || len(r.Docs) == 1, "%+v", r)
+	back.run().has("routes@all", "routes: 2")
+	back.until("up to date", func() bool { return !back.last.Lagging })
+
+	began := time.Now()
+	g.close("c1")
+	g.close("c2")
+	at4.until("lagging", func() bool { return at4.last.Lagging })
+	back.until("lagging", func() bool { return back.last.Lagging })
+	require.Less(t, time.Since(began), 6*time.Second)
+	late := g.agent("c4", "late")
+	r, err = late.watch()
+	require.NoError(t, err)
+	require.True(t, r.Lagging && r.Whole && len(r.Docs) == 1, "%+v", r)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, err = g.client.Put(ctx, rollout.Entry{Op: rollout.OpPut, Name: routes, Base: second, Text: []byte("routes: 3"), Author: "ann"})
+	require.True(t, errors.Is(err, quorum.ErrNoQuorum) || errors.Is(err, quorum.ErrUnknown), "%v", err)
+
+	g.open("c1")
+	g.open("c2")
+	back.until("up to date", func() bool { return !back.last.Lagging })
+	at4.until("up to date", func() bool { return !at4.last.Lagging })
+	_, err = g.put(rollout.Entry{Name: routes, Base: second, Text: []byte("routes: 3")})
+	require.NoError(t, err)
+	at4.has("routes@all", "routes: 3")
+	back.has("routes@all", "routes: 3")
+}
+
+// TestStop: a machine that stops answers who waits at it, at once.
+func TestStop(t *testing.T) {
+	g := start(t)
+	a := g.agent("c4", "a4")
+	a.args.PatienceMs = 9000
+	_, err := a.watch()
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { _, err := a.watch(); ended <- err }()
+	require.Eventually(t, func() bool { return g.nodes["c4"].watchers.Load() == 1 }, wait, time.Millisecond)
+	began := time.Now()
+	g.close("c4")
+	require.ErrorContains(t, <-ended, "stops")
+	require.Less(t, time.Since(began), 2*time.Second)
+}
+
+// hugeMap is a request whose map claims 1<<28 entries (gob would take 10 GB for it) and has one.
+func hugeMap(t *testing.T) []byte {
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	require.NoError(t, enc.Encode(rpc.Request{ServiceMethod: "Rollout.Watch", Seq: 1}))
+	require.NoError(t, enc.Encode(rollout.WatchArgs{Have: map[string]uint64{"k": 1}}))
+	all, from := b.Bytes(), 0
+	for at := 0; at < len(all); { // the last message is the arguments
+		size, width := int(all[at]), 1
+		if all[at] > 0x7f {
+			size, width = int(binary.BigEndian.Uint16(append([]byte{0}, all[at+1])[:2])), 2
+		}
+		from, at = at, at+width+size
+	}
+	value := bytes.Replace(all[from:], []byte{1, 1, 'k', 1}, []byte{0xfc, 0x10, 0, 0, 0, 1, 'k', 1}, 1)
+	require.Greater(t, len(value), len(all[from:]))
+	value[0] += byte(len(value) - len(all[from:]))
+	return append(all[:from:from], value...)
+}
+
+// TestJunk: what no caller would send ends its own connection and nothing else.
+func TestJunk(t *testing.T) {
+	g := start(t)
+	a := g.agent("c4", "a4").run()
+	a.until("up to date", func() bool { return a.last.Machine != "" && !a.last.Lagging })
+	types := &bytes.Buffer{} // definitions of types without end
+	for range mostTypes {
+		var b bytes.Buffer
+		gob.NewEncoder(&b).Encode(rpc.Request{ServiceMethod: "x", Seq: 1})
+		types.Write(b.Bytes()[:1+b.Bytes()[0]]) // the definition alone
+	}
+	sent := [][]byte{hugeMap(t), types.Bytes(), {0xf8, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, {0xfc, 0x20, 0, 0, 0, 1}, {0}, {0x80}}
+	rng := rand.New(rand.NewPCG(7, 7))
+	for range 60 {
+		junk := make([]byte, 1+rng.IntN(400))
+		for j := range junk {
+			junk[j] = byte(rng.Uint32())
+		}
+		sent = append(sent, junk)
+	}
+	for i, junk := range sent {
+		conn, err := net.Dial("tcp", g.configs["c4"].Client)
+		require.NoError(t, err)
+		conn.Write(junk)
+		if i < 5 {
+			conn.SetReadDeadline(time.Now().Add(wait))
+			_, err = io.Copy(io.Discard, conn)
+			var late net.Error
+			require.False(t, errors.As(err, &late) && late.Timeout(), "junk %d: the connection stands", i)
+		}
+		conn.Close()
+	}
+	// Over the bound of a message, by a client that is one otherwise.
+	big := g.agent("c4", "big")
+	big.args.Report.Refused = []rollout.Refusal{{Why: strings.Repeat("x", mostMessage)}}
+	_, err := big.watch()
+	require.Error(t, err)
+	_, err = g.agent("c4", "big").watch()
+	require.NoError(t, err)
+	number, err := g.put(rollout.Entry{Name: name(t, "routes@all"), Text: []byte("routes: 1")})
+	require.NoError(t, err)
+	a.until("served on", func() bool { return a.args.Have["routes@all"] == number })
+}
+
+// TestLateStages: what a former leader proposes late changes nothing, and nobody but a leader
+// proposes stages.
+func TestLateStages(t *testing.T) {
+	g := start(t)
+	a := g.agent("c4", "a4").run()
+	a.until("heard", func() bool { return a.last.Machine != "" })
+	number, err := g.put(rollout.Entry{Name: name(t, "routes@all"), Text: []byte("routes: 1")})
+	require.NoError(t, err)
+	a.has("routes@all", "routes: 1")
+	leader := g.nodes[g.leader()]
+	require.Eventually(t, func() bool {
+		o, _ := leader.overview("")
+		return len(o.Names) == 1 && o.Names[0].Latest.Stage == rollout.Everywhere && o.Names[0].Coverage.InForce <= 1
+	}, wait, 10*time.Millisecond)
+	for _, op := range []rollout.Op{rollout.OpStart, rollout.OpAdvance, rollout.OpHalt} {
+		r, answer, err := leader.Propose(rollout.Encode(rollout.Entry{Op: op, Revision: number, First: []string{"a4"}, Why: "late"}))
+		require.NoError(t, err)
+		require.Equal(t, quorum.Committed, answer.Outcome)
+		require.False(t, r.(rollout.Result).Changed)
+		_, err = g.client.Put(context.Background(), rollout.Entry{Op: op, Revision: number, Author: "ann"})
+		require.ErrorIs(t, err, rollout.ErrEntry)
+	}
+	o, err := leader.overview("routes@all")
+	require.NoError(t, err)
+	require.Equal(t, number, o.Names[0].Latest.Revision)
+	require.Equal(t, rollout.Everywhere, o.Names[0].Latest.Stage)
+}
+
+// scripted is a machine whose answers a test gives.
+type scripted struct {
+	reply PutReply
+	hold  chan struct{} // not nil: it answers when this is closed
+	puts  atomic.Int64
+}
+
+func (s *scripted) Put(_ PutArgs, r *PutReply) error {
+	s.puts.Add(1)
+	if s.hold != nil {
+		<-s.hold
+	}
+	*r = s.reply
+	return nil
+}
+
+// TestClientPut: a put that a machine may have taken is not made again, whether the leader says
+// so or nothing; other refusals are told apart.
+func TestClientPut(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	for text, c := range map[string]struct {
+		reply PutReply
+		hold  chan struct{}
+		want  error
+	}{
+		"leadership lost mid-commit": {PutReply{Outcome: quorum.Unknown, ComeBackMs: 40}, nil, quorum.ErrUnknown},
+		"stopped mid-commit":         {PutReply{}, hold, quorum.ErrUnknown},
+		"no leader":                  {PutReply{Outcome: quorum.NoQuorum, ComeBackMs: 40}, nil, quorum.ErrNoQuorum},
+		"changed meanwhile":          {PutReply{Outcome: Conflict, Error: "at 7 by bob"}, nil, rollout.ErrConflict},
+		"refused":                    {PutReply{Outcome: quorum.Refused, Error: "too large"}, nil, rollout.ErrEntry},
+	} {
+		s := &scripted{reply: c.reply, hold: c.hold}
+		srv := rpc.NewServer()
+		require.NoError(t, srv.RegisterName("Rollout", s))
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+				go srv.ServeConn(conn)
+			}
+		}()
+		client := NewClient(map[string]string{"c1": ln.Addr().String()})
+		client.CallTimeout = 100 * time.Millisecond
+		_, err = client.Put(context.Background(), rollout.Entry{Op: rollout.OpPut})
+		require.ErrorIs(t, err, c.want, text)
+		if c.want != quorum.ErrNoQuorum {
+			require.EqualValues(t, 1, s.puts.Load(), text)
+		}
+		client.Close()
+		ln.Close()
+		<-ended
+	}
+}
+
+// asked puts one order to a machine's console.
+func (g *machines) asked(id, order string) string {
+	conn, err := net.Dial("tcp", g.configs[id].Rollout.Console)
+	require.NoError(g.t, err)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(wait))
+	fmt.Fprintln(conn, order)
+	answer, _ := io.ReadAll(conn)
+	return string(answer)
+}
+
+// TestOrders: operators look and change at any machine; the non-voter passes changes on.
+func TestOrders(t *testing.T) {
+	g := start(t)
+	a := g.agent("c1", "a1").run()
+	a.until("heard", func() bool { return a.last.Machine != "" })
+	g.leader()
+	var first, second uint64
+	_, err := fmt.Sscanf(g.asked("c4", "config put routes@all 0 ann\nroutes: 1\nEOT"), "SUCCESS routes@all is at %d", &first)
+	require.NoError(t, err)
+	a.has("routes@all", "routes: 1\n")
+	require.Contains(t, g.asked("c4", "CONFIG PUT routes@all 0 bob\nroutes: 2\nEOT"), fmt.Sprintf("is at %d by ann", first))
+	require.Contains(t, g.asked("c4", "CONFIG PUT routes@all x bob\nEOT"), "FAILURE BASE")
+	require.Contains(t, g.asked("c4", "CONFIG PUT routes 0 bob\nEOT"), "KIND@SCOPE")
+	require.Contains(t, g.asked("c4", "CONFIG LOOK spread@all"), "FAILURE no document")
+	_, err = fmt.Sscanf(g.asked("c4", fmt.Sprintf("CONFIG PUT routes@all %d bob\nroutes: 2\nEOT", first)), "SUCCESS routes@all is at %d", &second)
+	require.NoError(t, err)
+	a.has("routes@all", "routes: 2\n")
+	require.Eventually(t, func() bool { // c4 hears of the agent at c1 from c1
+		return strings.Contains(g.asked("c4", "CONFIG"), fmt.Sprintf("routes@all revision %d, stage everywhere", second)) &&
+			strings.Contains(g.asked("c4", "CONFIG LOOK routes@all"), "zone z1: in force ")
+	}, wait, 50*time.Millisecond)
+	look := g.asked("c4", "CONFIG LOOK routes@all")
+	require.Contains(t, look, "| routes: 2\n")
+	require.Contains(t, look, fmt.Sprintf("revision %d: superseded, base 0, by ann", first))
+	require.True(t, strings.HasSuffix(look, "EOT\n"))
+	var third uint64
+	_, err = fmt.Sscanf(g.asked("c4", fmt.Sprintf("CONFIG BACK routes@all %d %d ann", first, second)), "SUCCESS routes@all is at %d", &third)
+	require.NoError(t, err)
+	a.has("routes@all", "routes: 1\n")
+	require.Contains(t, g.asked("c4", fmt.Sprintf("CONFIG REMOVE routes@all %d ann", third)), "SUCCESS")
+	a.has("routes@all", "")
+}
+
+// TestLoadConfig: a control machine's file is known by its section, and refused by field.
+func TestLoadConfig(t *testing.T) {
+	const head = "id: c1\nraft: 127.0.0.1:0\nclient: 127.0.0.1:0\ndata: d\n"
+	for text, want := range map[string]string{
+		head + "rollout: {peers: {c1: 127.0.0.1:1}}\n":                                                 "",
+		head + "rollout: {peers: {c1: 127.0.0.1:1}, bogus: 1}\n":                                       "bogus",
+		head + "rollout: {peers: {c2: 127.0.0.1:1}}\n":                                                 "field rollout.peers",
+		head + "rollout: {peers: {c1: x}}\n":                                                           "field rollout.peers.c1",
+		head + "rollout: {peers: {c1: 127.0.0.1:1}, dwell: soon}\n":                                    "field rollout.dwell",
+		head + "rollout: {peers: {c1: 127.0.0.1:1}, worse: 2}\n":                                       "worse: 2 is not",
+		head + "rollout: {peers: {c1: 127.0.0.1:1}, console: x}\n":                                     "field rollout.console",
+		head + "bootstrap: [{id: c1, raft: a:1, voter: false}]\nrollout: {peers: {c1: 127.0.0.1:1}}\n": "no voter",
+		head + "timing: {keep: 10m}\nrollout: {peers: {c1: 127.0.0.1:1}}\n":                            "keep",
+	} {
+		path := filepath.Join(t.TempDir(), "c.yaml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		require.True(t, Is(path), text)
+		_, err := LoadConfig(path)
+		if want == "" {
+			require.NoError(t, err)
+		} else {
+			require.ErrorContains(t, err, want)
+			require.ErrorContains(t, err, "c.yaml")
+		}
+	}
+	require.False(t, Is("../../../deploy/replica.yaml"))
+	cfg, err := LoadConfig("../../../deploy/control.yaml")
+	require.NoError(t, err)
+	require.False(t, cfg.Bootstrap[3].Votes())
+}
--- a/internal/fleet/control/node.go
+++ b/internal/fleet/control/node.go
@@ -152,9 +152,13 @@
 	lagLook  = 50 * time.Millisecond
 )
 
-// watchLag keeps whether this machine may know less than is committed: no word of a leader for
-// lagAfter, or since the start; or one has been heard, but what it has committed is not applied
-// here yet.
+// deaf tells whether this machine has had no word of a leader for lagAfter, or since the start.
+func (n *Node) deaf() bool {
+	return n.Raft.State() != raft.Leader && time.Since(n.Raft.LastContact()) > lagAfter
+}
+
+// watchLag keeps whether this machine may know less than is committed: it is deaf; or it has
+// heard a leader again, but what that has committed is not applied here yet.
 func (n *Node) watchLag() {
 	tick := time.NewTicker(lagLook)
 	defer tick.Stop()
@@ -165,11 +169,9 @@
 			return
 		case <-tick.C:
 		}
-		heard := n.Raft.LastContact()
-		leads := n.Raft.State() == raft.Leader
 		commit := n.Raft.CommitIndex()
 		switch {
-		case !leads && (heard.IsZero() || time.Since(heard) > lagAfter):
+		case n.deaf():
 			lagging = true
 		case lagging:
 			// A log that is being brought up has its commit index rise from batch to batch.
@@ -178,7 +180,7 @@
 		before = commit
 		if n.fsm.lag(lagging) {
 			if lagging {
-				n.log.Warn("no word of a leader: what is told may be old", "heard", heard, "applied", n.Raft.AppliedIndex())
+				n.log.Warn("no word of a leader: what is told may be old", "heard", n.Raft.LastContact(), "applied", n.Raft.AppliedIndex())
 			} else {
 				n.log.Info("up to date", "leader", n.Leader(), "applied", n.Raft.AppliedIndex())
 			}
--- a/internal/fleet/control/service.go
+++ b/internal/fleet/control/service.go
@@ -17,7 +17,7 @@
 	mostPatience  = 10 * time.Second // below idleTime
 	mostWord      = 512              // bytes of a name in a report; rollout's are shorter
 	mostKinds     = 64
-	mostAgents    = 8192
+	mostRefused   = 128
 )
 
 // firstAgain is the patience that agents of a first stage are asked to come back with, so that
@@ -103,7 +103,9 @@
 	defer m.mu.RUnlock()
 	agent := call.Report.Agent
 	l.changed = m.changed
-	l.reply = rollout.WatchReply{Machine: n.cfg.ID, Version: m.state.Applied(), Lagging: m.lagging}
+	// A process that was stopped may answer before watchLag has looked.
+	lagging := m.lagging || n.deaf()
+	l.reply = rollout.WatchReply{Machine: n.cfg.ID, Version: m.state.Applied(), Lagging: lagging}
 	for _, d := range m.state.For(agent) {
 		if d.Revision > call.Have[d.Name.String()] {
 			l.reply.Docs = append(l.reply.Docs, d)
@@ -116,7 +118,7 @@
 	l.reply.Whole = len(call.Have) == 0
 	fresh := first && l.reply.Whole && call.Version == 0 && l.reply.Version > 0
 	l.behind = call.Version > l.reply.Version
-	l.tell = len(l.reply.Docs) > 0 || fresh || m.lagging != call.from.told.Load()
+	l.tell = len(l.reply.Docs) > 0 || fresh || lagging != call.from.told.Load()
 	return l
 }
 
@@ -130,10 +132,12 @@
 		return fmt.Errorf("%w: field report.agent.name: empty", errAsked)
 	case !word(r.Agent.Name) || !word(r.Agent.Service) || !word(r.Agent.Zone) || !word(r.Agent.Region):
 		return fmt.Errorf("%w: field report.agent: a name over %d bytes", errAsked, mostWord)
-	case len(w.Have) > rollout.MaxDocuments || len(r.Seen) > rollout.MaxDocuments || len(r.Refused) > rollout.MaxDocuments:
+	case len(w.Have) > rollout.MaxDocuments || len(r.Seen) > rollout.MaxDocuments:
 		return fmt.Errorf("%w: over %d documents", errAsked, rollout.MaxDocuments)
 	case len(r.InForce) > mostKinds:
 		return fmt.Errorf("%w: field report.force: over %d kinds", errAsked, mostKinds)
+	case len(r.Refused) > mostRefused:
+		return fmt.Errorf("%w: field report.refused: over %d", errAsked, mostRefused)
 	}
 	for _, names := range []map[string]uint64{w.Have, r.Seen, r.InForce} {
 		for name := range names {
--- a/rollout/table.go
+++ b/rollout/table.go
@@ -11,6 +11,9 @@
 	mark   uint64
 }
 
+// MaxAgents bounds the agents of a table; of more the one heard longest ago is dropped.
+const MaxAgents = 8192
+
 type heard struct {
 	Report
 	mark uint64
@@ -31,6 +34,9 @@
 	r.AtUs = nowUs
 	h := &heard{r, t.mark}
 	if at == nil {
+		if t.order.Len() >= MaxAgents {
+			t.drop(t.order.Front())
+		}
 		t.agents[r.Agent.Name] = t.order.PushBack(h)
 		return true
 	}
@@ -62,13 +68,17 @@
 	return reports, t.mark
 }
 
+func (t *Table) drop(e *list.Element) {
+	t.order.Remove(e)
+	delete(t.agents, e.Value.(*heard).Agent.Name)
+}
+
 // Forget drops the agents that were last heard before a time.
 func (t *Table) Forget(beforeUs int64) {
 	for e := t.order.Front(); e != nil; {
 		next := e.Next()
 		if h := e.Value.(*heard); h.AtUs < beforeUs {
-			t.order.Remove(e)
-			delete(t.agents, h.Agent.Name)
+			t.drop(e)
 		}
 		e = next
 	}
