--- a/rollout/steward_test.go
+++ b/rollout/steward_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // fleet plays agents, a control machine's table and its steward in steps of 100 ms.
@@ -17,10 +19,12 @@
 	table   *Table
 	steward *Steward
 	// takes is what becomes of an agent that applies a text: "" well, "refuse", "fail" its
-	// calls, "crash" for good, "loop" start again every 500 ms.
+	// calls, "crash" for good, "loop" start again every 500 ms, "hang" no answer.
 	takes  func(a *player, text string) string
 	during func(f *fleet) // each step
 	mute   bool           // no report comes to the table
+
+	restarts int
 }
 
 type player struct {
@@ -30,7 +34,8 @@
 	seq           uint64
 	calls, failed uint64
 	bad, down     bool
-	again         int64
+	again         int64 // when it restarts next; 0: not
+	loop          bool  // and again 500 ms later
 }
 
 const step = 100_000
@@ -83,13 +88,14 @@
 		how := f.takes(a, string(d.Text))
 		if how == "refuse" {
 			a.held.Refuse(d, "line 1: no")
+		}
+		if how == "refuse" || how == "hang" {
 			continue
 		}
 		a.held.Accept(d)
 		a.bad = how == "fail"
-		a.again = 0
-		if how == "loop" {
-			a.again = f.now + 5*step
+		if a.loop || how == "loop" {
+			a.loop, a.again = how == "loop", f.now+5*step
 		}
 		a.down = how == "crash"
 	}
@@ -112,10 +118,11 @@
 	if err != nil {
 		f.t.Fatalf("%s: %v", a.Name, err)
 	}
-	a.held, a.life, a.seq, a.calls, a.failed, a.down = held, f.now, 0, 0, 0, false
-	if a.again > 0 {
+	a.held, a.life, a.seq, a.calls, a.failed, a.again = held, f.now, 0, 0, 0, 0
+	if a.loop {
 		a.again = f.now + 5*step
 	}
+	f.restarts++
 }
 
 // first returns the agents of the open first stage.
@@ -191,7 +198,12 @@
 			return ""
 		}, once(put("mended")), 3 * time.Second, "mended:10", 2, "line 1: no"},
 		{"halted while the next waits, which is as bad", []int{5, 5}, is("refuse", all), once(put("new2")), 3 * time.Second, "old:10", 2, "line 1: no"},
-		{"one first-stage agent restarts", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].again = f.now + 5*step }), 3 * time.Second, "new:10", 1, ""},
+		{"one first-stage agent restarts", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].again = f.now + 5*step }), 2 * time.Second, "new:10", 1, ""},
+		{"all first-stage agents restart, one after another", []int{5, 5}, nil, once(func(f *fleet) {
+			for i, a := range f.first() {
+				a.again = f.now + int64(i+1)*5*step
+			}
+		}), 3500 * time.Millisecond, "new:10", 1, ""},
 		{"one vanishes", []int{5, 5}, nil, once(func(f *fleet) { f.first()[0].down = true }), 4500 * time.Millisecond, "new:9", 1, ""},
 		{"all vanish: others are chosen", []int{5, 5}, nil, once(func(f *fleet) {
 			for _, a := range f.first() {
@@ -221,6 +233,9 @@
 				why = r.Why
 			}
 		}
+		if strings.Contains(c.name, "restart") && f.restarts == 0 {
+			t.Errorf("%s: none did", c.name)
+		}
 		if (why == "") != (c.why == "") || !strings.Contains(why, c.why) {
 			t.Errorf("%s: halted %q, want %q", c.name, why, c.why)
 		}
@@ -339,6 +354,93 @@
 	}
 }
 
+// TestWorseThanBefore: agents that fail half their calls with a revision halt it, but not where
+// they did so before.
+func TestWorseThanBefore(t *testing.T) {
+	for before, want := range map[uint64]string{0: "old:10", 125: "new:10"} {
+		probe := play(t, 5, 5)
+		probe.put(routes, "new")
+		probe.run(step * time.Microsecond)
+		f := play(t, 5, 5) // plays alike: the same agents are chosen
+		for _, a := range probe.first() {
+			f.player(a.Name).failed = before // of 250
+		}
+		f.takes = func(a *player, _ string) string {
+			if a.failed > 0 || before == 0 && slices.ContainsFunc(f.first(), func(o *player) bool { return o == a }) {
+				return "fail"
+			}
+			return ""
+		}
+		f.put(routes, "new")
+		if f.run(2 * time.Second); f.texts() != want {
+			t.Errorf("%d failed of 250 before: %s, want %s", before, f.texts(), want)
+		}
+	}
+}
+
+// TestSlow: an agent that is heard but doesn't take the revision holds it up for two Patiences.
+func TestSlow(t *testing.T) {
+	f := play(t, 5, 5)
+	f.put(routes, "new")
+	f.run(step * time.Microsecond)
+	slow := f.first()[0]
+	f.takes = func(a *player, _ string) string {
+		if a == slow {
+			return "hang"
+		}
+		return ""
+	}
+	if f.run(2 * Defaults.Patience); len(f.Open()) != 1 || f.texts() != "new:3 old:7" {
+		t.Errorf("%s, %d open after two Patiences", f.texts(), len(f.Open()))
+	}
+	if f.run(3 * step * time.Microsecond); len(f.Open()) != 0 || f.texts() != "new:9 old:1" {
+		t.Errorf("%s, %d open after that", f.texts(), len(f.Open()))
+	}
+}
+
+// TestSettles: whatever agents did, restart, vanish, come back, refuse, and whoever led, 9 s after
+// the last of it nothing is open, all have one text, and no text went everywhere that all refuse.
+func TestSettles(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := play(t, 2, 4, 5)
+		f.takes = func(a *player, text string) string {
+			if strings.HasPrefix(text, "bad") {
+				return "refuse"
+			}
+			return ""
+		}
+		for range rapid.IntRange(1, 25).Draw(rt, "events") {
+			a := rapid.SampledFrom(f.agents).Draw(rt, "agent")
+			switch rapid.IntRange(0, 6).Draw(rt, "event") {
+			case 0, 1:
+				f.put(routes, fmt.Sprint(rapid.SampledFrom([]string{"bad", "new"}).Draw(rt, "text"), f.Applied()))
+			case 2:
+				a.again = f.now + 1
+			case 3:
+				a.down = true
+			case 4:
+				a.down = false
+			case 5:
+				f.steward = NewSteward(Defaults)
+			}
+			f.run(time.Duration(rapid.IntRange(0, 15).Draw(rt, "steps")) * step * time.Microsecond)
+		}
+		f.run(9 * time.Second)
+		for _, a := range f.agents {
+			a.down = false
+		}
+		f.run(2 * step * time.Microsecond)
+		if texts := f.texts(); len(f.Open()) > 0 || strings.Contains(texts, " ") || strings.Contains(texts, "bad") {
+			rt.Fatalf("%s, open %+v", texts, f.Open())
+		}
+		for _, r := range f.History(routes) {
+			if r.Stage == Everywhere && strings.HasPrefix(string(r.Text), "bad") {
+				rt.Fatalf("%d is everywhere: %s", r.Revision, r.Text)
+			}
+		}
+	})
+}
+
 // TestPick: how many of each service, and not always the same ones.
 func TestPick(t *testing.T) {
 	f := play(t, 1, 2, 3, 30)
