--- a/internal/fleet/control/client.go
+++ b/internal/fleet/control/client.go
@@ -41,6 +41,14 @@
 	return r.Revision, err
 }
 
+// Member has the leader take a machine out of the group or (args.Raft) into it.
+func (c *Client) Member(ctx context.Context, args MemberArgs) error {
+	return c.Each(ctx, func(id string) (a quorum.Answer, err error) {
+		err = c.Call(ctx, id, "Rollout.Member", args, &a)
+		return a, err
+	}, nil)
+}
+
 // refusal is a machine's refusal in its own words, which begin with those of err.
 type refusal struct {
 	err  error
@@ -52,5 +60,6 @@
 
 // Overview is what one machine knows of a document, or ("") of all.
 func (c *Client) Overview(ctx context.Context, id, name string) (r OverviewReply, err error) {
-	return r, c.Call(ctx, id, "Rollout.Overview", OverviewArgs{name}, &r)
+	err = c.Call(ctx, id, "Rollout.Overview", OverviewArgs{name}, &r)
+	return r, err
 }
--- a/internal/fleet/control/fault_test.go
+++ b/internal/fleet/control/fault_test.go
@@ -281,6 +281,10 @@
 	a.has("routes@all", "routes: 1\n")
 	require.Contains(t, g.asked("c4", fmt.Sprintf("CONFIG REMOVE routes@all %d ann", third)), "SUCCESS")
 	a.has("routes@all", "")
+	require.Contains(t, g.asked("c1", "CONFIG LEAVE c4"), "SUCCESS")
+	require.NotContains(t, g.asked("c1", "CONFIG"), "c4=")
+	require.Contains(t, g.asked("c1", "CONFIG JOIN c4 "+g.configs["c4"].Raft+" novote"), "SUCCESS")
+	require.Contains(t, g.asked("c1", "CONFIG"), "c4="+g.configs["c4"].Raft+" (no vote)")
 }
 
 // TestLoadConfig: a control machine's file is known by its section, and refused by field.
--- a/internal/fleet/control/orders.go
+++ b/internal/fleet/control/orders.go
@@ -67,9 +67,33 @@
 				}
 				return change(w, rollout.Entry{Restore: from})
 			}},
+		"CONFIG JOIN": {Usage: "CONFIG JOIN ID RAFT-ADDRESS [novote]", Least: 2, Most: 3,
+			Do: func(w []string, _ []byte) string {
+				if len(w) == 3 && w[2] != "novote" {
+					return console.Failure + fmt.Sprintf(" %.40q is not novote", w[2])
+				}
+				if err := quorum.Address(w[1]); err != nil {
+					return failure(err)
+				}
+				return n.member(MemberArgs{ID: w[0], Raft: w[1], Voter: len(w) == 2})
+			}},
+		"CONFIG LEAVE": {Usage: "CONFIG LEAVE ID", Least: 1, Most: 1,
+			Do: func(w []string, _ []byte) string { return n.member(MemberArgs{ID: w[0]}) }},
 	}
 }
 
+// member has the leader change the group: given again it does no harm.
+func (n *Node) member(args MemberArgs) string {
+	client := NewClient(n.cfg.Rollout.Peers)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(n.ctx, orderWait)
+	defer cancel()
+	if err := quorum.Patiently(ctx, func() error { return client.Member(ctx, args) }); err != nil {
+		return failure(err)
+	}
+	return console.Success + " done"
+}
+
 func failure(err error) string { return console.Failure + " " + err.Error() }
 
 // change has the leader take a change. Where no leader is known it waits for one; a change
@@ -117,7 +141,7 @@
 	if o.Lagging {
 		fmt.Fprint(b, ", LAGGING: what follows may be old")
 	}
-	fmt.Fprintln(b)
+	fmt.Fprintf(b, "\nmachines: %s\n", strings.Join(o.Members, ", "))
 }
 
 func sayRevision(v NameView) string {
--- a/internal/fleet/control/service.go
+++ b/internal/fleet/control/service.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"woodrouter/internal/fleet/quorum"
 	"woodrouter/internal/yamlfile"
 	"woodrouter/rollout"
@@ -211,6 +213,22 @@
 	return nil
 }
 
+// MemberArgs has a machine leave the group, or, where Raft is its address, come into it.
+type MemberArgs struct {
+	ID, Raft string
+	Voter    bool
+}
+
+// Member changes the group. Only the leader does.
+func (s *Service) Member(args MemberArgs, reply *quorum.Answer) error {
+	if args.Raft == "" {
+		*reply = s.n.Remove(args.ID)
+	} else {
+		*reply = s.n.Join(args.ID, args.Raft, args.Voter)
+	}
+	return nil
+}
+
 // OverviewArgs asks for one document's view, with its text and history, or ("") all heads.
 type OverviewArgs struct{ Name string }
 
@@ -219,6 +237,7 @@
 	Machine, State, Leader string
 	Applied                uint64
 	Lagging                bool
+	Members                []string // id=log address, with " (no vote)" for one without
 	Names                  []NameView
 }
 
@@ -248,6 +267,13 @@
 	}
 	reports, now := n.reports(), time.Now().UnixMicro()
 	r = OverviewReply{Machine: n.cfg.ID, State: n.Raft.State().String(), Leader: n.Leader()}
+	for _, m := range n.Servers() {
+		text := fmt.Sprintf("%s=%s", m.ID, m.Address)
+		if m.Suffrage != raft.Voter {
+			text += " (no vote)"
+		}
+		r.Members = append(r.Members, text)
+	}
 	n.fsm.mu.RLock()
 	defer n.fsm.mu.RUnlock()
 	st := n.fsm.state
--- a/internal/fleet/quorum/propose.go
+++ b/internal/fleet/quorum/propose.go
@@ -53,14 +53,18 @@
 	return m.Failed(m.Raft.Barrier(applyTimeout).Error())
 }
 
-// Join has a leader add a voter through raft's membership change; Remove takes one out.
-func (m *Member) Join(id, address string) Answer {
+// Join has a leader add a member through raft's membership change; Remove takes one out.
+func (m *Member) Join(id, address string, voter bool) Answer {
 	if a := m.Lead(); a.Outcome != Committed {
 		return a
 	}
-	a := m.Failed(m.Raft.AddVoter(raft.ServerID(id), raft.ServerAddress(address), 0, applyTimeout).Error())
+	add := m.Raft.AddVoter
+	if !voter {
+		add = m.Raft.AddNonvoter
+	}
+	a := m.Failed(add(raft.ServerID(id), raft.ServerAddress(address), 0, applyTimeout).Error())
 	if a.Outcome == Committed {
-		m.log.Info("member added", "member", id, "raft", address)
+		m.log.Info("member added", "member", id, "raft", address, "voter", voter)
 	}
 	return a
 }
--- a/internal/fleet/replica/service.go
+++ b/internal/fleet/replica/service.go
@@ -92,7 +92,7 @@
 
 // Join adds a voter through raft's membership change; Remove takes one out.
 func (s *Service) Join(args MemberArgs, reply *Reply) error {
-	*reply = worded(s.n.Join(args.ID, args.Raft))
+	*reply = worded(s.n.Join(args.ID, args.Raft, true))
 	return nil
 }
 
