--- a/internal/fleet/control/conn.go
+++ b/internal/fleet/control/conn.go
@@ -147,6 +147,8 @@
 	places chan struct{} // a place for each unanswered request
 	gone   chan struct{} // closed when nothing more can be read
 	ended  sync.Once
+	asked  bool        // a whole request has come
+	behind atomic.Bool // it was told in short that this machine knows less than it does
 	told   atomic.Bool // the last watch answered here heard that this machine lags
 }
 
@@ -174,7 +176,11 @@
 	if c.in.err != nil {
 		return c.in.err
 	}
-	if err := c.readBy(idleTime); err != nil {
+	idle := requestTime // whoever never asks is not to keep a place
+	if c.asked {
+		idle = idleTime
+	}
+	if err := c.readBy(idle); err != nil {
 		return err
 	}
 	if _, err := c.in.r.Peek(1); err != nil {
@@ -202,6 +208,7 @@
 		body = &w.WatchArgs
 	}
 	err := c.decode(body)
+	c.asked = err == nil
 	if err != nil && c.in.err == nil {
 		c.in.err = fmt.Errorf("%w: %w", errJunk, err) // answered, and nothing after it is read
 	}
--- a/internal/fleet/control/fault_test.go
+++ b/internal/fleet/control/fault_test.go
@@ -49,12 +49,18 @@
 	back.run().has("routes@all", "routes: 2")
 	back.until("up to date", func() bool { return !back.last.Lagging })
 
+	patient := g.agent("c4", "patient") // hears before its patience ends
+	patient.args.PatienceMs = 9000
+	_, err = patient.watch()
+	require.NoError(t, err)
+	patient.run()
 	began := time.Now()
 	g.close("c1")
 	g.close("c2")
+	patient.until("lagging", func() bool { return patient.last.Lagging })
+	require.Less(t, time.Since(began), 8*time.Second)
 	at4.until("lagging", func() bool { return at4.last.Lagging })
 	back.until("lagging", func() bool { return back.last.Lagging })
-	require.Less(t, time.Since(began), 6*time.Second)
 	late := g.agent("c4", "late")
 	r, err = late.watch()
 	require.NoError(t, err)
@@ -317,3 +323,23 @@
 	require.NoError(t, err)
 	require.False(t, cfg.Bootstrap[3].Votes())
 }
+
+// TestReturn: a zone's agents that come back at once all get the whole set from one machine; one
+// watcher too many is told to go elsewhere.
+func TestReturn(t *testing.T) {
+	g := start(t)
+	number, err := g.put(rollout.Entry{Name: name(t, "routes@all"), Text: []byte("routes: 1")})
+	require.NoError(t, err)
+	g.agent("c4", "first").run().has("routes@all", "routes: 1")
+	var back []*agent
+	for i := range 146 {
+		back = append(back, g.agent("c4", fmt.Sprintf("a%d", i)).run())
+	}
+	for _, a := range back {
+		a.until("the whole set", func() bool { return a.args.Have["routes@all"] == number })
+	}
+	g.nodes["c4"].watchers.Add(mostWatchers)
+	_, err = g.agent("c4", "late").watch()
+	require.ErrorContains(t, err, errFull.Error())
+	g.nodes["c4"].watchers.Add(-mostWatchers)
+}
--- a/internal/fleet/control/peers.go
+++ b/internal/fleet/control/peers.go
@@ -29,7 +29,8 @@
 type ReportsReply struct{ Taken int }
 
 // Reports takes another machine's reports.
-func (s *Service) Reports(args ReportsArgs, reply *ReportsReply) error {
+func (s *Service) Reports(args ReportsArgs, reply *ReportsReply) (err error) {
+	defer s.n.guard(&err)
 	if s.n.cfg.Rollout.Peers[args.From] == "" || args.From == s.n.cfg.ID {
 		return fmt.Errorf("control: reports from %.40q, who is not among the machines", args.From)
 	}
--- a/internal/fleet/control/service.go
+++ b/internal/fleet/control/service.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -39,6 +40,14 @@
 // Service is a control machine's net/rpc service, named "Rollout".
 type Service struct{ n *Node }
 
+// guard makes a fault of one answer an error of that answer: net/rpc would end the process.
+func (n *Node) guard(err *error) {
+	if r := recover(); r != nil {
+		n.log.Error("panic in an answer", "reason", r, "stack", string(debug.Stack()))
+		*err = errors.New("control: a fault of this machine")
+	}
+}
+
 // WatchCall is a rollout.WatchArgs with the connection it came on.
 type WatchCall struct {
 	rollout.WatchArgs
@@ -48,7 +57,8 @@
 // Watch takes an agent's report, and answers when there is something new for it, when this
 // machine begins or ceases to lag, or when its patience ends. Nothing is kept for a watcher:
 // what it gets is what it lacks when it is answered.
-func (s *Service) Watch(call *WatchCall, reply *rollout.WatchReply) error {
+func (s *Service) Watch(call *WatchCall, reply *rollout.WatchReply) (err error) {
+	defer s.n.guard(&err)
 	n := s.n
 	if err := proveWatch(&call.WatchArgs); err != nil {
 		return err
@@ -64,7 +74,7 @@
 	defer patience.Stop()
 	for first := true; ; first = false {
 		l := n.look(call, first)
-		if first && l.behind {
+		if first && l.behind && !call.from.behind.Swap(true) {
 			patience.Reset(min(time.Duration(max(call.PatienceMs, 0))*time.Millisecond, behindFor))
 		}
 		over := false
@@ -175,7 +185,8 @@
 // Put has a change taken once a quorum holds it. Only the leader takes it. Whether the agents
 // can use the text is for their loaders to say, at the first stage: a control machine knows
 // neither their settings nor their files, and looks only whether it is YAML and not too large.
-func (s *Service) Put(args PutArgs, reply *PutReply) error {
+func (s *Service) Put(args PutArgs, reply *PutReply) (err error) {
+	defer s.n.guard(&err)
 	n, e := s.n, args.Entry
 	if err := provePut(e); err != nil {
 		*reply = PutReply{Outcome: quorum.Refused, Error: err.Error()}
@@ -250,9 +261,9 @@
 }
 
 // Overview tells what this machine knows.
-func (s *Service) Overview(args OverviewArgs, reply *OverviewReply) error {
-	r, err := s.n.overview(args.Name)
-	*reply = r
+func (s *Service) Overview(args OverviewArgs, reply *OverviewReply) (err error) {
+	defer s.n.guard(&err)
+	*reply, err = s.n.overview(args.Name)
 	return err
 }
 
