A call on a connection that its member had ended is sent on a new one

Control machines end connections that are idle for 30 s, and net/rpc then answers the next call with ErrShutdown: a put was told as one that may stand, though nothing had been sent.

--- a/internal/fleet/quorum/client.go
+++ b/internal/fleet/quorum/client.go
@@ -192,19 +192,29 @@
 	if l == nil {
 		return fmt.Errorf("%w: no member %q is known", ErrUnsent, id)
 	}
-	conn, err := l.open(ctx)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnsent, err)
+	for {
+		conn, err := l.open(ctx)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrUnsent, err)
+		}
+		again, err := l.ask(ctx, conn, cmp.Or(c.CallTimeout, 3*time.Second), method, args, reply)
+		if !again {
+			return err
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.CallTimeout, 3*time.Second))
+}
+
+// ask makes one call on a connection; again: the member had ended it before, as it does with
+// idle ones, and nothing was sent.
+func (l *line) ask(ctx context.Context, conn *rpc.Client, most time.Duration, method string, args, reply any) (again bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	select {
 	case call := <-conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
-		l.answered(conn, call.Error)
-		return call.Error
+		return l.answered(conn, call.Error), call.Error
 	case <-ctx.Done():
 		l.late(conn)
-		return fmt.Errorf("%s: no answer: %w", method, ctx.Err())
+		return false, fmt.Errorf("%s: no answer: %w", method, ctx.Err())
 	}
 }
 
@@ -224,14 +234,17 @@
 }
 
 // answered notes an answer; an error that is none of the member's own ends the connection.
-func (l *line) answered(conn *rpc.Client, err error) {
+// unsent: it had ended before the call, and not by us, whose calls it would have cut.
+func (l *line) answered(conn *rpc.Client, err error) (unsent bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, said := err.(rpc.ServerError); err == nil || said {
 		l.heard = time.Now()
-		return
+		return false
 	}
+	unsent = errors.Is(err, rpc.ErrShutdown) && l.conn == conn
 	l.drop(conn)
+	return unsent
 }
 
 // late ends a connection on which a call ran out of time, if it has been deaf for long.
--- /dev/null
+++ b/internal/fleet/quorum/client_test.go
@@ -0,0 +1,44 @@
+package quorum
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+type echo struct{}
+
+func (echo) Say(n int, r *int) error { *r = n; return nil }
+
+// TestIdle: a call on a connection that the member has ended meanwhile goes on a new one; it is
+// not told as one that may stand, as nothing of it was sent.
+func TestIdle(t *testing.T) {
+	srv := rpc.NewServer()
+	require.NoError(t, srv.RegisterName("Echo", echo{}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	ending := make(chan struct{})
+	go func() {
+		for conn, err := ln.Accept(); err == nil; conn, err = ln.Accept() {
+			go srv.ServeConn(conn)
+			<-ending
+			conn.Close()
+		}
+	}()
+	c := NewClient(map[string]string{"m": ln.Addr().String()})
+	defer c.Close()
+	var r int
+	require.NoError(t, c.Call(context.Background(), "m", "Echo.Say", 1, &r))
+	conn := c.members["m"].conn
+	ending <- struct{}{}
+	for conn.Call("Echo.Say", 0, &r) != rpc.ErrShutdown { // until the client knows of the end
+	}
+	require.NoError(t, c.Call(context.Background(), "m", "Echo.Say", 2, &r))
+	require.Equal(t, 2, r)
+	require.NotSame(t, conn, c.members["m"].conn)
+	close(ending)
+}
