Console: an order whose line is cut off at the bound is none

A line over 512 bytes was read as the order that its first 512 bytes are: an author's name would have been cut. TestOrders has it. go test -race of console and daemon: ok.

--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -129,22 +129,19 @@
 		c.leave(conn)
 		return
 	}
-	do := c.find(string(line))
-	answer := ""
+	do := c.find(string(line), err == nil)
+	var body []byte
 	if do.body {
 		conn.SetReadDeadline(time.Now().Add(bodyTime))
-		var body []byte
-		if body, err = readBody(in); err != nil {
-			answer = fmt.Sprintf("%s %v; nothing changed", Failure, err)
-		} else {
-			c.leave(conn)
-			answer = do.do(body)
-		}
-	} else {
-		c.leave(conn)
-		answer = do.do(nil) // an order that is kept by further agents takes its time
+		body, err = readBody(in)
 	}
 	c.leave(conn)
+	answer := ""
+	if do.body && err != nil {
+		answer = fmt.Sprintf("%s %v; nothing changed", Failure, err)
+	} else {
+		answer = do.do(body) // an order that is kept by further agents takes its time
+	}
 	conn.SetWriteDeadline(time.Now().Add(writeTime))
 	if _, err := fmt.Fprintf(conn, "%s\n", answer); err != nil {
 		c.Log.Warn("console: answer not written", "error", err)
@@ -157,15 +154,15 @@
 	do   func(body []byte) string
 }
 
-// find reads a line.
-func (c *Console) find(line string) found {
+// find reads a line. One that is not whole is no order.
+func (c *Console) find(line string, whole bool) found {
 	say := func(answer string) found { return found{do: func([]byte) string { return answer }} }
 	name := strings.ToUpper(strings.TrimSpace(line))
 	if do := c.Calls[name]; do != nil {
 		return found{do: func([]byte) string { return do() }}
 	}
 	words := strings.Fields(line)
-	for n := min(len(words), 2); n > 0; n-- {
+	for n := min(len(words), 2); n > 0 && whole; n-- {
 		o, ok := c.Orders[strings.ToUpper(strings.Join(words[:n], " "))]
 		if !ok {
 			continue
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -83,6 +83,7 @@
 	for _, tc := range []struct{ line, answer string }{
 		{"LOOK\n", "SUCCESS []\n"},
 		{"look a@Zone/B\n", "SUCCESS [a@Zone/B]\n"},
+		{"LOOK a" + strings.Repeat("b", mostLine), "FAILURE no call \"LOOK A" + strings.Repeat("B", 34) + "\"\n"},
 		{"LOOK a b\n", "FAILURE usage: LOOK [NAME]\n"},
 		{"look put n\na: 1\r\n EOT\nEOT\n", "SUCCESS [n] 11 \"a: 1\\r\\n EOT\\n\"\n"},
 		{"LOOK PUT n\nEOT\n", "SUCCESS [n] 0 \"\"\n"},
