Failover's topology and settings, and the spread's period, can change while an agent runs

A right to a cold server's budget is now lent for the period its sender tells, a grant holds no longer than the period its steward tells: where periods differ, as during a staged change, either could have been used twice (TestPeriodsDiffer fails without the first).

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -102,8 +102,8 @@
 	return refused
 }
 
-// region is a zone's; "" for one not in the topology.
-func (t Topology) region(zone string) string {
+// Region is a zone's; "" for one not in the topology.
+func (t Topology) Region(zone string) string {
 	for _, z := range t.Zones {
 		if z.Name == zone {
 			return z.Region
@@ -122,7 +122,7 @@
 	switch {
 	case a == b:
 		return 0
-	case t.region(a) == t.region(b):
+	case t.Region(a) == t.Region(b):
 		return 1
 	}
 	return 10
@@ -143,7 +143,7 @@
 }
 
 func (t Topology) abroad(a, b string) int {
-	if t.region(a) == t.region(b) {
+	if t.Region(a) == t.Region(b) {
 		return 0
 	}
 	return 1
--- a/internal/fleet/placer/config.go
+++ b/internal/fleet/placer/config.go
@@ -52,6 +52,31 @@
 	return c, nil
 }
 
+// Distributed is an agent's own file with what a distributed document has in its place: topology,
+// settings, every and fresh. Mode, zone and members are an agent's own: a document that names
+// others is refused. name is only for messages.
+func (c Config) Distributed(name string, text []byte, zone string) (Config, error) {
+	d, err := yamlfile.Parse[Config](name, text)
+	if err != nil {
+		return c, err
+	}
+	var refused []error
+	if d.Mode != "" && d.Mode != c.Mode {
+		refused = append(refused, fmt.Errorf("field mode: %q, and this agent runs in mode %q until it is started with another file of its own", d.Mode, c.Mode))
+	}
+	if d.Zone != "" && d.Zone != zone {
+		refused = append(refused, fmt.Errorf("field zone: %q, and this agent is in zone %q until it is started with another file of its own", d.Zone, zone))
+	}
+	if d.Members != nil {
+		refused = append(refused, errors.New("field members: an agent's own, from its own file at its start; leave it out"))
+	}
+	c.Topology, c.Settings, c.Every, c.Fresh = d.Topology, d.Settings, d.Every, d.Fresh
+	if err := errors.Join(append(refused, c.Valid())...); err != nil {
+		return c, fmt.Errorf("%s: %w", name, err)
+	}
+	return c, nil
+}
+
 // Valid names every field that can't be used.
 func (c Config) Valid() error {
 	var refused []error
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -39,8 +39,8 @@
 
 // Placer follows the plan for one agent.
 type Placer struct {
-	cfg     Config
-	fig     figures
+	live    atomic.Pointer[live]
+	changed chan struct{} // live was replaced
 	self    members.Member
 	sights  *agent.Sights
 	control Control          // nil: local mode
@@ -69,13 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Placer{cfg: cfg, fig: fig, sights: sights, log: log, life: time.Now().UnixMicro(), sent: map[route]int64{},
-		self: members.Member{Name: name, Zone: zone}}
-	for _, z := range cfg.Topology.Zones {
-		if z.Name == zone {
-			p.self.Region = z.Region
-		}
-	}
+	p := &Placer{changed: make(chan struct{}, 1), sights: sights, log: log, life: time.Now().UnixMicro(), sent: map[route]int64{},
+		self: members.Member{Name: name, Zone: zone, Region: cfg.Topology.Region(zone)}}
+	p.live.Store(&live{cfg.Topology, fig})
 	listed := cfg.Mode == "local" && len(cfg.Topology.Zones) == 0
 	switch {
 	case listed && zone == "":
@@ -102,9 +98,33 @@
 	return p, err
 }
 
+// live is what may change while the agent runs.
+type live struct {
+	topology failover.Topology
+	figures
+}
+
+// Change has the placer go on by another file's topology, settings and times. The rest of it
+// holds from the agent's next start. A file that can't be used changes nothing.
+func (p *Placer) Change(cfg Config) error {
+	fig, err := cfg.figures()
+	if err != nil {
+		return err
+	}
+	if region := cfg.Topology.Region(p.self.Zone); len(cfg.Topology.Zones) > 0 && region != p.self.Region {
+		return fmt.Errorf("field topology.zones: zone %q is of region %q here, until the next start; the file says %q", p.self.Zone, p.self.Region, region)
+	}
+	p.live.Store(&live{cfg.Topology, fig})
+	select {
+	case p.changed <- struct{}{}:
+	default: // Run is to look anyway
+	}
+	return nil
+}
+
 // Run follows and decides until the context ends, then leaves the membership.
 func (p *Placer) Run(ctx context.Context) {
-	tick := time.NewTicker(p.fig.every)
+	tick := time.NewTicker(p.live.Load().every)
 	defer tick.Stop()
 	var news <-chan struct{}
 	if p.members != nil {
@@ -122,6 +142,8 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-p.changed:
+			tick.Reset(p.live.Load().every)
 		case <-news:
 			p.follow(ctx) // a new epoch is not to wait for the tick
 			select {
@@ -176,8 +198,9 @@
 	if p.self.Zone == "" {
 		return
 	}
-	v := failover.Look([]failover.Summary{s}, s.AtUs, p.fig.fresh.Microseconds())
-	if next, changed := failover.Decide(*p.plan.Load(), p.topology(s), p.fig.settings, v, s.AtUs, p.self.Name); changed {
+	now := p.live.Load()
+	v := failover.Look([]failover.Summary{s}, s.AtUs, now.fresh.Microseconds())
+	if next, changed := failover.Decide(*p.plan.Load(), p.topology(now, s), now.settings, v, s.AtUs, p.self.Name); changed {
 		p.take(next)
 	}
 }
@@ -186,9 +209,9 @@
 const oneRegion = "here"
 
 // topology is the file's, or the zones that the list of setup servers names.
-func (p *Placer) topology(s failover.Summary) failover.Topology {
-	if len(p.cfg.Topology.Zones) > 0 {
-		return p.cfg.Topology
+func (p *Placer) topology(now *live, s failover.Summary) failover.Topology {
+	if len(now.topology.Zones) > 0 {
+		return now.topology
 	}
 	var t failover.Topology
 	names := slices.Collect(maps.Keys(s.Seen))
@@ -207,9 +230,9 @@
 	if p.control == nil || !p.control.Leading() {
 		return
 	}
-	now := time.Now().UnixMicro()
-	v := failover.Look(p.members.Summaries(), now, p.fig.fresh.Microseconds())
-	next, changed := failover.Decide(*p.plan.Load(), p.cfg.Topology, p.fig.settings, v, now, p.self.Name)
+	now, by := time.Now().UnixMicro(), p.live.Load()
+	v := failover.Look(p.members.Summaries(), now, by.fresh.Microseconds())
+	next, changed := failover.Decide(*p.plan.Load(), by.topology, by.settings, v, now, p.self.Name)
 	if !changed {
 		return
 	}
@@ -218,7 +241,7 @@
 		p.log.Error("plan not worded", "epoch", next.Epoch, "error", err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*p.fig.every)
+	ctx, cancel := context.WithTimeout(ctx, 2*by.every)
 	defer cancel()
 	switch took, err := p.control.Propose(ctx, next.Epoch, text); {
 	case err != nil:
@@ -238,7 +261,8 @@
 // is within reach the last plan stays: a minority decides nothing, and claims nobody's calls.
 func (p *Placer) follow(ctx context.Context) {
 	have, heard := p.plan.Load().Epoch, p.members.Epoch()
-	ctx, cancel := context.WithTimeout(ctx, p.fig.every)
+	now := p.live.Load()
+	ctx, cancel := context.WithTimeout(ctx, now.every)
 	defer cancel()
 	if heard > have {
 		if epoch, text, err := p.control.Plan(ctx, heard); err == nil {
@@ -246,7 +270,7 @@
 			return
 		}
 	}
-	if time.Since(time.UnixMicro(p.word.Load())) < p.fig.fresh {
+	if time.Since(time.UnixMicro(p.word.Load())) < now.fresh {
 		return
 	}
 	epoch, text, err := p.control.LeadersPlan(ctx)
@@ -311,7 +335,7 @@
 	may := func(pool int) bool {
 		return (r.Pools == nil || slices.Contains(r.Pools, pool)) && (classPools == nil || slices.Contains(classPools, pool))
 	}
-	for _, z := range append([]string{zone}, p.cfg.Topology.Nearest(zone)...) {
+	for _, z := range append([]string{zone}, p.live.Load().topology.Nearest(zone)...) {
 		if z != zone {
 			pools = (*p.seen.Load())[z].Pools
 		}
--- a/internal/fleet/spreader/spreader.go
+++ b/internal/fleet/spreader/spreader.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/internal/fleet/members"
@@ -54,6 +55,27 @@
 	return errors.Join(append(refused, err)...)
 }
 
+// Distributed is an agent's own file with a distributed document's period in its place. Mode and
+// members are an agent's own: a document that names others is refused. name is only for messages.
+func (c Config) Distributed(name string, text []byte) (Config, error) {
+	d, err := yamlfile.Parse[Config](name, text)
+	if err != nil {
+		return c, err
+	}
+	var refused []error
+	if d.Mode != "" && d.Mode != c.Mode {
+		refused = append(refused, fmt.Errorf("field mode: %q, and this agent runs in mode %q until it is started with another file of its own", d.Mode, c.Mode))
+	}
+	if d.Members != nil {
+		refused = append(refused, errors.New("field members: an agent's own, from its own file at its start; leave it out"))
+	}
+	c.Period = d.Period
+	if err := errors.Join(append(refused, c.Valid())...); err != nil {
+		return c, fmt.Errorf("%s: %w", name, err)
+	}
+	return c, nil
+}
+
 func (c Config) period() (time.Duration, error) {
 	if c.Period == "" {
 		return 0, nil
@@ -81,11 +103,13 @@
 // Spreader is an agent's part. Its lock is held for the steward's work on one message alone, and
 // no other is taken meanwhile.
 type Spreader struct {
-	cfg   spread.Config
-	core  Core
-	list  *members.Members
-	log   *slog.Logger
-	began time.Time
+	cfg     spread.Config // its period is the one at the start
+	period  atomic.Int64  // between two summaries now
+	changed chan struct{} // it was replaced
+	core    Core
+	list    *members.Members
+	log     *slog.Logger
+	began   time.Time
 
 	mu      sync.Mutex
 	steward *spread.Steward
@@ -108,7 +132,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("members: %w", err)
 	}
-	s := &Spreader{cfg: cfg, core: core, list: list, log: log, began: time.Now(), steward: spread.NewSteward(cfg)}
+	s := &Spreader{cfg: cfg, changed: make(chan struct{}, 1), core: core, list: list, log: log, began: time.Now(), steward: spread.NewSteward(cfg)}
+	s.period.Store(int64(cmp.Or(cfg.Period, spread.DefaultPeriod)))
 	list.OnNote(s.take)
 	return s, nil
 }
@@ -125,8 +150,7 @@
 // Run sends a summary each period until ctx ends, then leaves the membership.
 func (s *Spreader) Run(ctx context.Context) {
 	defer s.list.Leave()
-	period := cmp.Or(s.cfg.Period, 500*time.Millisecond)
-	tick := time.NewTicker(period)
+	tick := time.NewTicker(time.Duration(s.period.Load()))
 	defer tick.Stop()
 	for n := 0; ; n++ {
 		if n%4 == 0 {
@@ -139,10 +163,32 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-s.changed:
+			tick.Reset(time.Duration(s.period.Load()))
 		}
 	}
 }
 
+// Change has the spreader go on by another file's period. The rest of it holds from the agent's
+// next start. A file that can't be used changes nothing.
+func (s *Spreader) Change(file Config) error {
+	period, err := file.period()
+	if err != nil {
+		return err
+	}
+	period = cmp.Or(period, spread.DefaultPeriod)
+	s.period.Store(int64(period))
+	s.core.Spread(func(_ policy.Time, st *spread.State) { st.SetPeriod(period) })
+	s.mu.Lock()
+	s.steward.SetPeriod(period)
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default: // Run is to look anyway
+	}
+	return nil
+}
+
 // tell sends this agent's summary to the steward, which may be itself.
 func (s *Spreader) tell() {
 	alive := s.list.Names()
--- a/internal/yamlfile/yamlfile.go
+++ b/internal/yamlfile/yamlfile.go
@@ -32,8 +32,13 @@
 	if err != nil {
 		return v, err
 	}
+	return Parse[T](path, text)
+}
+
+// Parse returns the value that a text holds; name is only for messages.
+func Parse[T any](name string, text []byte) (v T, err error) {
 	if err := Decode(text, &v); err != nil {
-		return v, fmt.Errorf("%s: %s", path, yaml.FormatError(err, false, true))
+		return v, fmt.Errorf("%s: %s", name, yaml.FormatError(err, false, true))
 	}
 	return v, nil
 }
--- a/spread/lease.go
+++ b/spread/lease.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -12,10 +13,13 @@
 //
 //   - A summary echoes the latest view that its sender has, so it was sent after that view was.
 //     The sender keeps its hands off its right for lendPeriods from the summary on; the steward
-//     counts the right as lent for lendPeriods from the view on, which ends sooner.
+//     counts the right as lent for lendPeriods from the view on, which ends sooner. The periods are
+//     those of the sender, which the summary tells: a sender's period may change, and others may
+//     have another.
 //   - A grant answers a summary, so it was made after the summary was sent. Whoever gets it may
 //     use it for grantPeriods from that summary on; the steward takes it for out for grantPeriods
-//     from the grant on, which ends later.
+//     from the grant on, which ends later. The periods are those of the steward, which the view
+//     tells, or the hearer's own where they are shorter.
 //
 // What is lost on the way is lost until its time has passed, and never used twice.
 
@@ -73,16 +77,16 @@
 // lend tells whether this summary lends the sender's rights, and notes until when they are lent.
 // Rights lent to another steward come back first.
 func (s *State) lend(now Time, steward string) bool {
-	if s.lentTo != steward && s.lent >= 0 && now < s.lent+lendPeriods*s.cfg.period() {
+	if s.lentTo != steward && s.lentOut(now) {
 		return false
 	}
-	s.lent, s.lentTo = now, steward
+	s.lent, s.lentTo = max(s.lent, now+lendFor(s.cfg.period())), steward
 	return true
 }
 
 // lentOut tells whether the sender's rights are with a steward.
 func (s *State) lentOut(now Time) bool {
-	return s.lent >= 0 && now < s.lent+lendPeriods*s.cfg.period()
+	return s.lent >= 0 && now < s.lent
 }
 
 // remember notes when a summary went out.
@@ -90,10 +94,11 @@
 	s.summaries[seq%uint64(len(s.summaries))] = sentAt{seq, now}
 }
 
-// grant takes a grant that answers a summary; one that answers a summary too old is void.
-func (s *State) grant(now Time, v *server, n int, echo uint64) {
+// grant takes a grant that answers a summary, of a steward with a period (0: not told); one that
+// answers a summary too old is void.
+func (s *State) grant(now Time, v *server, n int, echo uint64, period time.Duration) {
 	at := s.summaries[echo%uint64(len(s.summaries))]
-	until := at.at + grantPeriods*s.cfg.period()
+	until := at.at + grantPeriods*min(s.cfg.period(), cmp.Or(period, s.cfg.period()))
 	if at.seq != echo || now >= until {
 		return
 	}
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -27,17 +27,27 @@
 	Life    int64  // of this process: later lives have larger ones
 	Rank    int    // its place among the senders, from 0
 	Senders int
-	Period  time.Duration // between two summaries; 0: 500 ms
+	Period  time.Duration // between two summaries; 0: DefaultPeriod. Senders may have different ones
 	Seed    uint64        // with the rank, draws where its order begins, so that senders begin apart
 }
 
+// DefaultPeriod is the time between two summaries where the configuration names none.
+const DefaultPeriod = 500 * time.Millisecond
+
 func (c Config) period() time.Duration {
 	if c.Period <= 0 {
-		return 500 * time.Millisecond
+		return DefaultPeriod
 	}
 	return c.Period
 }
 
+// SetPeriod changes the period from now on. Rights that are lent stay lent for as long as they
+// were lent for.
+func (s *State) SetPeriod(d time.Duration) { s.cfg.Period = d }
+
+// SetPeriod changes the steward's period from now on.
+func (w *Steward) SetPeriod(d time.Duration) { w.cfg.Period = d }
+
 // How long things hold, in periods.
 const (
 	viewPeriods  = 4 // a view is followed for so long without a newer one
@@ -73,7 +83,7 @@
 	demand  rate // set-ups of first tries
 	view    *View
 	viewAt  Time
-	lent    Time // the last summary that lent its rights went out; 0: none yet
+	lent    Time // its rights are lent until then; below 0: they never were
 	lentTo  string
 	seq     uint64
 	rng     *rand.Rand
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -15,7 +15,7 @@
 const ms = time.Millisecond
 
 // TestRightsNeverDoubled: whatever is lost, late or doubled, however the senders are split over
-// two stewards and whoever stands still for a while, all together never send a cold server more
+// two stewards, whoever stands still for a while and whosever period changes, all together never send a cold server more
 // than the budget and what may have been saved up at the start.
 func TestRightsNeverDoubled(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -24,6 +24,8 @@
 		loss := rapid.IntRange(0, 60).Draw(t, "loss")
 		slow := time.Duration(rapid.IntRange(1, 2500).Draw(t, "slowest")) * ms
 		flips := rapid.IntRange(0, 40).Draw(t, "flips") // how often a sender turns to the other steward
+		churn := rapid.IntRange(0, 20).Draw(t, "churn") // how often somebody's period changes
+		periods := []time.Duration{100 * ms, 500 * ms, 2 * time.Second}
 		rnd := rapid.Custom(func(t *rapid.T) int { return rapid.IntRange(0, 1<<30).Draw(t, "x") })
 		seed := uint64(rnd.Draw(t, "seed"))
 		draw := func(k int) int { seed = seed*6364136223846793005 + 1442695040888963407; return int(seed>>33) % k }
@@ -72,6 +74,15 @@
 					send(now, letter{to: to, view: v})
 				}
 			}
+			for i := range n + len(stewards) {
+				switch p := periods[draw(len(periods))]; {
+				case draw(1000) >= churn:
+				case i < n:
+					senders[i].SetPeriod(p)
+				default:
+					stewards[i-n].SetPeriod(p)
+				}
+			}
 			for i, s := range senders {
 				if draw(400) == 0 {
 					stalled[i] = now + time.Duration(draw(5000))*ms
@@ -307,3 +318,31 @@
 	assert.InDelta(t, float64(30*time.Second), float64(l.Gap(300)), 1e6)
 	assert.True(t, math.IsInf(Lines{}.Spare(0, 0), 1))
 }
+
+// TestPeriodsDiffer: where periods differ or change, a right is lent for what its sender said, and
+// a grant holds no longer than its steward counts on.
+func TestPeriodsDiffer(t *testing.T) {
+	const short, long = 100 * ms, 2 * time.Second
+	meet := func(sender, steward time.Duration) (*State, *Steward) { // lends at 10 ms by a view of 0
+		s := New(Config{Name: "a", Life: 1, Senders: 1, Period: sender})
+		w := NewSteward(Config{Name: "w", Life: 1, Senders: 1, Period: steward})
+		s.Listed("s", true)
+		w.Cold(0, "s", 8)
+		for _, now := range []Time{0, 10 * ms} {
+			v, ok := w.Hear(now, s.Summary(now, "w"))
+			require.True(t, ok)
+			s.Hear(now, v)
+		}
+		return s, w
+	}
+	s, w := meet(short, long)
+	assert.Zero(t, w.held(10*ms), "the sender has its right back before a grant of it would end")
+	assert.False(t, s.lentOut(500*ms))
+	s, w = meet(long, short)
+	assert.EqualValues(t, 1, w.held(10*ms))
+	s.remember(20*ms, 9)
+	s.grant(20*ms, s.get("s"), 1, 9, short)
+	assert.Equal(t, 220*ms, s.get("s").grants[0].until, "the steward's period, not its own")
+	s.SetPeriod(short)
+	assert.True(t, s.lentOut(7*time.Second), "lent for what it was lent for")
+}
--- a/spread/steward.go
+++ b/spread/steward.go
@@ -190,14 +190,18 @@
 		return
 	}
 	w.begun, w.looked = true, now
+	longest := w.cfg.period()
+	for _, n := range w.senders {
+		longest = max(longest, n.latest.Period)
+	}
 	for seq, at := range w.sent { // no loan by an older view holds any more
-		if now > at+lendFor(w.cfg.period()) {
+		if now > at+lendFor(longest) {
 			delete(w.sent, seq)
 		}
 	}
 	demand := 0.0
 	for name, n := range w.senders {
-		if now-n.heard > heardPeriods*w.cfg.period() {
+		if now-n.heard > heardPeriods*max(n.latest.Period, w.cfg.period()) {
 			w.drop(n)
 			if now > n.lent { // its loan has come to its end, too
 				delete(w.senders, name)
@@ -312,7 +316,7 @@
 func (w *Steward) borrow(now Time, n *sender, s Summary) {
 	at, ok := w.sent[s.Echo.Seq]
 	if s.Lends && ok && s.Echo.Name == w.cfg.Name && s.Echo.Life == w.cfg.Life {
-		n.lent = max(n.lent, at+lendFor(w.cfg.period()))
+		n.lent = max(n.lent, at+lendFor(cmp.Or(s.Period, w.cfg.period())))
 	}
 }
 
@@ -331,12 +335,12 @@
 func (w *Steward) view(now Time, s Summary) View {
 	w.seq++
 	w.sent[w.seq] = now
-	v := View{From: Stamp{w.cfg.Name, w.cfg.Life, w.seq}, Echo: s.From, Senders: len(w.senders), Hold: w.hold}
+	v := View{From: Stamp{w.cfg.Name, w.cfg.Life, w.seq}, Echo: s.From, Senders: len(w.senders), Hold: w.hold, Period: w.cfg.period()}
 	for _, n := range w.senders {
 		v.Demand += n.latest.Demand
 	}
 	held := w.held(now)
-	want := s.Demand * w.cfg.period().Seconds() // calls that it will have before the next view
+	want := s.Demand * cmp.Or(s.Period, w.cfg.period()).Seconds() // calls that it will have before the next view
 	for id, j := range w.servers {
 		d := Due{Server: id, Share: j.share, Rate: j.rate, Out: max(j.out, 0), Idle: now - max(j.lastSent, j.first)}
 		if j.coldRate > 0 {
--- a/spread/view.go
+++ b/spread/view.go
@@ -36,11 +36,12 @@
 
 // Summary is what a sender tells the steward, every period.
 type Summary struct {
-	From   Stamp   `json:"f"`
-	Echo   Stamp   `json:"e"` // the latest view it has; its rights are lent by this view's clock
-	Lends  bool    `json:"l"` // its rights to cold servers, until lendPeriods after the view it echoes
-	Demand float64 `json:"d"` // first tries a second
-	Counts []Count `json:"c"`
+	From   Stamp         `json:"f"`
+	Echo   Stamp         `json:"e"` // the latest view it has; its rights are lent by this view's clock
+	Lends  bool          `json:"l"` // its rights to cold servers, until lendPeriods after the view it echoes
+	Demand float64       `json:"d"` // first tries a second
+	Counts []Count       `json:"c"`
+	Period time.Duration `json:"p,omitempty"` // the sender's; 0: not told, as by older versions
 }
 
 // Due is what the steward tells of one server.
@@ -55,12 +56,13 @@
 
 // View is what the steward tells one sender in answer to a summary.
 type View struct {
-	From    Stamp   `json:"f"`
-	Echo    Stamp   `json:"e"`           // the summary that it answers: grants hold from when that was sent
-	Senders int     `json:"n"`           // heard lately
-	Demand  float64 `json:"d"`           // of all of them
-	Hold    float64 `json:"h,omitempty"` // share of the calls that all servers together can't take
-	Dues    []Due   `json:"v"`
+	From    Stamp         `json:"f"`
+	Echo    Stamp         `json:"e"`           // the summary that it answers: grants hold from when that was sent
+	Senders int           `json:"n"`           // heard lately
+	Demand  float64       `json:"d"`           // of all of them
+	Hold    float64       `json:"h,omitempty"` // share of the calls that all servers together can't take
+	Dues    []Due         `json:"v"`
+	Period  time.Duration `json:"p,omitempty"` // the steward's; 0: not told
 }
 
 // StewardAt names who of those alive is to be told, by rendezvous hashing (Thaler and
@@ -126,7 +128,7 @@
 // Summary words what this sender knows, for the steward that it names.
 func (s *State) Summary(now Time, steward string) Summary {
 	s.seq++
-	out := Summary{From: Stamp{s.cfg.Name, s.cfg.Life, s.seq}, Demand: s.demand.per(now)}
+	out := Summary{From: Stamp{s.cfg.Name, s.cfg.Life, s.seq}, Demand: s.demand.per(now), Period: s.cfg.period()}
 	if s.view != nil && s.view.From.Name == steward {
 		out.Echo = s.view.From
 		out.Lends = s.lend(now, steward)
@@ -157,7 +159,7 @@
 		o := s.get(d.Server)
 		o.share, o.due = max(d.Share, 1e-6), d
 		if d.Grant > 0 {
-			s.grant(now, o, d.Grant, v.Echo.Seq)
+			s.grant(now, o, d.Grant, v.Echo.Seq, v.Period)
 		}
 	}
 	for id, o := range s.servers {
@@ -190,6 +192,7 @@
 	mostServers = 4096
 	mostName    = 256
 	mostRate    = 1e9
+	mostPeriod  = time.Minute
 )
 
 // Valid names the first field of a summary that can't be used.
@@ -200,6 +203,9 @@
 	if err := figure("d", s.Demand); err != nil {
 		return err
 	}
+	if s.Period < 0 || s.Period > mostPeriod {
+		return fmt.Errorf("field p: %v", s.Period)
+	}
 	if len(s.Counts) > mostServers {
 		return fmt.Errorf("field c: %d servers", len(s.Counts))
 	}
@@ -230,6 +236,9 @@
 	if !(v.Hold >= 0 && v.Hold <= 1) {
 		return fmt.Errorf("field h: %v", v.Hold)
 	}
+	if v.Period < 0 || v.Period > mostPeriod {
+		return fmt.Errorf("field p: %v", v.Period)
+	}
 	if len(v.Dues) > mostServers {
 		return fmt.Errorf("field v: %d servers", len(v.Dues))
 	}
