An agent's client of the control machines: it watches one, keeps the last known good, and moves

Package internal/fleet/watcher: net/rpc's protocol with one question at a time and a bounded answer, first choice by rendezvous hashing within the region, full jitter on the way back, acknowledged only once saved.

--- /dev/null
+++ b/internal/fleet/watcher/say.go
@@ -0,0 +1,68 @@
+package watcher
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// InForce is the revision in force of each kind; 0: the agent's own file, or none.
+func (w *Watcher) InForce() map[string]uint64 { return maps.Clone(w.view.Load().force) }
+
+// Traffic is the bytes on the wire so far.
+func (w *Watcher) Traffic() (sent, received int64) {
+	return w.traffic.sent.Load(), w.traffic.received.Load()
+}
+
+// Say words how things stand, for the console.
+func (w *Watcher) Say() string {
+	v := w.view.Load()
+	var b strings.Builder
+	heard := "never"
+	if !v.heard.IsZero() {
+		heard = time.Since(v.heard).Round(time.Millisecond).String() + " ago"
+	}
+	fmt.Fprintf(&b, "machine %s, heard %s, version %d, lagging %v, saved %v\n", cmp.Or(v.machine, "none"), heard, v.version, v.lagging, !v.unsaved)
+	for _, kind := range w.kinds {
+		if n := v.force[kind]; n != 0 {
+			fmt.Fprintf(&b, "%s: revision %d of %s in force\n", kind, n, v.names[kind])
+		} else {
+			fmt.Fprintf(&b, "%s: the agent's own file, or none\n", kind)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.have)) {
+		fmt.Fprintf(&b, "document %s: told of revision %d, accepted %d\n", name, v.have[name], v.seen[name])
+	}
+	for _, r := range v.refused {
+		fmt.Fprintf(&b, "refused %s revision %d: %s\n", r.Name, r.Revision, strings.ReplaceAll(r.Why, "\n", "; "))
+	}
+	return b.String()
+}
+
+// Figures are the lines of STATS.
+func (w *Watcher) Figures(line func(kind string, n int64, name string)) {
+	v := w.view.Load()
+	for _, kind := range w.kinds {
+		line("g", int64(v.force[kind]), "rollout_revision."+kind)
+	}
+	flag := map[bool]int64{true: 1}
+	line("g", int64(v.version), "rollout_version")
+	line("g", flag[v.unsaved], "rollout_unsaved")
+	line("g", flag[v.lagging], "rollout_lagging")
+	age := int64(-1) // never
+	if !v.heard.IsZero() {
+		age = time.Since(v.heard).Milliseconds()
+	}
+	line("g", age, "rollout_heard_ms")
+	line("c", w.counts.watches.Load(), "rollout_watches")
+	line("c", w.counts.moves.Load(), "rollout_moves")
+	line("c", w.counts.refused.Load(), "rollout_refused")
+	line("c", w.counts.forged.Load(), "rollout_forged")
+	line("c", w.counts.behind.Load(), "rollout_behind")
+	sent, received := w.Traffic()
+	line("c", sent, "rollout_sent")
+	line("c", received, "rollout_received")
+}
--- /dev/null
+++ b/internal/fleet/watcher/watcher.go
@@ -0,0 +1,393 @@
+// Package watcher is a call agent's side of the distribution of configuration: it watches one
+// control machine, has the agent's loaders judge what comes, keeps the last known good on disk,
+// and moves to another machine when that one is late, gone, behind, or tells what can't be. It
+// decides nothing about stages and scopes: package rollout does. docs/rollout.md.
+package watcher
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"woodrouter/rollout"
+)
+
+// Loader is what takes documents in an agent, by their kinds. Its methods are called one at a
+// time, from Open and from Run.
+type Loader interface {
+	// Check proves a text as the agent would at its start, and changes nothing.
+	Check(kind string, text []byte) error
+	// Apply puts a document in force for what comes from now on; ok false: none is distributed
+	// any more, and the agent's own file holds again.
+	Apply(kind string, d rollout.Document, ok bool) error
+	// Calls are those ended since the process started, and those of them that failed.
+	Calls() (ended, failed uint64)
+}
+
+// What ends a watch beside the network's errors.
+var (
+	errBehind  = errors.New("the machine knows less than this agent holds")
+	errLagging = errors.New("the machine hears no leader")
+	errHome    = errors.New("its turn with this machine is over")
+)
+
+// Pauses between two tries. They are drawn evenly from nothing up to their most (full jitter), so
+// that a fleet does not come back in step; all machines are tried within a few seconds.
+const (
+	pauseNext   = 300 * time.Millisecond // before the next machine; before a round of them it doubles each time
+	pauseMost   = 2 * time.Second
+	helloFor    = 100 * time.Millisecond // the first watch's patience on a connection: a machine that is silent shows soon
+	paceLeast   = 100 * time.Millisecond // between two watches that brought nothing and were not waited for
+	stayLagging = 3 * time.Second        // with a machine that lags where all do, and up to as much again
+	stayAway    = 20 * time.Second       // from the first choice, and up to as much again
+	saveAgain   = 3 * time.Second        // after a save that failed, and up to as much again
+)
+
+// leastWatch is the shortest patience asked with.
+const leastWatch = 50 * time.Millisecond
+
+// Watcher is an agent's client. One goroutine, Run's, owns all but view and counts.
+type Watcher struct {
+	cfg    Config
+	spans  spans
+	agent  rollout.Agent
+	kinds  []string
+	loader Loader
+	log    *slog.Logger
+	order  []Machine // the first choice first
+	write  func(path string, data []byte) error
+
+	held   *rollout.Held
+	force  map[string]uint64 // by kind, as the loader last took it
+	seq    uint64
+	saved  map[string]uint64 // what was accepted, as it stands on disk
+	saveAt time.Time         // a save that failed is tried again then; zero: all is saved
+
+	at        int // the machine watched, in order
+	tried     int // machines tried since the last good answer
+	lagUntil  time.Time
+	homeAt    time.Time
+	heard     time.Time // the last good answer
+	lagging   bool
+	connected bool
+
+	view    atomic.Pointer[view]
+	traffic traffic
+	counts  struct{ watches, moves, forged, behind, refused atomic.Int64 }
+}
+
+// view is what others may see of the watcher. It is replaced, never changed.
+type view struct {
+	machine    string // "": none just now
+	heard      time.Time
+	version    uint64
+	lagging    bool
+	unsaved    bool
+	force      map[string]uint64
+	names      map[string]string // of the documents in force, by kind
+	have, seen map[string]uint64
+	refused    []rollout.Refusal
+}
+
+// Open reads the last known good from the disk and has the loader take it, before anything is
+// asked of a machine. Only a configuration that can't be used is an error.
+func Open(cfg Config, agent rollout.Agent, kinds []string, l Loader, log *slog.Logger) (*Watcher, error) {
+	s, err := cfg.check()
+	if err != nil {
+		return nil, err
+	}
+	cfg.Life = cmp.Or(cfg.Life, time.Now().UnixMicro())
+	w := &Watcher{cfg: cfg, spans: s, agent: agent, kinds: kinds, loader: l, log: log, write: writeWhole,
+		order: rank(cfg.Machines, agent.Name, agent.Region), force: map[string]uint64{}}
+	w.held = w.recall()
+	w.saved, _ = w.held.Report()
+	for _, d := range w.held.Pending() {
+		w.judge(d)
+	}
+	w.settle()
+	w.publish()
+	return w, nil
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, errHome) {
+			w.at = 0
+		} else {
+			w.move(err)
+		}
+		w.publish()
+		sleep(ctx, w.pause())
+	}
+}
+
+// move goes to the next machine.
+func (w *Watcher) move(err error) {
+	m := w.order[w.at]
+	switch {
+	case w.connected:
+		w.log.Warn("rollout: machine left", "machine", m.ID, "error", err)
+	case w.tried+1 == len(w.order):
+		w.log.Warn("rollout: no machine answers; serving on with what is held", "last", m.ID, "error", err)
+	default:
+		w.log.Debug("rollout: machine passed", "machine", m.ID, "error", err)
+	}
+	w.connected = false
+	w.counts.moves.Add(1)
+	w.at = (w.at + 1) % len(w.order)
+	w.tried++
+}
+
+// pause is how long to wait before the machine at hand is tried.
+func (w *Watcher) pause() time.Duration {
+	most := pauseNext
+	if w.tried > 0 && w.tried%len(w.order) == 0 {
+		most = min(pauseNext<<min(w.tried/len(w.order)-1, 8), pauseMost)
+	}
+	return upTo(most)
+}
+
+func upTo(d time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(d) + 1)) }
+
+// sleep waits, or less if the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// follow watches one machine until there is a reason to leave it.
+func (w *Watcher) follow(ctx context.Context) error {
+	l, err := dial(ctx, w.cfg.Source, w.order[w.at].Client, &w.traffic)
+	if err != nil {
+		return err
+	}
+	defer l.conn.Close()
+	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
+	defer stop()
+	w.homeAt = time.Now().Add(stayAway + upTo(stayAway))
+	for patience, first := helloFor, true; ; first = false {
+		began := time.Now()
+		w.counts.watches.Add(1)
+		r, err := l.watch(w.args(patience), patience+w.spans.grace)
+		if err != nil {
+			if errors.Is(err, errSize) || errors.Is(err, errSequence) {
+				w.counts.forged.Add(1)
+				w.log.Error("rollout: answer not taken; its watch ends", "machine", w.order[w.at].ID, "error", err)
+			}
+			return err
+		}
+		news, err := w.take(r)
+		if err != nil {
+			return err
+		}
+		if !first && !r.Lagging {
+			w.tried = 0
+		}
+		if patience, err = w.next(r); err != nil {
+			return err
+		}
+		if quick := time.Since(began) < paceLeast/2; quick && !news {
+			sleep(ctx, paceLeast/2+upTo(paceLeast/2))
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// next is the patience of the next watch at this machine, or why there is none.
+func (w *Watcher) next(r rollout.WatchReply) (time.Duration, error) {
+	now := time.Now()
+	patience := w.spans.patience*9/10 + upTo(w.spans.patience/5)
+	if again := time.Duration(r.AgainMs) * time.Millisecond; again > 0 {
+		patience = min(patience, again)
+	}
+	switch {
+	case r.Lagging && now.Before(w.lagUntil): // all lag, and this one is as good as any
+		patience = min(patience, w.lagUntil.Sub(now))
+	case r.Lagging && w.tried < len(w.order)-1:
+		return 0, errLagging
+	case r.Lagging:
+		w.log.Warn("rollout: no machine hears a leader; staying with this one", "machine", r.Machine)
+		w.lagUntil, w.tried = now.Add(stayLagging+upTo(stayLagging)), 0
+		patience = min(patience, w.lagUntil.Sub(now))
+	case w.at != 0 && now.After(w.homeAt):
+		return 0, errHome
+	}
+	return max(patience, leastWatch), nil
+}
+
+// args words the agent's report and its question.
+func (w *Watcher) args(patience time.Duration) rollout.WatchArgs {
+	w.seq++
+	seen, refused := w.held.Report()
+	if !w.saveAt.IsZero() { // what is not kept is not acknowledged: a restart would go back below it
+		seen = w.saved
+	}
+	calls, failed := w.loader.Calls()
+	return rollout.WatchArgs{Have: w.held.Have(), Version: w.held.Version(), PatienceMs: patience.Milliseconds(),
+		Report: rollout.Report{Agent: w.agent, Life: w.cfg.Life, Seq: w.seq, Seen: seen, InForce: maps.Clone(w.force),
+			Refused: refused, Calls: calls, Failed: failed}}
+}
+
+// take proves an answer and has what is new in it judged, put in force and saved.
+func (w *Watcher) take(r rollout.WatchReply) (news bool, err error) {
+	machine := w.order[w.at].ID
+	if w.held.Behind(r) {
+		w.counts.behind.Add(1)
+		return false, fmt.Errorf("%w: version %d, held %d", errBehind, r.Version, w.held.Version())
+	}
+	fresh, err := w.held.Take(r)
+	if err != nil {
+		w.counts.forged.Add(1)
+		w.log.Error("rollout: answer not taken; its watch ends", "machine", machine, "error", err)
+		return false, err
+	}
+	if !w.connected {
+		w.connected = true
+		w.log.Info("rollout: watching", "machine", machine, "version", r.Version, "lagging", r.Lagging)
+	}
+	w.heard, w.lagging = time.Now(), r.Lagging
+	for _, d := range fresh {
+		w.judge(d)
+	}
+	if len(fresh) > 0 {
+		w.settle()
+	}
+	if len(fresh) > 0 || !w.saveAt.IsZero() && time.Now().After(w.saveAt) {
+		w.save()
+	}
+	w.publish()
+	return len(fresh) > 0, nil
+}
+
+// judge has the loader prove one document.
+func (w *Watcher) judge(d rollout.Document) {
+	if d.Removed {
+		w.held.Accept(d)
+		return
+	}
+	if err := w.check(d); err != nil {
+		w.refuse(d, err, "the former one stays")
+		return
+	}
+	w.held.Accept(d)
+}
+
+// check is the loader's word; a text on which it panics is one it can't take.
+func (w *Watcher) check(d rollout.Document) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%s: the loader panicked: %v", d.Name, r)
+		}
+	}()
+	if !slices.Contains(w.kinds, d.Name.Kind) {
+		return fmt.Errorf("%s: this agent takes no documents of kind %s", d.Name, d.Name.Kind)
+	}
+	return w.loader.Check(d.Name.Kind, d.Text)
+}
+
+// refuse says no to a document.
+func (w *Watcher) refuse(d rollout.Document, err error, what string) {
+	w.held.Refuse(d, strings.ToValidUTF8(err.Error(), "?"))
+	w.counts.refused.Add(1)
+	w.log.Error("rollout: revision refused; "+what, "name", d.Name.String(), "revision", d.Revision, "error", err)
+}
+
+// settle puts in force what is effective by now, of each kind. A document that was proved and
+// still does not take effect, as after a restart by a new program, is refused: what holds without
+// it does, a wider document or the agent's own file.
+func (w *Watcher) settle() {
+	for _, kind := range w.kinds {
+		for {
+			d, ok := w.held.Effective(kind)
+			if d.Revision == w.force[kind] && ok == (w.force[kind] != 0) {
+				break
+			}
+			err := w.apply(kind, d, ok)
+			if err == nil {
+				w.force[kind] = 0
+				if ok {
+					w.force[kind] = d.Revision
+				}
+				w.log.Info("rollout: in force", "kind", kind, "name", sayName(d, ok), "revision", w.force[kind])
+				break
+			}
+			if !ok {
+				w.log.Error("rollout: the agent's own file can't be taken again; what is in force stays", "kind", kind, "error", err)
+				break
+			}
+			w.refuse(d, err, "what holds without it does")
+		}
+	}
+}
+
+func (w *Watcher) apply(kind string, d rollout.Document, ok bool) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("the loader panicked: %v", r)
+		}
+	}()
+	return w.loader.Apply(kind, d, ok)
+}
+
+func sayName(d rollout.Document, ok bool) string {
+	if !ok {
+		return "the agent's own file"
+	}
+	return d.Name.String()
+}
+
+// save keeps what is held. Where the disk does not take it, it holds all the same, and is not
+// acknowledged until a later try succeeds.
+func (w *Watcher) save() {
+	if w.cfg.Data != "" {
+		if err := w.write(filepath.Join(w.cfg.Data, heldName), w.held.Bytes()); err != nil {
+			if w.saveAt.IsZero() {
+				w.log.Error("rollout: not saved; in force all the same, not acknowledged, tried again", "data", w.cfg.Data, "error", err)
+			}
+			w.saveAt = time.Now().Add(saveAgain + upTo(saveAgain))
+			return
+		}
+	}
+	if !w.saveAt.IsZero() {
+		w.log.Info("rollout: saved again", "data", w.cfg.Data)
+	}
+	w.saveAt = time.Time{}
+	w.saved, _ = w.held.Report()
+}
+
+// publish lets others see how things stand.
+func (w *Watcher) publish() {
+	v := &view{heard: w.heard, version: w.held.Version(), lagging: w.lagging, unsaved: !w.saveAt.IsZero(),
+		force: maps.Clone(w.force), names: map[string]string{}, have: maps.Clone(w.held.Have())}
+	if w.connected {
+		v.machine = w.order[w.at].ID
+	}
+	for _, kind := range w.kinds {
+		if d, ok := w.held.Effective(kind); ok {
+			v.names[kind] = d.Name.String()
+		}
+	}
+	seen, refused := w.held.Report()
+	v.seen, v.refused = maps.Clone(seen), slices.Clone(refused)
+	w.view.Store(v)
+}
--- /dev/null
+++ b/internal/fleet/watcher/watcher_test.go
@@ -0,0 +1,451 @@
+package watcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"woodrouter/rollout"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second // of the tests
+
+// machine is a scripted control machine: each watch waits for the test's answer.
+type machine struct {
+	id    string
+	ln    net.Listener
+	asked chan question
+	gone  chan struct{}  // the test is over
+	raw   func(net.Conn) // where set, it has the connections instead
+}
+
+type question struct {
+	rollout.WatchArgs
+	answer chan any // a WatchReply, or an error
+}
+
+// Rollout is the service's name and its only method's receiver.
+type Rollout struct{ m *machine }
+
+func (s Rollout) Watch(a rollout.WatchArgs, r *rollout.WatchReply) error {
+	q := question{a, make(chan any)}
+	s.m.asked <- q
+	select {
+	case <-s.m.gone:
+		return errors.New("ended")
+	case x := <-q.answer:
+		if err, ok := x.(error); ok {
+			return err
+		}
+		*r = x.(rollout.WatchReply)
+		r.Machine = s.m.id
+		return nil
+	}
+}
+
+func (m *machine) serve(t *testing.T) {
+	var err error
+	m.ln, err = net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m.asked, m.gone = make(chan question, 64), make(chan struct{})
+	server := rpc.NewServer()
+	require.NoError(t, server.Register(Rollout{m}))
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			conn, err := m.ln.Accept()
+			if err != nil {
+				return
+			}
+			group.Go(func() {
+				if m.raw != nil {
+					m.raw(conn)
+					return
+				}
+				server.ServeConn(conn)
+			})
+		}
+	})
+	t.Cleanup(func() { // after the watcher's end
+		m.ln.Close()
+		close(m.gone)
+		group.Wait()
+	})
+}
+
+func (m *machine) next(t *testing.T) question {
+	t.Helper()
+	select {
+	case q := <-m.asked:
+		return q
+	case <-time.After(patience):
+		t.Fatalf("machine %s is not asked", m.id)
+	}
+	panic("unreached")
+}
+
+// site is an agent between two machines, in the order that it tries them.
+type site struct {
+	t      *testing.T
+	first  *machine
+	second *machine
+	cfg    Config
+	loader *loader
+	w      *Watcher
+	stop   func()
+}
+
+var agent = rollout.Agent{Name: "n1", Zone: "z1", Region: "here"}
+
+func newSite(t *testing.T, rawFirst func(net.Conn)) *site {
+	s := &site{t: t, first: &machine{id: "near", raw: rawFirst}, second: &machine{id: "far"}, cfg: Config{Patience: "30s", Grace: "5s", Data: filepath.Join(t.TempDir(), "data")}}
+	s.first.serve(t)
+	s.second.serve(t)
+	s.cfg.Machines = []Machine{{ID: "far", Client: s.second.ln.Addr().String(), Region: "there"}, {ID: "near", Client: s.first.ln.Addr().String(), Region: "here"}}
+	return s
+}
+
+func (s *site) open() *site {
+	s.loader = &loader{force: map[string]string{}}
+	var err error
+	s.w, err = Open(s.cfg, agent, []string{"routes", "spread"}, s.loader, slog.New(slog.DiscardHandler))
+	require.NoError(s.t, err)
+	return s
+}
+
+func (s *site) run() *site {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.w.Run(ctx); close(done) }()
+	s.stop = func() { cancel(); <-done }
+	s.t.Cleanup(s.stop)
+	return s
+}
+
+// loader takes any text but those that begin with "bad".
+type loader struct {
+	mu    sync.Mutex
+	force map[string]string
+}
+
+func (l *loader) Check(kind string, text []byte) error {
+	if bytes.HasPrefix(text, []byte("panic")) {
+		panic("no such text")
+	}
+	if bytes.HasPrefix(text, []byte("bad")) {
+		return fmt.Errorf("%s:2:3: field routes[0].attempts: %s", kind, text)
+	}
+	return nil
+}
+
+func (l *loader) Apply(kind string, d rollout.Document, ok bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.force[kind] = string(d.Text)
+	if !ok {
+		l.force[kind] = "own"
+	}
+	return nil
+}
+
+func (l *loader) Calls() (uint64, uint64) { return 10, 3 }
+
+func (l *loader) has(kind string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.force[kind]
+}
+
+func doc(name string, revision uint64, text string) rollout.Document {
+	n, err := rollout.ParseName(name)
+	if err != nil {
+		panic(err)
+	}
+	return rollout.Document{Name: n, Revision: revision, Text: []byte(text), Sum: rollout.Sum([]byte(text)), Removed: text == ""}
+}
+
+func reply(version uint64, docs ...rollout.Document) rollout.WatchReply {
+	return rollout.WatchReply{Version: version, Docs: docs}
+}
+
+// TestTakes: what is told is proved, put in force and kept before it is acknowledged; a narrower
+// document goes before a wider one, and the agent's own file holds when all are removed. A
+// refused text is told back with the loader's words, and the former one stays.
+func TestTakes(t *testing.T) {
+	s := newSite(t, nil).open().run()
+	q := s.first.next(t)
+	assert.Equal(t, helloFor.Milliseconds(), q.PatienceMs, "a new machine is asked for a quick answer")
+	assert.Empty(t, q.Have)
+	for i, step := range []struct {
+		docs    []rollout.Document
+		routes  string
+		force   uint64
+		seen    map[string]uint64
+		refused string
+	}{
+		{[]rollout.Document{doc("routes@all", 3, "wide")}, "wide", 3, map[string]uint64{"routes@all": 3}, ""},
+		{[]rollout.Document{doc("routes@zone/z1", 5, "narrow")}, "narrow", 5, map[string]uint64{"routes@all": 3, "routes@zone/z1": 5}, ""},
+		{[]rollout.Document{doc("routes@zone/z1", 6, "bad")}, "narrow", 5, map[string]uint64{"routes@all": 3, "routes@zone/z1": 5}, "routes:2:3: field routes[0].attempts: bad"},
+		{[]rollout.Document{doc("routes@zone/z1", 7, "panic")}, "narrow", 5, map[string]uint64{"routes@all": 3, "routes@zone/z1": 5}, "panicked"},
+		{[]rollout.Document{doc("routes@zone/z1", 8, ""), doc("routes@all", 9, "later")}, "later", 9, map[string]uint64{"routes@all": 9, "routes@zone/z1": 8}, ""},
+		{[]rollout.Document{doc("routes@all", 10, "")}, "own", 0, map[string]uint64{"routes@all": 10, "routes@zone/z1": 8}, ""},
+		{[]rollout.Document{doc("pools@all", 11, "x")}, "own", 0, map[string]uint64{"routes@all": 10, "routes@zone/z1": 8}, "no documents of kind pools"},
+	} {
+		version := step.docs[len(step.docs)-1].Revision
+		q.answer <- reply(version, step.docs...)
+		q = s.first.next(t)
+		assert.Equal(t, step.routes, s.loader.has("routes"), i)
+		assert.Equal(t, step.force, q.Report.InForce["routes"], i)
+		assert.Equal(t, step.force, s.w.InForce()["routes"], i)
+		assert.Equal(t, step.seen, q.Report.Seen, i)
+		assert.Equal(t, version, q.Version)
+		assert.Equal(t, uint64(i+2), q.Report.Seq)
+		assert.Equal(t, [2]uint64{10, 3}, [2]uint64{q.Report.Calls, q.Report.Failed})
+		if step.refused == "" {
+			assert.Empty(t, q.Report.Refused, i)
+			continue
+		}
+		require.Len(t, q.Report.Refused, 1, i)
+		assert.Contains(t, q.Report.Refused[0].Why, step.refused)
+		assert.Contains(t, s.w.Say(), "refused "+q.Report.Refused[0].Name.String())
+	}
+}
+
+// TestStartsFromDisk: with all of control gone an agent starts with what it acknowledged, before
+// anything is asked; a torn file and another agent's are moved aside, and cost a fetch.
+func TestStartsFromDisk(t *testing.T) {
+	s := newSite(t, nil).open().run()
+	s.first.next(t).answer <- reply(4, doc("routes@all", 4, "kept"), doc("spread@all", 3, "also"))
+	q := s.first.next(t)
+	s.stop()
+	file := filepath.Join(s.cfg.Data, heldName)
+	whole, err := os.ReadFile(file)
+	require.NoError(t, err)
+	foreign := rollout.NewHeld(rollout.Agent{Name: "n2"}).Bytes()
+	for name, tc := range map[string]struct {
+		data []byte
+		want string
+	}{
+		"whole": {whole, "kept"}, "torn": {whole[:len(whole)/2], ""}, "empty": {nil, ""}, "foreign": {foreign, ""},
+		"flipped": {append(append([]byte{}, whole[:40]...), append([]byte{whole[40] ^ 1}, whole[41:]...)...), ""},
+	} {
+		require.NoError(t, os.RemoveAll(s.cfg.Data))
+		require.NoError(t, os.Mkdir(s.cfg.Data, 0o700))
+		require.NoError(t, os.WriteFile(file, tc.data, 0o600))
+		s.open()
+		assert.Equal(t, tc.want, s.loader.has("routes"), name)
+		aside, _ := filepath.Glob(file + ".torn-*")
+		if tc.want == "" {
+			assert.Len(t, aside, 1, name)
+			assert.Zero(t, s.w.held.Version(), name)
+			continue
+		}
+		assert.Empty(t, aside, name)
+		assert.Equal(t, q.Report.Seen, s.w.args(0).Report.Seen, "never below what it acknowledged")
+		assert.EqualValues(t, 4, s.w.InForce()["routes"])
+	}
+}
+
+// TestDiskFails: what can't be kept is in force and told as such, but not acknowledged until it
+// is kept; a restart meanwhile starts from what was kept and is told of the rest.
+func TestDiskFails(t *testing.T) {
+	s := newSite(t, nil).open().run()
+	unsaved := func() (n int64) {
+		s.w.Figures(func(_ string, x int64, name string) {
+			if name == "rollout_unsaved" {
+				n = x
+			}
+		})
+		return n
+	}
+	s.first.next(t).answer <- reply(1, doc("routes@all", 1, "one"))
+	q := s.first.next(t)
+	away := s.cfg.Data + ".away"
+	require.NoError(t, os.Rename(s.cfg.Data, away))
+	require.NoError(t, os.WriteFile(s.cfg.Data, nil, 0o600)) // no directory any more
+	q.answer <- reply(2, doc("routes@all", 2, "two"))
+	q = s.first.next(t)
+	assert.Equal(t, map[string]uint64{"routes@all": 1}, q.Report.Seen)
+	assert.Equal(t, uint64(2), q.Report.InForce["routes"])
+	assert.Equal(t, "two", s.loader.has("routes"))
+	assert.EqualValues(t, 1, unsaved())
+	require.NoError(t, os.Remove(s.cfg.Data))
+	require.NoError(t, os.Rename(away, s.cfg.Data))
+	again := newSite(t, nil)
+	again.cfg.Data = s.cfg.Data
+	assert.Equal(t, "one", again.open().loader.has("routes"), "a restart meanwhile")
+	q.answer <- reply(3, doc("routes@all", 3, "three"))
+	q = s.first.next(t)
+	assert.Equal(t, map[string]uint64{"routes@all": 3}, q.Report.Seen)
+	assert.Zero(t, unsaved())
+}
+
+// frame words a length as gob does before a message.
+func frame(n uint32) []byte { return []byte{0xfc, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)} }
+
+// TestLeaves: each of these ends one watch, nothing of it is taken, and the agent goes to the
+// next machine with what it held.
+func TestLeaves(t *testing.T) {
+	header := func(h rpc.Response, body any) func(net.Conn) {
+		return func(c net.Conn) {
+			c.Read(make([]byte, 1)) // the question is on its way
+			enc := gob.NewEncoder(c)
+			enc.Encode(h)
+			enc.Encode(body)
+			io.Copy(io.Discard, c)
+		}
+	}
+	written := func(data []byte) func(net.Conn) {
+		return func(c net.Conn) { c.Write(data); io.Copy(io.Discard, c) }
+	}
+	torn := doc("routes@all", 9, "torn")
+	torn.Sum++
+	for name, tc := range map[string]struct {
+		raw    func(net.Conn)
+		answer any // after one that was good, of version 5
+		forged int64
+	}{
+		"silent":            {raw: func(c net.Conn) { io.Copy(io.Discard, c) }},
+		"closes":            {raw: func(c net.Conn) { c.Close() }},
+		"junk":              {raw: written([]byte("HTTP/1.1 400 Bad Request\r\n\r\n"))},
+		"oversized":         {raw: written(frame(mostAnswer + 1)), forged: 1},
+		"replayed":          {raw: header(rpc.Response{ServiceMethod: "Rollout.Watch", Seq: 7}, reply(9, doc("routes@all", 9, "x"))), forged: 1},
+		"another type":      {raw: header(rpc.Response{Seq: 1}, struct{ Version string }{"x"})},
+		"refuses":           {answer: errors.New("not now")},
+		"older":             {answer: reply(4, doc("routes@all", 4, "old"))},
+		"torn text":         {answer: reply(9, torn), forged: 1},
+		"above its version": {answer: reply(8, doc("routes@all", 9, "x")), forged: 1},
+		"one number, two":   {answer: reply(9, doc("routes@all", 5, "other")), forged: 1},
+		"another agent's":   {answer: reply(9, doc("routes@agent/n2", 9, "x")), forged: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, tc.raw)
+			if name == "silent" || name == "junk" { // of which a part is awaited
+				s.cfg.Grace = "500ms"
+			}
+			s.open().run()
+			text, version := "", uint64(0)
+			if tc.raw == nil {
+				s.first.next(t).answer <- reply(5, doc("routes@all", 5, "good"))
+				s.first.next(t).answer <- tc.answer
+				text, version = "good", 5
+			}
+			q := s.second.next(t)
+			assert.Equal(t, version, q.Version)
+			assert.Equal(t, version, q.Have["routes@all"])
+			assert.Equal(t, text, s.loader.has("routes"))
+			assert.Equal(t, tc.forged, s.w.counts.forged.Load())
+			assert.EqualValues(t, 1, s.w.counts.moves.Load())
+		})
+	}
+}
+
+// TestLagging: a machine without a leader is left for another, with what it knows; where all
+// lag the agent stays, watches on, and takes what is committed.
+func TestLagging(t *testing.T) {
+	s := newSite(t, nil).open().run()
+	lags := reply(3, doc("routes@all", 3, "known"))
+	lags.Lagging = true
+	s.first.next(t).answer <- lags
+	q := s.second.next(t)
+	assert.EqualValues(t, 3, q.Have["routes@all"])
+	q.answer <- lags
+	q = s.second.next(t)
+	assert.LessOrEqual(t, q.PatienceMs, (2 * stayLagging).Milliseconds(), "looked at again soon")
+	lags = reply(4, doc("routes@all", 4, "committed"))
+	lags.Lagging = true
+	q.answer <- lags
+	q = s.second.next(t)
+	assert.Equal(t, "committed", s.loader.has("routes"))
+	assert.EqualValues(t, 1, s.w.counts.moves.Load())
+	q.answer <- reply(4)
+	q = s.second.next(t)
+	assert.Greater(t, q.PatienceMs, (2 * stayLagging).Milliseconds(), "its own patience, with a leader again")
+}
+
+// TestRank: agents' first choices are even, within their region; those of a machine that is lost
+// are even over the rest.
+func TestRank(t *testing.T) {
+	var machines []Machine
+	for i := range 5 {
+		machines = append(machines, Machine{ID: fmt.Sprint("c", i), Region: []string{"a", "b"}[i/4]})
+	}
+	const n = 4000
+	first, next := map[string]int{}, map[string]int{}
+	for i := range n {
+		order := rank(machines, fmt.Sprint("agent", i), "a")
+		assert.Equal(t, "c4", order[4].ID, "the other region's")
+		first[order[0].ID]++
+		if order[0].ID == "c0" {
+			next[order[1].ID]++
+		}
+	}
+	for _, m := range machines[:4] {
+		assert.InDelta(t, n/4, first[m.ID], n/40, m.ID)
+		if m.ID != "c0" {
+			assert.InDelta(t, first["c0"]/3, next[m.ID], n/40, m.ID)
+		}
+	}
+}
+
+// TestPause: the first retry comes soon, and a round over four machines that don't answer at all
+// is over within 9 s at its slowest.
+func TestPause(t *testing.T) {
+	w := &Watcher{order: make([]Machine, 4)}
+	for _, w.tried = range []int{0, 1, 2, 3, 4, 5, 8, 12, 16, 4000} {
+		most := time.Duration(0)
+		for range 200 {
+			most = max(most, w.pause())
+		}
+		limit := pauseNext
+		if w.tried > 4 && w.tried%4 == 0 {
+			limit = pauseMost
+		}
+		assert.LessOrEqual(t, most, limit, w.tried)
+	}
+	assert.Less(t, 3*(dialMost+pauseNext)+dialMost+pauseMost+helloFor, 9*time.Second)
+}
+
+// TestLoadConfig: each field at fault is named.
+func TestLoadConfig(t *testing.T) {
+	const machines = "machines: [{id: c1, client: '127.0.0.1:1'}]\n"
+	for text, want := range map[string]string{
+		"data: /d\n" + machines:                           "",
+		machines:                                          "field data",
+		"data: /d\n":                                      "field machines: empty",
+		"data: /d\npatience: soon\n" + machines:           "field patience",
+		"data: /d\ngrace: 1h\n" + machines:                "field grace",
+		"data: /d\nmachines: [{client: '127.0.0.1:1'}]\n": "field machines[0].id",
+		"data: /d\nmachines: [{id: c1, client: here}]\n":  "field machines[0].client",
+		"data: /d\nspeed: 3\n" + machines:                 "[2:1] unknown field \"speed\"",
+	} {
+		path := filepath.Join(t.TempDir(), "rollout.yaml")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := LoadConfig(path)
+		if want == "" {
+			assert.NoError(t, err, text)
+		} else {
+			assert.ErrorContains(t, err, want, text)
+			assert.ErrorContains(t, err, "rollout.yaml", text)
+		}
+	}
+	_, err := LoadConfig("../../../deploy/rollout.yaml")
+	assert.NoError(t, err)
+}
