Distributed revisions take effect in the agent: routes, failover and spread, between two calls

They go through the loaders of the start and of SIGHUP, before the agent's own files while they are in force; SIGHUP reads the own files of failover and spread, too. A route's error names its field in {} as well.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -29,6 +29,7 @@
 	Promises string `json:"-"` // path of the file of promises (YAML); "": kept by this process alone
 	Failover string `json:"-"` // path of the file of zone failover (YAML); "": zones are not followed
 	Spread   string `json:"-"` // path of the file of spreading load (YAML); "": alone
+	Rollout  string `json:"-"` // path of the file of control machines (YAML); "": the agent's own files alone
 	Routes   string `json:"-"` // path of the per-route limits (YAML); "": the settings' limits for all
 
 	path string // of the file this was read from; "": none
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,22 +64,24 @@
 
 // Daemon is a call agent with its parts.
 type Daemon struct {
-	cfg      Config
-	log      *slog.Logger
-	core     *agent.Agent
-	pool     *trunk.Pool
-	front    *isupfront.Front
-	second   second
-	promises *promises          // nil: what is promised is kept by this process alone
-	placer   *placer.Placer     // nil: zones are not followed
-	spreader *spreader.Spreader // nil: load is spread alone
-	follower *bulletin.Follower
-	serving  atomic.Bool
-	stopping atomic.Bool
-	drained  atomic.Bool // an operator has callers go elsewhere
-	emptying emptying
-	reloads  struct{ taken, refused atomic.Int64 }
-	stayAway time.Duration // told by the agent itself where it can't take a call
+	cfg         Config
+	log         *slog.Logger
+	core        *agent.Agent
+	pool        *trunk.Pool
+	front       *isupfront.Front
+	second      second
+	promises    *promises          // nil: what is promised is kept by this process alone
+	placer      *placer.Placer     // nil: zones are not followed
+	spreader    *spreader.Spreader // nil: load is spread alone
+	own         own
+	distributed *distribution // nil: configuration comes from the agent's own files alone
+	follower    *bulletin.Follower
+	serving     atomic.Bool
+	stopping    atomic.Bool
+	drained     atomic.Bool // an operator has callers go elsewhere
+	emptying    emptying
+	reloads     struct{ taken, refused atomic.Int64 }
+	stayAway    time.Duration // told by the agent itself where it can't take a call
 }
 
 // ready tells whether callers may come.
@@ -99,12 +101,11 @@
 		}
 	}
 	set := cfg.info.Policy()
-	var spreading spreader.Config
 	if cfg.Spread != "" {
-		if spreading, err = spreader.LoadConfig(cfg.Spread); err != nil {
+		if d.own.spread, err = spreader.LoadConfig(cfg.Spread); err != nil {
 			return nil, fmt.Errorf("spread: %w", err)
 		}
-		set.Spread = spreading.Spread(cfg.Name, time.Now())
+		set.Spread = d.own.spread.Spread(cfg.Name, time.Now())
 	}
 	d.core, err = agent.New(agent.Config{Keeper: kept, Sights: cfg.Failover != "", Settings: set, Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
@@ -113,13 +114,16 @@
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
 	}
 	if cfg.Failover != "" {
-		if d.placer, err = newPlacer(cfg, d.promises, d.core.Sights(), log); err != nil {
+		if d.own.failover, err = placer.LoadConfig(cfg.Failover); err != nil {
+			return nil, err
+		}
+		if d.placer, err = newPlacer(cfg, d.own.failover, d.promises, d.core.Sights(), log); err != nil {
 			return nil, err
 		}
 		d.core.SetRouter(d.route(nil))
 	}
 	if cfg.Spread != "" {
-		if d.spreader, err = spreader.Open(spreading, set.Spread, d.core, log); err != nil {
+		if d.spreader, err = spreader.Open(d.own.spread, set.Spread, d.core, log); err != nil {
 			return nil, fmt.Errorf("spread: %s: %w", cfg.Spread, err)
 		}
 	}
@@ -147,6 +151,11 @@
 	if err := d.takeRoutes(); err != nil { // a refused file at the start: the program exits
 		return nil, err
 	}
+	if cfg.Rollout != "" { // what was distributed last is in force before calls come
+		if err := d.openDistribution(); err != nil {
+			return nil, err
+		}
+	}
 	return d, nil
 }
 
@@ -191,6 +200,11 @@
 		go func() { d.spreader.Run(background); close(spread) }()
 		defer func() { cancel(); <-spread }()
 	}
+	if d.distributed != nil {
+		watched := make(chan struct{})
+		go func() { d.distributed.watcher.Run(background); close(watched) }()
+		defer func() { cancel(); <-watched }()
+	}
 	go d.follower.Run(background)
 	served := make(chan error, 1)
 	go func() { served <- d.front.Serve(ln) }()
@@ -219,7 +233,7 @@
 // Reload reads the configuration file and the second front's state anew. What can't be
 // used changes nothing.
 func (d *Daemon) Reload() {
-	if d.cfg.path == "" && d.cfg.State == "" && d.cfg.Routes == "" && d.promises == nil {
+	if d.cfg.path == "" && d.cfg.State == "" && d.cfg.Routes == "" && d.promises == nil && d.placer == nil && d.spreader == nil {
 		d.log.Warn("nothing to reload: neither a configuration file nor a state file was named at the start")
 		return
 	}
@@ -234,6 +248,14 @@
 		taken = false
 		d.log.Error("routes not taken; the former ones stay", "error", err)
 	}
+	if err := d.reloadFailover(); err != nil {
+		taken = false
+		d.log.Error("failover file not taken; the former one stays", "error", err)
+	}
+	if err := d.reloadSpread(); err != nil {
+		taken = false
+		d.log.Error("spread file not taken; the former one stays", "error", err)
+	}
 	if d.promises != nil {
 		if err := d.promises.reload(d.cfg.Promises); err != nil {
 			taken = false
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -81,7 +81,7 @@
 		return err
 	}
 	cfg.State, cfg.Callers, cfg.Routes = env("WOODROUTER_STATE"), env("PROXY_FD"), env("WOODROUTER_ROUTES")
-	cfg.Spread = env("WOODROUTER_SPREAD")
+	cfg.Spread, cfg.Rollout = env("WOODROUTER_SPREAD"), env("WOODROUTER_ROLLOUT")
 	cfg.Promises, cfg.Failover = env("WOODROUTER_PROMISES"), env("WOODROUTER_FAILOVER")
 	cfg.Console = cmp.Or(cfg.Console, env("PROXY_CONSOLE"))
 	options := &slog.HandlerOptions{Level: level}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -24,7 +24,7 @@
 	}
 	c := &console.Console{Log: d.log, Calls: map[string]func() string{
 		"READY": d.sayReady, "STATS": d.stats, "DRAIN": d.keepDrain(true, d.empty), "UNDRAIN": d.keepDrain(false, d.refill), "PROMISES": d.sayPromises, "ZONES": d.sayZones,
-		"SPREAD": d.saySpread,
+		"SPREAD": d.saySpread, "ROLLOUT": d.sayRollout,
 	}}
 	go c.Serve(ln)
 	d.log.Info("console open", "listen", ln.Addr().String())
@@ -76,6 +76,9 @@
 		line("c", bytes, "spread_bytes")
 		line("c", bad, "spread_bad")
 	}
+	if d.distributed != nil {
+		d.distributed.watcher.Figures(line)
+	}
 	return b.String() + console.End
 }
 
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 
 	"woodrouter/agent"
@@ -11,11 +12,20 @@
 	"woodrouter/internal/servers/bulletin"
 )
 
-// readRoutes loads and proves a file of per-route limits against the configuration's
-// settings, and returns the router the core takes calls' routes from. A refused file is an
-// error naming every refusal; nothing of it is used.
+// readRoutes is parseRoutes of a file.
 func readRoutes(path string, cfg Config) (agent.Router, int, error) {
-	table, err := routefile.Load(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	return parseRoutes(path, text, cfg)
+}
+
+// parseRoutes reads and proves a text of per-route limits against the configuration's
+// settings, and returns the router the core takes calls' routes from. A refused text is an
+// error naming every refusal; nothing of it is used. name stands for its file in messages.
+func parseRoutes(name string, text []byte, cfg Config) (agent.Router, int, error) {
+	table, err := routefile.Parse(name, text)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -34,7 +44,8 @@
 	}, len(table.Routes), nil
 }
 
-// takeRoutes reads the routes file, if one is named, and hands it to the core.
+// takeRoutes reads the routes file, if one is named, and hands it to the core, unless a
+// distributed revision is in force.
 func (d *Daemon) takeRoutes() error {
 	if d.cfg.Routes == "" {
 		return nil
@@ -43,9 +54,11 @@
 	if err != nil {
 		return fmt.Errorf("routes: %w", err)
 	}
-	d.core.SetRouter(d.route(router))
-	d.log.Info("routes taken", "file", d.cfg.Routes, "routes", n)
-	return nil
+	return d.takeOwn(kindRoutes, d.cfg.Routes, func() { d.own.routes = router }, func() error {
+		d.core.SetRouter(d.route(router))
+		d.log.Info("routes taken", "file", d.cfg.Routes, "routes", n)
+		return nil
+	})
 }
 
 // knownPools is each pool's state by the list that a configuration knows: up where any of its
--- a/internal/fleet/placer/placer.go
+++ b/internal/fleet/placer/placer.go
@@ -104,16 +104,29 @@
 	figures
 }
 
+// Fits tells whether Change can take a file.
+func (p *Placer) Fits(cfg Config) error {
+	region := cfg.Topology.Region(p.self.Zone)
+	switch {
+	case len(cfg.Topology.Zones) == 0:
+	case region == "" && p.self.Zone != "":
+		return fmt.Errorf("field topology.zones: this agent's zone %q is none of them", p.self.Zone)
+	case p.members != nil && region != p.self.Region: // the others know it by that
+		return fmt.Errorf("field topology.zones: zone %q is of region %q until this agent's next start, not %q", p.self.Zone, p.self.Region, region)
+	}
+	return cfg.Valid()
+}
+
 // Change has the placer go on by another file's topology, settings and times. The rest of it
 // holds from the agent's next start. A file that can't be used changes nothing.
 func (p *Placer) Change(cfg Config) error {
+	if err := p.Fits(cfg); err != nil {
+		return err
+	}
 	fig, err := cfg.figures()
 	if err != nil {
 		return err
 	}
-	if region := cfg.Topology.Region(p.self.Zone); len(cfg.Topology.Zones) > 0 && region != p.self.Region {
-		return fmt.Errorf("field topology.zones: zone %q is of region %q here, until the next start; the file says %q", p.self.Zone, p.self.Region, region)
-	}
 	p.live.Store(&live{cfg.Topology, fig})
 	select {
 	case p.changed <- struct{}{}:
--- a/internal/fleet/placer/placer_test.go
+++ b/internal/fleet/placer/placer_test.go
@@ -73,3 +73,39 @@
 		require.NoError(t, err, deployed)
 	}
 }
+
+// TestChange: a distributed document changes topology, settings and times while the agent runs,
+// and is refused where it names what is an agent's own or would move it.
+func TestChange(t *testing.T) {
+	const zones = "topology: {zones: [{name: a, region: r}, {name: b, region: r}, {name: c, region: s}]"
+	own := Config{Mode: "local", Every: "1s", Topology: failover.Topology{Zones: []failover.Zone{{Name: "a", Region: "r"}}}}
+	p, err := New(own, "n1", "a", nil, nil, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	for text, want := range map[string]string{
+		zones + "}\nsettings: {margin: 0.3}\nevery: 200ms\n":              "",
+		zones + ", distances: [{between: [a, c], cost: 1}]}\nmode: local": "",
+		"mode: common\n" + zones + "}\n":                                  "failover: field mode",
+		"zone: b\n" + zones + "}\n":                                       `field zone: "b"`,
+		"members: {bind: '127.0.0.1:1'}\n" + zones + "}\n":                "field members",
+		"topology: {zones: [{name: b, region: r}]}\n":                     `zone "a" is none of them`,
+		"settings: {margin: 2}\n":                                         "settings: field margin",
+		"settings: {margin: wide}\n":                                      "failover: [1:20]",
+		"every: 10s\n":                                                    "field fresh",
+	} {
+		before := *p.live.Load()
+		cfg, err := own.Distributed("failover", []byte(text), "a")
+		if err == nil {
+			err = p.Change(cfg)
+		}
+		if want != "" {
+			require.ErrorContains(t, err, want, text)
+			require.Equal(t, before, *p.live.Load(), text)
+			continue
+		}
+		require.NoError(t, err, text)
+		require.Len(t, p.live.Load().topology.Zones, 3)
+	}
+	p.plan.Store(&failover.Plan{Zones: map[string]failover.Placement{"a": {Shares: []failover.Share{{Zone: "c", Part: 1}}}}})
+	p.seen.Store(&map[string]agent.Sighting{"a": {Up: 1, Pools: []int{0}}, "c": {Up: 1, Pools: []int{4}}, "b": {Up: 1, Pools: []int{2}}})
+	require.Equal(t, []int{2}, p.Narrow(agent.Route{}, []int{2}, "voice", "1").Pools, "by the zones that it has now")
+}
--- a/internal/fleet/spreader/spreader_test.go
+++ b/internal/fleet/spreader/spreader_test.go
@@ -70,3 +70,36 @@
 	}
 	assert.EqualValues(t, 1, s.said.answered)
 }
+
+// TestChange: a distributed document changes the period alone; the sender's part, the steward's
+// and the pace of summaries follow it.
+func TestChange(t *testing.T) {
+	own := Config{Mode: "common", Members: &members.Config{Bind: "127.0.0.1:0"}}
+	cfg := spread.Config{Name: "a", Life: 1, Senders: 1}
+	c := core{spread.New(cfg)}
+	s, err := Open(own, cfg, c, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	defer s.list.Shut()
+	for text, want := range map[string]string{
+		"period: 200ms\n":               "",
+		"mode: common\nperiod: 200ms\n": "",
+		"mode: alone\n":                 "spread: field mode",
+		"period: 1ms\n":                 "spread: field period",
+		"members: {bind: '1.1.1.1:1'}":  "field members",
+		"pace: 1s\n":                    "[1:1]",
+	} {
+		next, err := own.Distributed("spread", []byte(text))
+		if want != "" {
+			assert.ErrorContains(t, err, want, text)
+			continue
+		}
+		require.NoError(t, err, text)
+		require.NoError(t, s.Change(next))
+		assert.Equal(t, 200*time.Millisecond, c.state.Summary(time.Second, "a").Period)
+		v, _ := s.steward.Hear(time.Second, c.state.Summary(time.Second, "a"))
+		assert.Equal(t, 200*time.Millisecond, v.Period)
+		assert.EqualValues(t, 200*time.Millisecond, s.period.Load())
+	}
+	require.NoError(t, s.Change(own))
+	assert.Equal(t, spread.DefaultPeriod, c.state.Summary(time.Second, "a").Period, "the own file again")
+}
--- a/internal/routefile/routefile.go
+++ b/internal/routefile/routefile.go
@@ -148,12 +148,18 @@
 	return 0
 }
 
-// keyOn is the key of a YAML line, as in "    attempts: three"; "" where it has none.
-func keyOn(data []byte, line int) string {
+// keyOn is the key of the value at a column of a YAML line, as in "    attempts: three" or
+// "{name: a, attempts: three}", or else the line's only key; "" where there is none.
+func keyOn(data []byte, line, column int) string {
 	lines := strings.Split(string(data), "\n")
 	if line < 1 || line > len(lines) {
 		return ""
 	}
+	if text := lines[line-1]; column > 1 && column <= len(text)+1 {
+		if before, ok := strings.CutSuffix(strings.TrimRight(text[:column-1], " "), ":"); ok {
+			return before[strings.LastIndexAny(before, " {,-")+1:]
+		}
+	}
 	key, _, ok := strings.Cut(strings.TrimLeft(lines[line-1], " -"), ":")
 	if !ok || strings.ContainsAny(key, " {[") {
 		return ""
@@ -167,7 +173,7 @@
 	if errors.As(err, &y) && y.GetToken() != nil {
 		p := y.GetToken().Position
 		msg := y.GetMessage()
-		if key := keyOn(data, p.Line); key != "" && !strings.Contains(msg, `"`+key+`"`) {
+		if key := keyOn(data, p.Line, p.Column); key != "" && !strings.Contains(msg, `"`+key+`"`) {
 			msg = "field " + key + ": " + msg
 		}
 		return &Error{File: name, Line: p.Line, Column: p.Column, Msg: msg}
