--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -33,8 +33,8 @@
 	return nil
 }
 
-// control serves one, and words the agent's file that names it.
-func control(t *testing.T) (m controlMachine, file, data string) {
+// scripted serves one, and words the agent's file that names it.
+func scripted(t *testing.T) (m controlMachine, file, data string) {
 	m.asked = make(chan watch, 64)
 	server := rpc.NewServer()
 	require.NoError(t, server.RegisterName("Rollout", m))
@@ -77,7 +77,7 @@
 	servers := []*standin.Server{standin.NewServer(t, ""), standin.NewServer(t, "")}
 	cfg := config(t, standin.NewBulletin(t, standin.Endpoint("s0", servers[0].Addr, 0, "up"), standin.Endpoint("s1", servers[1].Addr, 1, "up")))
 	address, fds := inherited(t, 2)
-	m, file, _ := control(t)
+	m, file, _ := scripted(t)
 	cfg.Callers, cfg.Rollout, cfg.Routes = fds[0], file, filepath.Join(t.TempDir(), "routes.yaml")
 	require.NoError(t, os.WriteFile(cfg.Routes, []byte(routesText(0)), 0o600))
 	d, stop, done := process(t, cfg)
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -126,7 +126,7 @@
 			return
 		}
 		if errors.Is(err, errHome) {
-			w.at = 0
+			w.at, w.connected = 0, false
 		} else {
 			w.move(err)
 		}
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"errors"
@@ -423,6 +424,37 @@
 	assert.Less(t, 3*(dialMost+pauseNext)+dialMost+pauseMost+helloFor, 9*time.Second)
 }
 
+// TestNext: after each answer the agent watches on with its patience, or a shorter one, or leaves.
+func TestNext(t *testing.T) {
+	now := time.Now()
+	for name, tc := range map[string]struct {
+		w      *Watcher
+		r      rollout.WatchReply
+		least  time.Duration
+		most   time.Duration
+		leaves error
+	}{
+		"calm":                        {least: 1800 * time.Millisecond, most: 2200 * time.Millisecond},
+		"asked to come again":         {r: rollout.WatchReply{AgainMs: 250}, most: 250 * time.Millisecond},
+		"at once":                     {r: rollout.WatchReply{AgainMs: 1}, least: leastWatch, most: leastWatch},
+		"lags":                        {w: &Watcher{tried: 1}, r: rollout.WatchReply{Lagging: true}, leaves: errLagging},
+		"all lag or are gone":         {w: &Watcher{tried: 2}, r: rollout.WatchReply{Lagging: true}, least: time.Second, most: 2200 * time.Millisecond},
+		"stays with one that lags":    {w: &Watcher{lagUntil: now.Add(time.Second)}, r: rollout.WatchReply{Lagging: true}, most: time.Second},
+		"looks for a better one":      {w: &Watcher{lagUntil: now}, r: rollout.WatchReply{Lagging: true}, leaves: errLagging},
+		"its first choice":            {w: &Watcher{homeAt: now}, least: 1800 * time.Millisecond, most: 2200 * time.Millisecond},
+		"not its first choice":        {w: &Watcher{at: 1, homeAt: now.Add(time.Minute)}, least: time.Second, most: 2200 * time.Millisecond},
+		"back to its first choice":    {w: &Watcher{at: 1, homeAt: now}, leaves: errHome},
+		"not home from one that lags": {w: &Watcher{at: 1, tried: 2, homeAt: now}, r: rollout.WatchReply{Lagging: true}, most: 2200 * time.Millisecond},
+	} {
+		w := cmp.Or(tc.w, &Watcher{})
+		w.order, w.spans, w.log = make([]Machine, 3), spans{patience: 2 * time.Second}, slog.New(slog.DiscardHandler)
+		got, err := w.next(tc.r)
+		assert.Equal(t, tc.leaves, err, name)
+		assert.GreaterOrEqual(t, got, tc.least, name)
+		assert.LessOrEqual(t, got, tc.most, name)
+	}
+}
+
 // TestLoadConfig: each field at fault is named.
 func TestLoadConfig(t *testing.T) {
 	const machines = "machines: [{id: c1, client: '127.0.0.1:1'}]\n"
