--- /dev/null
+++ b/internal/fleet/watcher/joint_test.go
@@ -0,0 +1,97 @@
+package watcher
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/fleet/control"
+	"woodrouter/internal/fleet/quorum"
+	"woodrouter/rollout"
+)
+
+// TestWithControl: agents and a real control machine. A change reaches all by its stages; one that
+// a loader refuses is halted, and the former text comes back under a number of its own; agents
+// serve on while the machine is away, and have its next change within 9 s of its return.
+func TestWithControl(t *testing.T) {
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	raft, client := free(), free()
+	cfg := control.Config{Config: quorum.Config{ID: "c1", Raft: raft, Client: client, Data: filepath.Join(t.TempDir(), "c1"),
+		Bootstrap: []quorum.Peer{{ID: "c1", Raft: raft}}, Timing: quorum.TimingConfig{Heartbeat: "150ms", Election: "150ms", Commit: "10ms", Lease: "100ms"}},
+		Rollout: control.RolloutConfig{Console: free(), Peers: map[string]string{"c1": client}, Dwell: "100ms", Patience: "1s"}}
+	open := func() *control.Node {
+		n, err := control.Open(cfg, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		require.NoError(t, n.Serve())
+		return n
+	}
+	node := open()
+	defer func() { node.Close() }()
+	operator := control.NewClient(cfg.Rollout.Peers)
+	defer operator.Close()
+	var agents []*site
+	for i := range 3 {
+		s := &site{t: t, cfg: Config{Patience: "500ms", Data: filepath.Join(t.TempDir(), "data"), Machines: []Machine{{ID: "c1", Client: client}}}, loader: &loader{force: map[string]string{}}}
+		var err error
+		s.w, err = Open(s.cfg, rollout.Agent{Name: fmt.Sprint("n", i), Zone: "z1"}, []string{"routes"}, s.loader, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		agents = append(agents, s.run())
+	}
+	put := func(base uint64, text string) (number uint64) {
+		n, err := rollout.ParseName("routes@zone/z1")
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		require.NoError(t, quorum.Patiently(ctx, func() (err error) {
+			number, err = operator.Put(ctx, rollout.Entry{Op: rollout.OpPut, Author: "ann", Name: n, Base: base, Text: []byte(text)})
+			return err
+		}))
+		return number
+	}
+	all := func(text string, above uint64, within time.Duration) (least uint64) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			least = 1 << 60
+			for _, s := range agents {
+				force := s.w.InForce()["routes"]
+				if s.loader.has("routes") != text || force <= above {
+					return false
+				}
+				least = min(least, force)
+			}
+			return true
+		}, within, 5*time.Millisecond, text)
+		return least
+	}
+	for _, s := range agents { // heard, so that there is a first stage
+		require.Eventually(t, func() bool { return s.w.counts.watches.Load() > 1 }, patience, time.Millisecond)
+	}
+	first := put(0, "good")
+	all("good", first-1, patience)
+	bad := put(first, "bad")
+	var restored uint64
+	require.Eventually(t, func() bool { // under the halt's number, wherever it had come to
+		for _, s := range agents {
+			if v := s.w.view.Load(); v.have["routes@zone/z1"] > bad {
+				restored = v.have["routes@zone/z1"]
+			}
+		}
+		return restored != 0
+	}, patience, 5*time.Millisecond)
+	all("good", first-1, patience)
+	node.Close()
+	node = open()
+	later := put(restored, "later")
+	all("later", later-1, 9*time.Second)
+}
