Control machines' tests take ports of an address of their own: one was taken while a machine was closed

Seen: TestWiped failed once, 'field client: listen tcp 127.0.0.1:42605: bind: address already in use', beside the tests of ten other packages. Cause: the test took free ports of 127.0.0.1 and needs one again after a machine was closed; meanwhile the other end of any connection may be given it. Now the ports are of a loopback address that faultnet keeps for this process.

--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -5,17 +5,18 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"net"
 	"net/rpc"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"woodrouter/internal/faultnet"
 	"woodrouter/internal/fleet/quorum"
 	"woodrouter/rollout"
 )
@@ -33,11 +34,17 @@
 	client  *Client
 }
 
+// host is a loopback address of this process alone: a port of it that was free stays so, also while
+// a machine is closed; on 127.0.0.1 the other end of any connection may have taken it meanwhile.
+var (
+	host = sync.OnceValues(faultnet.NewHost)
+	port atomic.Int64
+)
+
 func free(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := host()
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	return fmt.Sprintf("%s:%d", at, 7000+port.Add(1))
 }
 
 func start(t *testing.T) *machines {
