BenchmarkMany: what a membership of some hundreds takes, in one process and in eight

Real agents on loopback, joining one after another by one seed, or twenty at a time by four, in one process or spread over eight processes of the test program: bytes, streams, memory and cores an agent at rest, time until all know all and until all know of a death. Runs by flag only, each phase bounded in time, each process in memory (6 GB in all).

The measurement was to blame: its counting transport made a channel and a goroutine at each call of PacketCh, and the library calls it for each datagram; that many held datagrams back. Sizes of hundreds have not been run yet.

--- a/internal/fleet/members/leak_test.go
+++ b/internal/fleet/members/leak_test.go
@@ -1,9 +1,16 @@
 package members
 
 import (
+	"os"
 	"testing"
 
 	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if say := os.Getenv(childEnv); say != "" {
+		serve(say)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/internal/fleet/members/many_test.go
@@ -0,0 +1,462 @@
+package members
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"woodrouter/internal/faultnet"
+)
+
+// What follows measures a large membership: real agents on loopback, in processes of this test
+// program, each of which does what one line of its input says at a time.
+
+var (
+	manySizes = flag.String("many", "100", "agents, with commas between the sizes")
+	manyShape = flag.String("shape", "apart", "how they join: turn, batch or apart")
+	manyPlain = flag.Bool("plain", false, "without the library's compression")
+)
+
+// shape is how a fleet is spread and joins.
+type shape struct {
+	procs, seeds, atOnce int
+	jitter               time.Duration
+}
+
+var shapes = map[string]shape{
+	"turn":  {procs: 1, seeds: 1, atOnce: 1},
+	"batch": {procs: 1, seeds: 4, atOnce: 20, jitter: 100 * time.Millisecond},
+	"apart": {procs: 8, seeds: 4, atOnce: 20, jitter: 100 * time.Millisecond},
+}
+
+// The bounds of a run's phases.
+const (
+	joinMost  = 45 * time.Second
+	knowMost  = 20 * time.Second
+	restFor   = 10 * time.Second
+	deathMost = 30 * time.Second
+)
+
+// order is a line to a process, gist its answer.
+type order struct {
+	Do    string
+	Agent int
+	Size  int
+}
+
+type gist struct {
+	Agent            int
+	Err              string `json:",omitempty"`
+	Others           int    // agents here that do not count Size
+	Datagrams        int64
+	Sent, Heard      int64 // bytes in datagrams
+	Streamed         int64 // bytes in streams begun here, both ways
+	Streams, Refused int64 // begun, and of those failed to open
+	CPU              time.Duration
+	RSS              int64
+}
+
+// childEnv hands a process the octet of its fleet, the number of seeds, -plain, and how many
+// processes there are.
+const childEnv = "MEMBERS_OF_MANY"
+
+// meter counts what one agent sends and hears.
+type meter struct {
+	*transport
+	p  *process
+	in chan *memberlist.Packet
+}
+
+func (t *meter) WriteToAddress(b []byte, a memberlist.Address) (time.Time, error) {
+	t.p.datagrams.Add(1)
+	t.p.sent.Add(int64(len(b)))
+	return t.transport.WriteToAddress(b, a)
+}
+
+// forward counts what comes; the library asks for the channel again for each datagram.
+func (t *meter) forward() {
+	for p := range t.transport.PacketCh() {
+		t.p.heard.Add(int64(len(p.Buf)))
+		t.in <- p
+	}
+}
+
+func (t *meter) PacketCh() <-chan *memberlist.Packet { return t.in }
+
+func (t *meter) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	c, err := t.transport.DialAddressTimeout(a, timeout)
+	t.p.streams.Add(1)
+	if err != nil {
+		t.p.refused.Add(1)
+		return nil, err
+	}
+	return &metered{c, t.p}, nil
+}
+
+type metered struct {
+	net.Conn
+	p *process
+}
+
+func (c *metered) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.p.streamed.Add(int64(n))
+	return n, err
+}
+
+func (c *metered) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.p.streamed.Add(int64(n))
+	return n, err
+}
+
+// process is the agents of one process.
+type process struct {
+	octet, seeds                                       int
+	plain                                              bool
+	datagrams, sent, heard, streamed, streams, refused atomic.Int64
+
+	mu     sync.Mutex
+	agents map[int]*Members
+}
+
+func (p *process) at(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d:7946", p.octet, (i+1)>>8, (i+1)&255)
+}
+
+func (p *process) join(i int) error {
+	cfg := Config{Bind: p.at(i), tune: func(c *memberlist.Config, _ *seeker) {
+		t := &meter{c.Transport.(*transport), p, make(chan *memberlist.Packet)}
+		go t.forward()
+		c.Transport = t
+		c.EnableCompression = !p.plain
+	}}
+	for s := range p.seeds {
+		cfg.Seeds = append(cfg.Seeds, p.at(s))
+	}
+	m, err := Open(cfg, Member{Name: fmt.Sprint("a", i), Zone: fmt.Sprint("z", i%4), Region: "r"}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.agents[i] = m
+	p.mu.Unlock()
+	_, err = m.Rejoin()
+	go m.Stay(context.Background())
+	if i == 0 {
+		err = nil // nobody is there yet
+	}
+	return err
+}
+
+func (p *process) answer(o order) gist {
+	g := gist{Agent: o.Agent, Datagrams: p.datagrams.Load(), Sent: p.sent.Load(), Heard: p.heard.Load(), Streamed: p.streamed.Load(),
+		Streams: p.streams.Load(), Refused: p.refused.Load()}
+	var use syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &use)
+	g.CPU = time.Duration(use.Utime.Nano() + use.Stime.Nano())
+	g.RSS = resident()
+	switch o.Do {
+	case "join":
+		if err := p.join(o.Agent); err != nil {
+			g.Err = err.Error()
+		}
+	case "shut":
+		p.mu.Lock()
+		m := p.agents[o.Agent]
+		delete(p.agents, o.Agent)
+		p.mu.Unlock()
+		m.Shut()
+	case "look":
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, m := range p.agents {
+			if m.Size() != o.Size {
+				g.Others++
+			}
+		}
+	}
+	return g
+}
+
+// resident is the memory of this process.
+func resident() int64 {
+	status, _ := os.ReadFile("/proc/self/statm")
+	f := strings.Fields(string(status))
+	if len(f) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(f[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// memoryMost bounds all processes of a run together: one that takes more than its part ends.
+const memoryMost = 6 << 30
+
+// serve is a process's life.
+func serve(say string) {
+	p := &process{agents: map[int]*Members{}}
+	var procs int64
+	fmt.Sscan(say, &p.octet, &p.seeds, &p.plain, &procs)
+	go func() {
+		for range time.Tick(200 * time.Millisecond) {
+			if resident() > memoryMost/procs {
+				fmt.Fprintln(os.Stderr, "more memory than a run may take")
+				os.Exit(1)
+			}
+		}
+	}()
+	in, out := bufio.NewScanner(os.Stdin), json.NewEncoder(os.Stdout)
+	var mu sync.Mutex
+	for in.Scan() {
+		var o order
+		if json.Unmarshal(in.Bytes(), &o) != nil {
+			return
+		}
+		go func() {
+			g := p.answer(o)
+			mu.Lock()
+			defer mu.Unlock()
+			out.Encode(g)
+		}()
+	}
+}
+
+// worker is a process as the measurement sees it; a join's answer is told apart by its agent.
+type worker struct {
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	in    *json.Encoder
+	close func() error
+	wait  map[int]chan gist
+	over  bool
+}
+
+func start(octet byte, sh shape) (*worker, error) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%d %d %v %d", childEnv, octet, sh.seeds, *manyPlain, sh.procs))
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{cmd: cmd, in: json.NewEncoder(in), close: in.Close, wait: map[int]chan gist{}}
+	go func() {
+		lines := json.NewDecoder(out)
+		for {
+			var g gist
+			if lines.Decode(&g) != nil { // it has ended
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				for _, c := range w.wait {
+					c <- gist{Err: "the process has ended"}
+				}
+				w.wait, w.over = nil, true
+				return
+			}
+			w.mu.Lock()
+			c := w.wait[g.Agent]
+			delete(w.wait, g.Agent)
+			w.mu.Unlock()
+			c <- g
+		}
+	}()
+	return w, cmd.Start()
+}
+
+func (w *worker) do(o order) gist {
+	c := make(chan gist, 1)
+	w.mu.Lock()
+	if w.over {
+		w.mu.Unlock()
+		return gist{Err: "the process has ended"}
+	}
+	w.wait[o.Agent] = c
+	err := w.in.Encode(o)
+	w.mu.Unlock()
+	if err != nil {
+		return gist{Err: err.Error()}
+	}
+	select {
+	case g := <-c:
+		return g
+	case <-time.After(time.Minute):
+		return gist{Err: "no answer"}
+	}
+}
+
+// fleet is all processes; -1 is nobody's agent.
+type fleet []*worker
+
+func (f fleet) look(size int) (sum gist) {
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for _, w := range f {
+		work.Go(func() {
+			g := w.do(order{"look", -1, size})
+			mu.Lock()
+			defer mu.Unlock()
+			sum.Others += g.Others
+			sum.Datagrams += g.Datagrams
+			sum.Sent += g.Sent
+			sum.Heard += g.Heard
+			sum.Streamed += g.Streamed
+			sum.Streams += g.Streams
+			sum.Refused += g.Refused
+			sum.CPU += g.CPU
+			sum.RSS += g.RSS
+			sum.Err = cmp.Or(sum.Err, g.Err)
+		})
+	}
+	work.Wait()
+	return sum
+}
+
+// until looks until all count size, and tells how long it took and how many still do not.
+func (f fleet) until(size int, most time.Duration) (took time.Duration, others int) {
+	began := time.Now()
+	for {
+		g := f.look(size)
+		took = time.Since(began)
+		if g.Err == "" && g.Others == 0 || took > most {
+			return took, g.Others
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// BenchmarkMany: what a membership of many agents takes, and how soon all know of a join and a
+// death. Times are in seconds, a phase that did not end is told with how many lacked.
+//
+//	go test -run '^$' -bench Many -benchtime 1x -many 100,200,400,730 -shape apart ./internal/fleet/members
+func BenchmarkMany(b *testing.B) {
+	sh, ok := shapes[*manyShape]
+	if !ok {
+		b.Fatalf("no shape %q", *manyShape)
+	}
+	for _, text := range strings.Split(*manySizes, ",") {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 2 || n > 1000 {
+			b.Fatalf("%q: not from 2 to 1000 agents", text)
+		}
+		b.Run(fmt.Sprintf("%s/%d", *manyShape, n), func(b *testing.B) {
+			for range b.N {
+				many(b, sh, n)
+			}
+		})
+	}
+}
+
+func many(b *testing.B, sh shape, n int) {
+	octet, err := faultnet.TakeOctet()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer octet.Release()
+	var f fleet
+	defer func() {
+		for _, w := range f {
+			w.close()
+			w.cmd.Process.Kill()
+			w.cmd.Wait()
+		}
+	}()
+	for range sh.procs {
+		w, err := start(octet.N, sh)
+		if err != nil {
+			b.Fatal(err)
+		}
+		f = append(f, w)
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), joinMost)
+	defer cancel()
+	next := make(chan int)
+	go func() {
+		defer close(next)
+		for i := range n {
+			select {
+			case next <- i:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	var failed, joined atomic.Int64
+	var took []time.Duration
+	var mu sync.Mutex
+	var work sync.WaitGroup
+	for range sh.atOnce {
+		work.Go(func() {
+			for i := range next {
+				if sh.jitter > 0 {
+					time.Sleep(time.Duration(rand.Int64N(int64(sh.jitter))))
+				}
+				from := time.Now()
+				if g := f[i%sh.procs].do(order{"join", i, 0}); g.Err != "" {
+					if failed.Add(1) == 1 {
+						b.Logf("agent %d: %s", i, g.Err)
+					}
+				}
+				joined.Add(1)
+				mu.Lock()
+				took = append(took, time.Since(from))
+				mu.Unlock()
+			}
+		})
+	}
+	work.Wait()
+	n = int(joined.Load())
+	slices.Sort(took)
+	joining := time.Since(began)
+	know, lack := f.until(n, knowMost)
+	first := f.look(n)
+	if first.Err != "" {
+		b.Fatal(first.Err)
+	}
+	time.Sleep(restFor)
+	second := f.look(n)
+	rest := restFor.Seconds()
+	per := func(d int64) float64 { return float64(d) / rest / float64(n) }
+	b.ReportMetric(float64(n), "agents")
+	b.ReportMetric(joining.Seconds(), "join-s")
+	b.ReportMetric(took[len(took)*99/100].Seconds()*1000, "join-p99-ms")
+	b.ReportMetric(float64(failed.Load()), "joins-failed")
+	b.ReportMetric(first.CPU.Seconds()/(joining+know).Seconds(), "join-cores")
+	b.ReportMetric(know.Seconds(), "know-s")
+	b.ReportMetric(float64(lack), "know-lack")
+	b.ReportMetric(float64(second.RSS)/float64(n)/1e6, "MB/agent")
+	b.ReportMetric(per(second.Datagrams-first.Datagrams), "dgrams/s/agent")
+	b.ReportMetric(per(second.Sent-first.Sent), "udp-out-B/s/agent")
+	b.ReportMetric(per(second.Heard-first.Heard), "udp-in-B/s/agent")
+	b.ReportMetric(per(second.Streamed-first.Streamed), "tcp-B/s/agent")
+	b.ReportMetric(float64(second.Streams-first.Streams)/rest, "streams/s")
+	b.ReportMetric((second.CPU-first.CPU).Seconds()/rest, "rest-cores")
+	f[(n-1)%sh.procs].do(order{"shut", n - 1, 0})
+	death, lack := f.until(n-1, deathMost)
+	b.ReportMetric(death.Seconds(), "death-s")
+	b.ReportMetric(float64(lack), "death-lack")
+	b.ReportMetric(0, "ns/op")
+}
