woodlab chain: path, ramp, memory and lists

What the call path adds: path plays chains with agents and without them in turn at one rate, ramp raises the rate until p99 passes five times its unloaded value, calls fail or the callers run late, memory fits resident memory to calls that stand and to idle connections, lists looks at agents that the system holds to their descriptors. The agents' own share of what the lab was started with is closed first: a first look counted 65 descriptors where 64 were allowed, one of them this process's. Seen by TestLists: of 100 servers an agent with 64 descriptors holds 55, passes the test of readiness before that, and then hears none of 21 callers, as nothing is left to accept them with. Short tests pass under -race; no figure is measured yet.

--- a/internal/lab/chainlab/chain_test.go
+++ b/internal/lab/chainlab/chain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,3 +63,51 @@
 		})
 	}
 }
+
+// TestLists: an agent that the system holds to 64 descriptors keeps a connection to each of 8
+// servers and answers a third of the limit of callers, twice; of 100 servers it holds no more than
+// it has descriptors, and lives.
+func TestLists(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := newRig(bin, t.TempDir())
+	require.NoError(t, err)
+	defer r.close()
+	var servers []*peer
+	for range 100 {
+		p, err := r.peer("")
+		require.NoError(t, err)
+		defer p.close()
+		servers = append(servers, p)
+	}
+	m := Lists{Settle: 10 * time.Second, Calm: 100 * time.Millisecond, Patience: 5 * time.Second}
+	few, err := m.play(ctx, r, servers[:8], 64)
+	require.NoError(t, err)
+	assert.Equal(t, 8, few.held)
+	assert.Equal(t, 21, few.callers)
+	assert.Equal(t, outcomes{answered: 21}, few.first)
+	assert.Equal(t, outcomes{answered: 21}, few.second)
+	m.Settle, m.Patience = time.Second, 500*time.Millisecond // it can't have them all
+	many, err := m.play(ctx, r, servers, 64)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, many.held, 64)
+	assert.LessOrEqual(t, many.descriptors, 64)
+	o := many.first
+	assert.Equal(t, 21, o.answered+o.refused+o.ended+o.unheard, "every call is accounted for")
+	t.Logf("%+v\n%+v", few, many)
+}
+
+// TestReports: the measurements' own commands run to their end on a short day, and tell of every
+// chain. What they measure is not looked at.
+func TestReports(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var out strings.Builder
+	require.NoError(t, Path{Bin: bin, Dir: t.TempDir(), Lengths: []int{1, 2}, Rate: 100, Rounds: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
+	require.NoError(t, Ramp{Bin: bin, Dir: t.TempDir(), Lengths: []int{1}, Base: 64, First: 100, Factor: 2, Steps: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
+	require.NoError(t, Memory{Bin: bin, Dir: t.TempDir(), Step: 100, Looks: 2, Repeats: 1, MemoryMB: 64, CallRate: 1000}.Run(ctx, &out))
+	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "idle connections of callers"} {
+		assert.Contains(t, out.String(), want)
+	}
+	t.Log(out.String())
+}
--- /dev/null
+++ b/internal/lab/chainlab/memory.go
@@ -0,0 +1,147 @@
+package chainlab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"woodrouter/isup"
+)
+
+// Memory measures the resident memory of one agent: by calls that stand, and by callers'
+// connections that are idle.
+type Memory struct {
+	Bin, Dir    string
+	Step        int // calls, and connections, between two looks
+	Looks       int
+	Repeats     int // each with a fresh agent
+	MemoryMB    int
+	CallRate    float64       // at which calls are set up
+	SettleAfter time.Duration // a look comes so long after the last call
+}
+
+// connStep is how many connections there are for each step of calls: one in so many.
+const connStep = 5
+
+// Run tells of both.
+func (m Memory) Run(ctx context.Context, out io.Writer) error {
+	r, err := newRig(m.Bin, m.Dir)
+	if err != nil {
+		return err
+	}
+	defer r.close()
+	fmt.Fprintf(out, "resident memory (VmRSS) of one agent, limit %d MB; the system's own memory of sockets is not in it\n", m.MemoryMB)
+	if err := m.grow(ctx, out, r, "calls that stand", m.Step, m.calls); err != nil {
+		return err
+	}
+	return m.grow(ctx, out, r, "idle connections of callers", m.Step/connStep, idle)
+}
+
+// grow adds step after step of something to fresh agents, and fits resident memory to it.
+func (m Memory) grow(ctx context.Context, out io.Writer, r *rig, what string, step int, add func(context.Context, *agent, *growth, int) error) error {
+	fmt.Fprintf(out, "\n%s\n", what)
+	var x, y []float64
+	for range m.Repeats {
+		err := func() error {
+			p, err := r.peer("")
+			if err != nil {
+				return err
+			}
+			defer p.close()
+			a, err := r.agent([]*peer{p}, limits{memoryMB: m.MemoryMB, sockets: 16384})
+			if err != nil {
+				return err
+			}
+			defer a.Kill()
+			if err := a.ready(ctx, readyMost); err != nil {
+				return err
+			}
+			g := &growth{}
+			defer g.close()
+			for look := range m.Looks {
+				if look > 0 {
+					if err := add(ctx, a, g, step); err != nil {
+						return err
+					}
+				}
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case <-time.After(m.SettleAfter):
+				}
+				rss, err := resident(a.PID())
+				if err != nil {
+					return err
+				}
+				fds, err := descriptors(a.PID())
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(out, "  %6d: %6d KB, %d descriptors\n", look*step, rss>>10, fds)
+				x, y = append(x, float64(look*step)), append(y, float64(rss))
+			}
+			return nil
+		}()
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "  bytes = a + b × %s: %s\n", what, fit(x, y))
+	return nil
+}
+
+// growth is what an agent holds.
+type growth struct {
+	callers *callers
+	conns   []net.Conn
+}
+
+func (g *growth) close() {
+	if g.callers != nil {
+		g.callers.wire.Close()
+		g.callers.readers.Wait()
+	}
+	for _, c := range g.conns {
+		c.Close()
+	}
+}
+
+// calls adds calls that stand.
+func (m Memory) calls(ctx context.Context, a *agent, g *growth, n int) (err error) {
+	if g.callers == nil {
+		if g.callers, err = dial(a.addr, 1, true); err != nil {
+			return err
+		}
+	}
+	g.callers.send(ctx, load{rate: m.CallRate, span: time.Hour, most: n, seed: 1}, func() {})
+	g.callers.drain()
+	g.callers.mu.Lock()
+	defer g.callers.mu.Unlock()
+	if r := g.callers.res; r.answered != r.asked {
+		return fmt.Errorf("%d calls of %d stand, %d refused", r.answered, r.asked, r.refused)
+	}
+	return nil
+}
+
+// idle adds connections of callers that have asked once and say nothing more.
+func idle(_ context.Context, a *agent, g *growth, n int) error {
+	for range n {
+		conn, err := net.DialTimeout("tcp", a.addr, time.Second)
+		if err != nil {
+			return err
+		}
+		g.conns = append(g.conns, conn)
+		w := &wire{Conn: conn}
+		if err := w.say(isup.Message{Type: isup.Test, Call: 1}.WithCause(isup.NotPassed)); err != nil {
+			return err
+		}
+		conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := isup.Read(bufio.NewReader(conn)); err != nil {
+			return fmt.Errorf("connection %d: %w", len(g.conns), err)
+		}
+	}
+	return nil
+}
--- a/internal/lab/chainlab/process.go
+++ b/internal/lab/chainlab/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -54,3 +55,18 @@
 	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	return len(list), err
 }
+
+// keepOwn has no agent inherit the descriptors that this process was itself started with: an
+// agent's are counted. What Go opens is not inherited.
+func keepOwn() error {
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return err
+	}
+	for _, e := range list {
+		if fd, err := strconv.Atoi(e.Name()); err == nil && fd > 2 {
+			syscall.CloseOnExec(fd)
+		}
+	}
+	return nil
+}
--- a/internal/lab/chainlab/rig.go
+++ b/internal/lab/chainlab/rig.go
@@ -59,6 +59,9 @@
 }
 
 func newRig(bin, dir string) (*rig, error) {
+	if err := keepOwn(); err != nil {
+		return nil, err
+	}
 	o, err := faultnet.TakeOctet()
 	if err != nil {
 		return nil, err
