woodlab chain memory: calls that wait for their answer, beside those that stand

A server that takes set-ups and answers none tells the state of its group every 50 ms, so that no agent takes its connection for a dead one and sends its calls again. Short test under -race passes.

--- a/internal/lab/chainlab/chain_test.go
+++ b/internal/lab/chainlab/chain_test.go
@@ -106,7 +106,7 @@
 	require.NoError(t, Path{Bin: bin, Dir: t.TempDir(), Lengths: []int{1, 2}, Rate: 100, Rounds: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
 	require.NoError(t, Ramp{Bin: bin, Dir: t.TempDir(), Lengths: []int{1}, Base: 64, First: 100, Factor: 2, Steps: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
 	require.NoError(t, Memory{Bin: bin, Dir: t.TempDir(), Step: 100, Looks: 2, Repeats: 1, MemoryMB: 64, CallRate: 1000}.Run(ctx, &out))
-	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "idle connections of callers"} {
+	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "calls that wait for their answer", "idle connections of callers"} {
 		assert.Contains(t, out.String(), want)
 	}
 	t.Log(out.String())
--- a/internal/lab/chainlab/lists.go
+++ b/internal/lab/chainlab/lists.go
@@ -228,7 +228,7 @@
 	id := isup.CallID(ids.Add(1))
 	k.conn.SetDeadline(time.Now().Add(k.patience))
 	w := &wire{Conn: k.conn}
-	if err := w.say(setUp(id, class, left, id.String(), "offer")); err != nil {
+	if err := w.say(setUpMessage(id, class, left, id.String(), "offer")); err != nil {
 		k.dead = true
 		return ended
 	}
--- a/internal/lab/chainlab/load.go
+++ b/internal/lab/chainlab/load.go
@@ -158,7 +158,7 @@
 
 func (c *callers) place(due time.Time, counted bool) {
 	id := isup.CallID(ids.Add(1))
-	m := setUp(id, class, left, id.String(), "offer")
+	m := setUpMessage(id, class, left, id.String(), "offer")
 	k := &call{due: due, counted: counted, sent: time.Now()}
 	c.mu.Lock()
 	c.calls[id] = k
--- a/internal/lab/chainlab/memory.go
+++ b/internal/lab/chainlab/memory.go
@@ -11,11 +11,11 @@
 	"woodrouter/isup"
 )
 
-// Memory measures the resident memory of one agent: by calls that stand, and by callers'
-// connections that are idle.
+// Memory measures the resident memory of one agent: by calls that stand, by calls that wait for
+// their answer, and by callers' connections that are idle.
 type Memory struct {
 	Bin, Dir    string
-	Step        int // calls, and connections, between two looks
+	Step        int // calls that stand between two looks; a fifth as many of the others
 	Looks       int
 	Repeats     int // each with a fresh agent
 	MemoryMB    int
@@ -23,10 +23,24 @@
 	SettleAfter time.Duration // a look comes so long after the last call
 }
 
-// connStep is how many connections there are for each step of calls: one in so many.
-const connStep = 5
+// lessStep is how many calls that wait, or connections, there are for each step of calls that
+// stand: one in so many. waitSettle is the time to a look at calls that wait: they end at their
+// deadline, so all looks come before it.
+const (
+	lessStep   = 5
+	waitSettle = 500 * time.Millisecond
+)
+
+// kind is something that an agent holds.
+type kind struct {
+	what   string
+	step   int
+	settle time.Duration
+	server func() (*peer, error)
+	add    func(context.Context, *agent, *growth, int) error
+}
 
-// Run tells of both.
+// Run tells of each.
 func (m Memory) Run(ctx context.Context, out io.Writer) error {
 	r, err := newRig(m.Bin, m.Dir)
 	if err != nil {
@@ -34,19 +48,26 @@
 	}
 	defer r.close()
 	fmt.Fprintf(out, "resident memory (VmRSS) of one agent, limit %d MB; the system's own memory of sockets is not in it\n", m.MemoryMB)
-	if err := m.grow(ctx, out, r, "calls that stand", m.Step, m.calls); err != nil {
-		return err
+	answering := func() (*peer, error) { return r.peer("") }
+	for _, k := range []kind{
+		{"calls that stand", m.Step, m.SettleAfter, answering, m.stand},
+		{"calls that wait for their answer", m.Step / lessStep, min(m.SettleAfter, waitSettle), r.mutePeer, m.wait},
+		{"idle connections of callers", m.Step / lessStep, m.SettleAfter, answering, idle},
+	} {
+		if err := m.grow(ctx, out, r, k); err != nil {
+			return err
+		}
 	}
-	return m.grow(ctx, out, r, "idle connections of callers", m.Step/connStep, idle)
+	return nil
 }
 
-// grow adds step after step of something to fresh agents, and fits resident memory to it.
-func (m Memory) grow(ctx context.Context, out io.Writer, r *rig, what string, step int, add func(context.Context, *agent, *growth, int) error) error {
-	fmt.Fprintf(out, "\n%s\n", what)
+// grow adds step after step of a kind to fresh agents, and fits resident memory to it.
+func (m Memory) grow(ctx context.Context, out io.Writer, r *rig, k kind) error {
+	fmt.Fprintf(out, "\n%s\n", k.what)
 	var x, y []float64
 	for range m.Repeats {
 		err := func() error {
-			p, err := r.peer("")
+			p, err := k.server()
 			if err != nil {
 				return err
 			}
@@ -63,14 +84,14 @@
 			defer g.close()
 			for look := range m.Looks {
 				if look > 0 {
-					if err := add(ctx, a, g, step); err != nil {
+					if err := k.add(ctx, a, g, k.step); err != nil {
 						return err
 					}
 				}
 				select {
 				case <-ctx.Done():
 					return ctx.Err()
-				case <-time.After(m.SettleAfter):
+				case <-time.After(k.settle):
 				}
 				rss, err := resident(a.PID())
 				if err != nil {
@@ -80,8 +101,8 @@
 				if err != nil {
 					return err
 				}
-				fmt.Fprintf(out, "  %6d: %6d KB, %d descriptors\n", look*step, rss>>10, fds)
-				x, y = append(x, float64(look*step)), append(y, float64(rss))
+				fmt.Fprintf(out, "  %6d: %6d KB, %d descriptors; %d set-ups at its server\n", look*k.step, rss>>10, fds, p.setUps.Load())
+				x, y = append(x, float64(look*k.step)), append(y, float64(rss))
 			}
 			return nil
 		}()
@@ -89,7 +110,7 @@
 			return err
 		}
 	}
-	fmt.Fprintf(out, "  bytes = a + b × %s: %s\n", what, fit(x, y))
+	fmt.Fprintf(out, "  bytes = a + b × %s: %s\n", k.what, fit(x, y))
 	return nil
 }
 
@@ -109,14 +130,22 @@
 	}
 }
 
-// calls adds calls that stand.
-func (m Memory) calls(ctx context.Context, a *agent, g *growth, n int) (err error) {
+// place has n more calls come to an agent, over one connection.
+func (m Memory) place(ctx context.Context, a *agent, g *growth, n int) (err error) {
 	if g.callers == nil {
 		if g.callers, err = dial(a.addr, 1, true); err != nil {
 			return err
 		}
 	}
 	g.callers.send(ctx, load{rate: m.CallRate, span: time.Hour, most: n, seed: 1}, func() {})
+	return ctx.Err()
+}
+
+// stand adds calls that stand.
+func (m Memory) stand(ctx context.Context, a *agent, g *growth, n int) error {
+	if err := m.place(ctx, a, g, n); err != nil {
+		return err
+	}
 	g.callers.drain()
 	g.callers.mu.Lock()
 	defer g.callers.mu.Unlock()
@@ -126,6 +155,19 @@
 	return nil
 }
 
+// wait adds calls that wait for their answer.
+func (m Memory) wait(ctx context.Context, a *agent, g *growth, n int) error {
+	if err := m.place(ctx, a, g, n); err != nil {
+		return err
+	}
+	g.callers.mu.Lock()
+	defer g.callers.mu.Unlock()
+	if r := g.callers.res; g.callers.open != r.all {
+		return fmt.Errorf("%d calls of %d wait, %d refused", g.callers.open, r.all, r.refused)
+	}
+	return nil
+}
+
 // idle adds connections of callers that have asked once and say nothing more.
 func idle(_ context.Context, a *agent, g *growth, n int) error {
 	for range n {
--- a/internal/lab/chainlab/peer.go
+++ b/internal/lab/chainlab/peer.go
@@ -16,8 +16,12 @@
 	"woodrouter/isup"
 )
 
-// stateEvery is how often a peer tells the state of its group, as setup servers do.
-const stateEvery = time.Second
+// stateEvery is how often a peer tells the state of its group, as setup servers do; muteEvery how
+// often one that answers nothing does, so that no agent takes its connection for a dead one.
+const (
+	stateEvery = time.Second
+	muteEvery  = 50 * time.Millisecond
+)
 
 // lines is what a peer says of itself: nothing waits and no line is in use, so no agent ever
 // holds a call back for it.
@@ -62,6 +66,7 @@
 type peer struct {
 	ln   net.Listener
 	next string // where calls go on; "": they are answered here
+	mute bool   // set-ups are taken and not answered
 
 	open    atomic.Int64 // connections now
 	setUps  atomic.Int64
@@ -86,12 +91,12 @@
 }
 
 // newPeer listens at addr.
-func newPeer(addr, next string) (*peer, error) {
+func newPeer(addr, next string, mute bool) (*peer, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	p := &peer{ln: ln, next: next, calls: map[isup.CallID]*leg{}, conns: map[*wire]bool{}, shut: make(chan struct{})}
+	p := &peer{ln: ln, next: next, mute: mute, calls: map[isup.CallID]*leg{}, conns: map[*wire]bool{}, shut: make(chan struct{})}
 	go p.accept()
 	go p.tell()
 	return p, nil
@@ -131,7 +136,11 @@
 
 // tell says the group's state on every connection, now and then.
 func (p *peer) tell() {
-	tick := time.NewTicker(stateEvery)
+	every := stateEvery
+	if p.mute {
+		every = muteEvery
+	}
+	tick := time.NewTicker(every)
 	defer tick.Stop()
 	for {
 		select {
@@ -181,6 +190,9 @@
 	p.calls[m.Call] = l
 	l.answered = p.next == ""
 	p.mu.Unlock()
+	if p.mute {
+		return
+	}
 	if p.next == "" {
 		p.last.Add(1)
 		in.say(answer(m.Call, 1, l.came))
@@ -191,15 +203,15 @@
 		p.mu.Lock()
 		l.placed = time.Now()
 		p.mu.Unlock()
-		err = out.say(setUp(m.Call, m.Text(isup.Class), m.Text(isup.Left), m.Text(isup.Number), m.Text(isup.Description)))
+		err = out.say(setUpMessage(m.Call, m.Text(isup.Class), m.Text(isup.Left), m.Text(isup.Number), m.Text(isup.Description)))
 	}
 	if err != nil {
 		p.refuse(in, m.Call)
 	}
 }
 
-// setUp words a set-up.
-func setUp(id isup.CallID, class, left, number, description string) isup.Message {
+// setUpMessage words a set-up.
+func setUpMessage(id isup.CallID, class, left, number, description string) isup.Message {
 	return isup.Message{Type: isup.SetUp, Call: id, Values: []isup.Value{{Code: isup.Class, Data: []byte(class)},
 		{Code: isup.Left, Data: []byte(left)}, {Code: isup.Number, Data: []byte(number)},
 		{Code: isup.Figures, Data: []byte(figures)}, {Code: isup.Description, Data: []byte(description)}}}
--- a/internal/lab/chainlab/rig.go
+++ b/internal/lab/chainlab/rig.go
@@ -96,9 +96,14 @@
 }
 
 // peer starts a peer at an address of its own.
-func (r *rig) peer(next string) (*peer, error) {
+func (r *rig) peer(next string) (*peer, error) { return newPeer(r.peerAddr(), next, false) }
+
+// mutePeer starts one that takes set-ups and does not answer.
+func (r *rig) mutePeer() (*peer, error) { return newPeer(r.peerAddr(), "", true) }
+
+func (r *rig) peerAddr() string {
 	r.peers++
-	return newPeer(fmt.Sprintf("%s:%d", r.octet.Host(peersAt+r.peers), peerPort), next)
+	return fmt.Sprintf("%s:%d", r.octet.Host(peersAt+r.peers), peerPort)
 }
 
 // agent is one call agent.
--- a/internal/lab/labcli/chain.go
+++ b/internal/lab/labcli/chain.go
@@ -11,7 +11,7 @@
 type chainCommand struct {
 	Path   chainPathCommand   `cmd:"" help:"Measure what agents add to a call's latency, and their processor time, at one rate."`
 	Ramp   chainRampCommand   `cmd:"" help:"Raise the rate until it no longer holds."`
-	Memory chainMemoryCommand `cmd:"" help:"Measure an agent's memory by calls that stand and by idle connections."`
+	Memory chainMemoryCommand `cmd:"" help:"Measure an agent's memory by calls that stand or wait and by idle connections."`
 	Lists  chainListsCommand  `cmd:"" help:"Measure how many servers of a list an agent holds within its descriptors, and what becomes of calls."`
 }
 
@@ -36,7 +36,7 @@
 }
 
 type chainMemoryCommand struct {
-	Step    int           `help:"Calls between two looks; a fifth as many connections." default:"5000"`
+	Step    int           `help:"Calls that stand between two looks; a fifth as many that wait, and connections." default:"5000"`
 	Looks   int           `help:"Looks at each agent, the first before anything is held." default:"5"`
 	Repeats int           `help:"Fresh agents." default:"2"`
 	Memory  int           `help:"The agent's memory limit in MB." default:"192"`
