--- a/internal/lab/labcli/chain.go
+++ b/internal/lab/labcli/chain.go
@@ -31,7 +31,7 @@
 	Factor float64       `help:"From one rate to the next." default:"1.5"`
 	Steps  int           `help:"Most rates." default:"12"`
 	Warm   time.Duration `help:"Of each play, not counted." default:"300ms"`
-	Span   time.Duration `help:"Of each play, counted; twice as long unloaded." default:"2s"`
+	Span   time.Duration `help:"Of each play, counted; five times as long unloaded." default:"2s"`
 	Seed   uint64        `help:"Draws the arrivals." default:"1"`
 }
 
