--- a/internal/lab/chainlab/chain_test.go
+++ b/internal/lab/chainlab/chain_test.go
@@ -109,5 +109,7 @@
 	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "calls that wait for their answer", "idle connections of callers"} {
 		assert.Contains(t, out.String(), want)
 	}
+	assert.Regexp(t, `100: +\d+ KB, \d+ descriptors; 0 calls refused, 100 set-ups`, out.String(), "calls that stand")
+	assert.Regexp(t, `20: +\d+ KB, \d+ descriptors; 0 calls refused, \d+ set-ups`, out.String(), "calls that wait, most of them at the agent")
 	t.Log(out.String())
 }
