--- /dev/null
+++ b/internal/lab/chainlab/chain_test.go
@@ -0,0 +1,115 @@
+package chainlab
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/internal/lab"
+)
+
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(lab.BuildAndRun(m, &bin)) }
+
+// TestChain: tens of calls through a chain of three agents, and through the same chain without
+// them. Every call is answered once, at the full depth, after one set-up at each server. Counts
+// only: how long it takes is not looked at.
+func TestChain(t *testing.T) {
+	const calls = 60
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := newRig(bin, t.TempDir())
+	require.NoError(t, err)
+	defer r.close()
+	for name, agents := range map[string]int{"agents": 3, "direct": 0} {
+		t.Run(name, func(t *testing.T) {
+			c, err := r.chain(ctx, 3, agents > 0)
+			require.NoError(t, err)
+			defer c.close()
+			require.Len(t, c.agents, agents)
+			got, err := c.play(ctx, load{rate: 200, span: time.Minute, most: calls, seed: 1})
+			require.NoError(t, err)
+			require.NoError(t, got.err())
+			assert.Equal(t, []int{calls, calls, 0, 0}, []int{got.asked, got.answered, got.refused, got.lost})
+			assert.EqualValues(t, calls, got.latency.TotalCount())
+			assert.EqualValues(t, 3*calls, got.hops.TotalCount(), "each hop of each call")
+			for k, p := range c.peers {
+				assert.EqualValues(t, calls, p.setUps.Load(), "set-ups at server %d", k)
+				assert.Zero(t, p.twice.Load()+p.refused.Load(), "server %d", k)
+				last := int64(0)
+				if k == 2 {
+					last = calls
+				}
+				assert.Equal(t, last, p.last.Load(), "answered by server %d itself", k)
+			}
+			for _, a := range c.agents {
+				spent, err := processorTime(a.PID())
+				assert.NoError(t, err)
+				rss, err := resident(a.PID())
+				assert.NoError(t, err)
+				fds, err := descriptors(a.PID())
+				assert.NoError(t, err)
+				assert.True(t, spent >= 0 && rss > 1<<20 && fds > 3, "%v, %d bytes, %d descriptors", spent, rss, fds)
+				if t.Failed() {
+					t.Log(a.Log())
+				}
+			}
+		})
+	}
+}
+
+// TestLists: an agent that the system holds to 64 descriptors keeps a connection to each of 8
+// servers and answers a third of the limit of callers, twice; of 100 servers it holds no more than
+// it has descriptors, and lives.
+func TestLists(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := newRig(bin, t.TempDir())
+	require.NoError(t, err)
+	defer r.close()
+	var servers []*peer
+	for range 100 {
+		p, err := r.peer("")
+		require.NoError(t, err)
+		defer p.close()
+		servers = append(servers, p)
+	}
+	m := Lists{Settle: 10 * time.Second, Calm: 100 * time.Millisecond, Patience: 5 * time.Second}
+	few, err := m.play(ctx, r, servers[:8], 64)
+	require.NoError(t, err)
+	assert.Equal(t, 8, few.held)
+	assert.Equal(t, 21, few.callers)
+	assert.Equal(t, outcomes{answered: 21}, few.first)
+	assert.Equal(t, outcomes{answered: 21}, few.second)
+	m.Settle, m.Patience = time.Second, 500*time.Millisecond // it can't have them all
+	many, err := m.play(ctx, r, servers, 64)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, many.held, 64)
+	assert.LessOrEqual(t, many.descriptors, 64)
+	o := many.first
+	assert.Equal(t, 21, o.answered+o.refused+o.ended+o.unheard, "every call is accounted for")
+	t.Logf("%+v\n%+v", few, many)
+}
+
+// TestReports: the measurements' own commands run to their end on a short day, and tell of every
+// chain. What they measure is not looked at.
+func TestReports(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	var out strings.Builder
+	require.NoError(t, Path{Bin: bin, Dir: t.TempDir(), Lengths: []int{1, 2}, Rate: 100, Rounds: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
+	require.NoError(t, Ramp{Bin: bin, Dir: t.TempDir(), Lengths: []int{1}, Base: 64, First: 100, Factor: 2, Steps: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
+	require.NoError(t, Memory{Bin: bin, Dir: t.TempDir(), Step: 100, Looks: 2, Repeats: 1, MemoryMB: 64, CallRate: 1000}.Run(ctx, &out))
+	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "calls that wait for their answer", "idle connections of callers"} {
+		assert.Contains(t, out.String(), want)
+	}
+	assert.Regexp(t, `100: +\d+ KB, \d+ descriptors; 0 calls refused, 100 set-ups`, out.String(), "calls that stand")
+	assert.Regexp(t, `20: +\d+ KB, \d+ descriptors; 0 calls refused, \d+ set-ups`, out.String(), "calls that wait, most of them at the agent")
+	t.Log(out.String())
+}
