woodlab scale: hollow agents measure what discovery, membership, spread and zones cost at size

Bytes come from the code's own counters, memberlist's, and the processes' read and write calls; time and memory from the processes with an empty one taken off; whom others lean on has a process alone. A line through the sizes is read at the target, and says where it lies past the largest size run.

Tests count messages (one watch in flight, one answer a change, nothing else sent) and play a run of 8 agents; no figure is in this commit.

--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -30,6 +30,7 @@
 	Zones    zonesCommand    `cmd:"" help:"Zone failover (docs/failover.md)."`
 	Demo     demoCommand     `cmd:"" help:"Start two call agents and three setup servers and show calls being served; nothing to configure."`
 	Fleet    fleetCommand    `cmd:"" help:"Play hundreds of call agents with faults between them; exit 1 if a rule is broken (docs/spread.md)."`
+	Scale    scaleCommand    `cmd:"" help:"Measure what control costs a fleet at size, with hollow agents (docs/CAPACITY.md)."`
 }
 
 type promisesCommand struct {
@@ -122,6 +123,8 @@
 			err = cli.Demo.run(ctx, cli.Bin, dir, out)
 		case "fleet":
 			err = cli.Fleet.run(ctx, cli.Bin, dir, out)
+		case "scale run", "scale hollow", "scale fit <files>":
+			err = cli.Scale.run(ctx, parsed.Command(), cli.Bin, dir, out, errs)
 		case "zones model":
 			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
 		case "zones cost":
--- /dev/null
+++ b/internal/lab/labcli/scale.go
@@ -0,0 +1,163 @@
+package labcli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"time"
+
+	"woodrouter/internal/lab/scalelab"
+)
+
+type scaleCommand struct {
+	Run    scaleRunCommand    `cmd:"" default:"withargs" help:"Measure what control costs an agent and a control machine, over sizes of the fleet."`
+	Fit    scaleFitCommand    `cmd:"" help:"Lay lines through the sizes of several runs."`
+	Hollow scaleHollowCommand `cmd:"" hidden:"" help:"A helper process of a measurement: hollow agents, told what to do by its input."`
+}
+
+func (c scaleCommand) run(ctx context.Context, command, bin, dir string, out, errs io.Writer) error {
+	switch command {
+	case "scale hollow":
+		return scalelab.Helper(os.Stdin, out, slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: slog.LevelError})))
+	case "scale fit <files>":
+		return c.Fit.run(out)
+	}
+	return c.Run.run(ctx, bin, dir, out, errs)
+}
+
+type scaleRunCommand struct {
+	Parts      []string        `help:"Parts of control: discovery, members, spread, zones, config." default:"discovery"`
+	Agents     []int           `help:"Sizes of the fleet." default:"100,200,400,730"`
+	Target     int             `help:"The size to plan with: a line through the sizes is read there." default:"730"`
+	By         string          `help:"Whom an agent's membership, spread and zones cover." enum:"fleet,service" default:"fleet"`
+	Services   int             `help:"Services." default:"27"`
+	Skew       bool            `help:"One service has a third of all agents."`
+	Delay      []time.Duration `help:"Least and most delay between the two regions, each way; 0s: none." default:"30ms,150ms"`
+	Servers    int             `help:"Setup servers listed." default:"24"`
+	PerProcess int             `help:"Agents to a helper process." default:"50"`
+	Span       time.Duration   `help:"How long each size is measured." default:"25s"`
+	Warm       time.Duration   `help:"Warm-up before it, which counts in no figure." default:"10s"`
+	JoinMost   time.Duration   `help:"How long all may take to know all at the start." default:"60s"`
+	Seed       uint64          `help:"Draws the delays." default:"1"`
+	JSON       string          `help:"Write all figures to this file."`
+}
+
+type scaleFitCommand struct {
+	Files  []string `arg:"" help:"Files of --json, of one set of parts." type:"existingfile"`
+	Target int      `help:"The size to plan with." default:"730"`
+}
+
+type scaleHollowCommand struct{}
+
+// run measures each size in turn. A size that can't be played, or ends bounded, is told and the
+// next one follows; the exit code tells of it.
+func (c scaleRunCommand) run(ctx context.Context, bin, dir string, out, log io.Writer) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	plan := scalelab.Plan{Services: c.Services, Parts: c.Parts, By: c.By, Skew: c.Skew, Servers: c.Servers, PerProcess: c.PerProcess,
+		Span: c.Span, Warm: c.Warm, JoinMost: c.JoinMost, Seed: c.Seed}
+	switch len(c.Delay) {
+	case 2:
+		plan.Delay = [2]time.Duration{c.Delay[0], max(c.Delay[0], c.Delay[1])}
+	case 1:
+		plan.Delay = [2]time.Duration{c.Delay[0], c.Delay[0]}
+	default:
+		return errors.New("--delay: the least and the most")
+	}
+	head(out)
+	var sizes []scalelab.Size
+	var failed error
+	for _, n := range c.Agents {
+		p := plan
+		p.Agents = n
+		r := scalelab.Run{Plan: p, Self: self, Bin: bin, Dir: filepath.Join(dir, fmt.Sprint("scale-", n)), Log: log}
+		if err := os.MkdirAll(r.Dir, 0o750); err != nil {
+			return err
+		}
+		s, err := r.Play(ctx)
+		if err != nil {
+			s.Err = err.Error()
+			failed = errors.Join(failed, fmt.Errorf("%d agents: %w", n, err))
+		}
+		s.Tell(out)
+		sizes = append(sizes, s)
+	}
+	tellFits(out, sizes, c.Target)
+	if c.JSON != "" {
+		text, err := json.MarshalIndent(figures{Sizes: sizes, Fits: scalelab.Fits(sizes, c.Target)}, "", " ")
+		if err == nil {
+			err = os.WriteFile(c.JSON, text, 0o644)
+		}
+		failed = errors.Join(failed, err)
+	}
+	return failed
+}
+
+// figures are a run's, as --json writes them.
+type figures struct {
+	Sizes []scalelab.Size `json:"sizes"`
+	Fits  []scalelab.Fit  `json:"fits"`
+}
+
+func tellFits(out io.Writer, sizes []scalelab.Size, target int) {
+	fits := scalelab.Fits(sizes, target)
+	if len(fits) == 0 {
+		return
+	}
+	fmt.Fprintf(out, "\n## Lines through the sizes, %s by %s\n", strings.Join(sizes[0].Parts, "+"), sizes[0].By)
+	for _, f := range fits {
+		fmt.Fprintln(out, f)
+	}
+}
+
+// run lays the lines through the sizes of several files.
+func (c scaleFitCommand) run(out io.Writer) error {
+	var sizes []scalelab.Size
+	for _, path := range c.Files {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		var f figures
+		if err := json.Unmarshal(text, &f); err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		for _, s := range f.Sizes {
+			if len(sizes) > 0 && (s.By != sizes[0].By || s.Skew != sizes[0].Skew || strings.Join(s.Parts, "+") != strings.Join(sizes[0].Parts, "+")) {
+				return fmt.Errorf("%s: %v by %s is another measurement than %v by %s", path, s.Parts, s.By, sizes[0].Parts, sizes[0].By)
+			}
+			sizes = append(sizes, s)
+		}
+	}
+	tellFits(out, sizes, c.Target)
+	return nil
+}
+
+// head tells what was run, of which commit, and where.
+func head(out io.Writer) {
+	fmt.Fprintf(out, "# woodlab %s\n", strings.Join(os.Args[1:], " "))
+	commit := "not known"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			switch {
+			case s.Key == "vcs.revision":
+				commit = s.Value
+			case s.Key == "vcs.modified" && s.Value == "true":
+				commit += ", with changes that are not committed"
+			}
+		}
+	}
+	load, _ := os.ReadFile("/proc/loadavg")
+	fmt.Fprintf(out, "# commit %s, %s %s/%s\n# machine: %d cores, load before %s# began %s\n", commit, runtime.Version(), runtime.GOOS, runtime.GOARCH,
+		runtime.NumCPU(), load, time.Now().UTC().Format(time.RFC3339))
+}
--- /dev/null
+++ b/internal/lab/scalelab/helper.go
@@ -0,0 +1,290 @@
+package scalelab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-metrics"
+)
+
+// Order is what the measurement asks of a helper process, one JSON line each, in turn.
+type Order struct {
+	Do    string        // start, look, until, announce
+	Agent int           // start: this one alone; -1: all but the spare
+	What  string        // until: members, spread, zones, follows, or a mark's name
+	Want  map[int]int64 // until: by group; groups not named are not waited for
+	Most  time.Duration
+	Value int64 // announce: the epoch
+}
+
+// Answer answers an order.
+type Answer struct {
+	Error   string        `json:",omitempty"`
+	Look    *Look         `json:",omitempty"`
+	Reached map[int]int64 // until: by agent, Unix µs; 0: not within Most
+	Saw     map[int]int64 // until: the latest figure
+}
+
+// Look is what a helper process counts, all of it since its start.
+type Look struct {
+	CPUUs               int64 // user and system time (getrusage)
+	RSS, Peak           int64 // bytes (/proc/self/status)
+	FileIn, FileOut     int64 // bytes of read and write calls, those of orders and answers taken off: streams, and files of deciders
+	GossipIn, GossipOut int64 // bytes of datagrams of all memberships (memberlist's own counters)
+	Streams             int64 // bytes that memberships sent by stream, part of FileOut
+	Agents              map[int]Counts
+}
+
+// Counts are an agent's.
+type Counts struct {
+	Datagrams, Bytes map[string]int64 // of its memberships, sent, by part
+	In, Out          map[string]int64 // bytes by part where the code counts both ways
+	Views            int64            // of the steward, heard
+	Alive            int64            // thought alive by the first membership
+}
+
+// Helper is the main of a helper process: it plays its hollow agents until its input ends.
+func Helper(in io.Reader, out io.Writer, log *slog.Logger) error {
+	pipe := &counter{r: in, w: out}
+	lines := bufio.NewReader(pipe)
+	orders := json.NewDecoder(lines)
+	var d Deal
+	if err := orders.Decode(&d); err != nil {
+		return fmt.Errorf("scale: the deal: %w", err)
+	}
+	sink := &gossipSink{}
+	c := metrics.DefaultConfig("")
+	c.EnableHostname, c.EnableRuntimeMetrics = false, false
+	if _, err := metrics.NewGlobal(c, sink); err != nil {
+		return err
+	}
+	w := &helper{deal: &d, log: log, agents: map[int]*hollow{}, sink: sink, pipe: pipe}
+	defer w.stop()
+	answers := json.NewEncoder(pipe)
+	for {
+		var o Order
+		switch err := orders.Decode(&o); {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+		if err := answers.Encode(w.carryOut(o)); err != nil {
+			return err
+		}
+	}
+}
+
+type helper struct {
+	deal   *Deal
+	log    *slog.Logger
+	agents map[int]*hollow
+	sink   *gossipSink
+	pipe   *counter
+}
+
+func (w *helper) stop() {
+	var all sync.WaitGroup
+	for _, h := range w.agents {
+		all.Go(h.stop)
+	}
+	all.Wait()
+}
+
+func (w *helper) carryOut(o Order) Answer {
+	switch o.Do {
+	case "start":
+		return w.start(o.Agent)
+	case "look":
+		return Answer{Look: w.look()}
+	case "until":
+		return w.until(o)
+	case "announce":
+		if h := w.agents[o.Agent]; h != nil && h.list != nil {
+			h.list.Announce(uint64(o.Value))
+		}
+		return Answer{}
+	}
+	return Answer{Error: "no such order: " + o.Do}
+}
+
+// startPace lies between the starts of two agents of a process: a fleet starts by and by.
+const startPace = 20 * time.Millisecond
+
+func (w *helper) start(one int) Answer {
+	for _, i := range w.deal.Mine {
+		if one >= 0 && i != one || one < 0 && i == w.deal.Agents {
+			continue
+		}
+		h := newHollow(w.deal, i, w.log)
+		if err := h.start(); err != nil {
+			return Answer{Error: fmt.Sprintf("agent %s: %v", h.Name, err)}
+		}
+		w.agents[i] = h
+		time.Sleep(startPace)
+	}
+	return Answer{}
+}
+
+// untilEvery lies between two looks at what is no mark: asking a membership costs it.
+const untilEvery = 25 * time.Millisecond
+
+func (w *helper) until(o Order) Answer {
+	a := Answer{Reached: map[int]int64{}, Saw: map[int]int64{}}
+	every := untilEvery
+	if o.What == Zones {
+		every *= 8 // a list of all with their metadata each time
+	}
+	for end := time.Now().Add(o.Most); ; time.Sleep(every) {
+		left := 0
+		for i, h := range w.agents {
+			want, asked := o.Want[h.Group]
+			if !asked || a.Reached[i] != 0 {
+				continue
+			}
+			n, at := h.figure(o.What)
+			a.Saw[i], a.Reached[i] = n, 0
+			// Those alive are as many, neither more nor fewer; what rises may have risen further.
+			if n == want || n > want && !(o.What == Members || o.What == Zones || o.What == Spread) {
+				a.Reached[i] = at.UnixMicro()
+				continue
+			}
+			left++
+		}
+		if left == 0 || time.Now().After(end) {
+			return a
+		}
+	}
+}
+
+// figure is what an agent has come to, and since when as far as that is known.
+func (h *hollow) figure(what string) (int64, time.Time) {
+	switch what {
+	case Members:
+		return int64(h.list.Size()), time.Now()
+	case Zones:
+		n := 0
+		for _, names := range h.placer.Alive() {
+			n += len(names)
+		}
+		return int64(n), time.Now()
+	case Spread:
+		return h.senders.Load(), time.Now()
+	case "follows":
+		if h.follows.Load() {
+			return 1, time.Now()
+		}
+		return 0, time.Now()
+	case "announced":
+		return int64(h.list.Epoch()), time.Now()
+	case "epoch":
+		return int64(h.placer.Plan().Epoch), time.Now()
+	case "decided": // when the plan in force was decided
+		return int64(h.placer.Plan().AtUs), time.Now()
+	}
+	m := h.reached(what)
+	return m.n, m.at
+}
+
+func (w *helper) look() *Look {
+	l := &Look{Agents: map[int]Counts{}}
+	for i, h := range w.agents {
+		l.Agents[i] = h.counts()
+	}
+	l.GossipIn, l.GossipOut, l.Streams = w.sink.in.Load(), w.sink.out.Load(), w.sink.streams.Load()
+	io := procFields("/proc/self/io")
+	l.FileIn, l.FileOut = io["rchar"]-w.pipe.in.Load(), io["wchar"]-w.pipe.out.Load()
+	status := procFields("/proc/self/status")
+	l.RSS, l.Peak = status["VmRSS"]<<10, status["VmHWM"]<<10
+	var r syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &r) == nil {
+		l.CPUUs = (r.Utime.Nano() + r.Stime.Nano()) / 1000
+	}
+	return l
+}
+
+func (h *hollow) counts() Counts {
+	c := Counts{Datagrams: map[string]int64{}, Bytes: map[string]int64{}, In: map[string]int64{}, Out: map[string]int64{}, Views: h.views.Load()}
+	if h.list != nil {
+		c.Datagrams[Members], c.Bytes[Members], _ = h.list.Traffic()
+		c.Alive = int64(h.list.Size())
+	}
+	if h.spread != nil {
+		c.Datagrams[Spread], c.Bytes[Spread], _ = h.spread.Traffic()
+	}
+	if h.placer != nil {
+		c.Datagrams[Zones], c.Bytes[Zones], _ = h.placer.Gossip()
+	}
+	if h.config != nil {
+		c.Out[Config], c.In[Config] = h.config.traffic()
+	}
+	return c
+}
+
+// procFields reads "name: number" lines of a file of /proc.
+func procFields(path string) map[string]int64 {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil
+	}
+	out := map[string]int64{}
+	for line := range strings.Lines(string(text)) {
+		name, rest, _ := strings.Cut(line, ":")
+		if f := strings.Fields(rest); len(f) > 0 {
+			if n, err := strconv.ParseInt(f[0], 10, 64); err == nil {
+				out[name] = n
+			}
+		}
+	}
+	return out
+}
+
+// counter counts what orders and answers take of the process's reads and writes.
+type counter struct {
+	r       io.Reader
+	w       io.Writer
+	in, out atomic.Int64
+}
+
+func (c *counter) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+// gossipSink keeps the counters that memberlist has of its bytes.
+type gossipSink struct {
+	metrics.BlackholeSink
+	in, out, streams atomic.Int64
+}
+
+// IncrCounterWithLabels takes one.
+func (s *gossipSink) IncrCounterWithLabels(key []string, val float32, _ []metrics.Label) {
+	if len(key) != 3 || key[0] != "memberlist" {
+		return
+	}
+	switch key[1] + " " + key[2] {
+	case "udp received":
+		s.in.Add(int64(val))
+	case "udp sent":
+		s.out.Add(int64(val))
+	case "tcp sent":
+		s.streams.Add(int64(val))
+	}
+}
--- /dev/null
+++ b/internal/lab/scalelab/hollow.go
@@ -0,0 +1,386 @@
+package scalelab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"woodrouter/agent"
+	"woodrouter/failover"
+	"woodrouter/internal/fleet/members"
+	"woodrouter/internal/fleet/placer"
+	"woodrouter/internal/fleet/replica"
+	"woodrouter/internal/fleet/spreader"
+	"woodrouter/internal/lab"
+	"woodrouter/internal/servers/bulletin"
+	"woodrouter/internal/settings"
+	"woodrouter/policy"
+	"woodrouter/promise"
+	"woodrouter/spread"
+)
+
+// The ports on each agent's own address.
+const (
+	membersPort = 5072 + iota
+	spreadPort
+	zonesPort
+	raftPort
+	clientPort
+)
+
+// Deal is what a helper process is told at its start.
+type Deal struct {
+	Plan
+	Places []Place
+	Hosts  []string          // of the agents
+	Role   string            // of this process
+	Mine   []int             // its agents
+	List   string            // address of the list of setup servers
+	Known  json.RawMessage   // what is told of them where nobody watches the list
+	Via    map[string]string // an address -> the proxy that leads there from the other region
+	Dir    string
+	// Machines keep the configuration: address by region of who asks, then by id.
+	Machines map[string]map[string]string
+}
+
+func (d *Deal) addr(i, port int) string { return fmt.Sprintf("%s:%d", d.Hosts[i], port) }
+
+// seeds is how many agents of a group the others join by.
+const seeds = 3
+
+// membership is an agent's file of membership on a port.
+func (d *Deal) membership(i, port int) *members.Config {
+	c := &members.Config{Bind: d.addr(i, port), Far: d.Delay[1] > 0, Links: d.links(i)}
+	for _, j := range peers(d.Places, d.Places[i].Group) {
+		if j != i && len(c.Seeds) < seeds {
+			c.Seeds = append(c.Seeds, d.addr(j, port))
+		}
+	}
+	return c
+}
+
+// links are the proxies to the other region. One map serves all agents of a region in a process.
+func (d *Deal) links(i int) map[string]string {
+	if len(d.Via) == 0 {
+		return nil
+	}
+	linksOnce.Lock()
+	defer linksOnce.Unlock()
+	region := d.Places[i].Region
+	if linksOnce.of == nil || linksOnce.deal != d {
+		linksOnce.deal, linksOnce.of = d, map[string]map[string]string{}
+	}
+	if m := linksOnce.of[region]; m != nil {
+		return m
+	}
+	m := map[string]string{}
+	for j, to := range d.Places {
+		if to.Region == region {
+			continue
+		}
+		for port := membersPort; port <= clientPort; port++ {
+			if via := d.Via[d.addr(j, port)]; via != "" {
+				m[d.addr(j, port)] = via
+			}
+		}
+	}
+	linksOnce.of[region] = m
+	return m
+}
+
+var linksOnce struct {
+	sync.Mutex
+	deal *Deal
+	of   map[string]map[string]string
+}
+
+// mark is the latest of something that only rises, and when it came.
+type mark struct {
+	n  int64
+	at time.Time
+}
+
+// hollow is one agent without callers.
+type hollow struct {
+	Place
+	i    int
+	deal *Deal
+	log  *slog.Logger
+
+	cancel context.CancelFunc
+	work   sync.WaitGroup
+	core   *agent.Agent
+	list   *members.Members
+	spread *spreader.Spreader
+	placer *placer.Placer
+	node   *replica.Node
+	ctrl   *group
+	config *configured
+
+	mu      sync.Mutex
+	marks   map[string]mark
+	senders atomic.Int64 // that the steward's latest view counts
+	views   atomic.Int64
+	follows atomic.Bool
+	turn    int // of the calls made up
+	open    string
+}
+
+func newHollow(d *Deal, i int, log *slog.Logger) *hollow {
+	return &hollow{Place: d.Places[i], i: i, deal: d, log: log, marks: map[string]mark{}}
+}
+
+// rise counts something that came.
+func (h *hollow) rise(what string, n int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.marks[what]
+	if n == 0 {
+		n = m.n + 1
+	}
+	if n > m.n {
+		h.marks[what] = mark{n, time.Now()}
+	}
+}
+
+func (h *hollow) reached(what string) mark {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.marks[what]
+}
+
+// The daemon's watch of the list (internal/daemon).
+const (
+	listPatience = time.Second
+	listGrace    = 750 * time.Millisecond
+	listRetry    = 100 * time.Millisecond
+)
+
+// rejoinEvery is how often a membership looks for its seeds, as package placer does.
+const rejoinEvery = 2 * time.Second
+
+// start starts the parts of the plan. What was started before an error is ended by stop.
+func (h *hollow) start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	d := h.deal
+	spreading := spreader.Config{Mode: "common"}
+	if d.has(Discovery) || d.has(Spread) || d.has(Zones) {
+		if err := h.startCore(spreading); err != nil {
+			return err
+		}
+	}
+	if d.has(Discovery) {
+		f := &bulletin.Follower{Core: h, Log: h.log, Patience: listPatience, Grace: listGrace, Retry: listRetry,
+			Source: &net.TCPAddr{IP: net.ParseIP(d.Hosts[h.i])}}
+		f.Move(d.List)
+		h.work.Go(func() { f.Run(ctx) })
+	} else if h.core != nil {
+		var b bulletin.Batch
+		if err := json.Unmarshal(d.Known, &b); err != nil {
+			return err
+		}
+		if err := (&bulletin.Follower{Core: h, Log: h.log}).Take(b); err != nil {
+			return err
+		}
+	}
+	var err error
+	if d.has(Members) {
+		if h.list, err = members.Open(*d.membership(h.i, membersPort), members.Member{Name: h.Name, Zone: h.Zone, Region: h.Region}, h.log); err != nil {
+			return err
+		}
+		h.work.Go(func() {
+			for tick := time.NewTicker(rejoinEvery); ; {
+				h.list.Rejoin()
+				select {
+				case <-ctx.Done():
+					tick.Stop()
+					h.list.Shut()
+					return
+				case <-tick.C:
+				}
+			}
+		})
+	}
+	if d.has(Spread) {
+		spreading.Members = d.membership(h.i, spreadPort)
+		if h.spread, err = spreader.Open(spreading, spreading.Spread(h.Name, h.life()), spreads{h}, h.log); err != nil {
+			return err
+		}
+		h.work.Go(func() { h.spread.Run(ctx) })
+	}
+	if d.has(Zones) {
+		if err := h.startZones(ctx); err != nil {
+			return err
+		}
+	}
+	if d.has(Config) {
+		if h.config, err = configure(h); err != nil {
+			return err
+		}
+		h.work.Go(func() { h.config.run(ctx) })
+	}
+	return nil
+}
+
+// stop ends the agent well; a death is its process's SIGKILL.
+func (h *hollow) stop() {
+	h.cancel()
+	h.work.Wait()
+	if h.core != nil {
+		h.core.Stop()
+	}
+	if h.ctrl != nil {
+		h.ctrl.close()
+	}
+}
+
+// lifeAt tells this process's life from others.
+var lifeAt = time.Now()
+
+func (h *hollow) life() time.Time { return lifeAt }
+
+// startCore starts the agent's own core and module, with setup servers of which nothing is heard.
+func (h *hollow) startCore(spreading spreader.Config) error {
+	info, err := settings.Parse([]byte(lab.AgentSettings))
+	if err != nil {
+		return err
+	}
+	set := info.Policy()
+	if h.deal.has(Spread) {
+		set.Spread = spreading.Spread(h.Name, h.life())
+	}
+	if h.core, err = agent.New(agent.Config{Sights: h.deal.has(Zones), Settings: set, Seed: uint64(h.i), Log: h.log}); err != nil {
+		return err
+	}
+	h.core.Attach(nobody{})
+	go h.core.Run()
+	return nil
+}
+
+// nobody is a backend: no set-up is ever handed to it.
+type nobody struct{}
+
+func (nobody) Servers([]agent.Server, bool)              {}
+func (nobody) SetUp(agent.Attempt)                       {}
+func (nobody) GiveUp(string, string, int, policy.Result) {}
+func (nobody) ReleaseUnknown(string)                     {}
+func (nobody) Probe(string)                              {}
+
+// Servers notes an event of the list and hands it to the core.
+func (h *hollow) Servers(list []agent.Server, whole bool) {
+	h.rise("event", 0)
+	h.core.Servers(list, whole)
+}
+
+// spreads is the core as spreading load sees it, fed with a call made up for every other summary.
+type spreads struct{ *hollow }
+
+func (s spreads) Spread(do func(now policy.Time, st *spread.State)) {
+	s.core.Spread(func(now policy.Time, st *spread.State) {
+		s.feed(now, st)
+		do(now, st)
+		s.follows.Store(st.Follows(now))
+	})
+}
+
+func (s spreads) Follow(v spread.View) {
+	s.senders.Store(int64(v.Senders))
+	s.views.Add(1)
+	s.core.Follow(v)
+}
+
+// feed has the module think that it sent a call to one of the servers, in turn, which answered.
+func (h *hollow) feed(now policy.Time, st *spread.State) {
+	h.turn++
+	if h.turn%2 == 0 {
+		return
+	}
+	if h.open != "" {
+		st.Ended(h.open, true)
+	}
+	h.open = fmt.Sprintf("server-%02d", (h.i+h.turn/2)%h.deal.Servers)
+	st.Offered(now)
+	st.Saw(now, h.open, spread.Seen{Lines: 900, Util: 0.6, Wait: 0.021})
+	st.Sent(now, h.open, false)
+}
+
+// startZones has the agent follow zones; a decider has its part in the control group too.
+func (h *hollow) startZones(ctx context.Context) error {
+	d := h.deal
+	control := peers(d.Places, h.Group)
+	control = control[:min(deciders, len(control))]
+	h.ctrl = &group{}
+	calls := map[string]string{}
+	var boot []replica.Peer
+	for _, j := range control {
+		at := d.addr(j, clientPort)
+		if via := d.Via[at]; via != "" && d.Places[j].Region != h.Region {
+			at = via
+		}
+		calls[d.Places[j].Name] = at
+		boot = append(boot, replica.Peer{ID: d.Places[j].Name, Raft: d.addr(j, raftPort)})
+	}
+	h.ctrl.client = replica.NewClient(calls)
+	if slices.Contains(control, h.i) {
+		var err error
+		if h.node, err = replica.Open(replica.Config{ID: h.Name, Raft: d.addr(h.i, raftPort), Client: d.addr(h.i, clientPort),
+			Data: filepath.Join(d.Dir, h.Name), Bootstrap: boot, Timing: lab.Calm}, h.log); err != nil {
+			return err
+		}
+		h.ctrl.node = h.node
+		if h.ctrl.serve, err = h.node.Serve(); err != nil {
+			return err
+		}
+	}
+	c := placer.Config{Zone: h.Zone, Mode: "common", Members: d.membership(h.i, zonesPort)}
+	for _, z := range zoneNames {
+		c.Topology.Zones = append(c.Topology.Zones, failover.Zone{Name: z, Region: regionOf(z)})
+	}
+	var err error
+	if h.placer, err = placer.New(c, h.Name, h.Zone, h.core.Sights(), h.ctrl, h.log); err != nil {
+		return err
+	}
+	h.work.Go(func() { h.placer.Run(ctx) })
+	return nil
+}
+
+// group is the control group as an agent reaches it (internal/daemon has the same over its keeper).
+type group struct {
+	client *replica.Client
+	node   *replica.Node // nil: this agent is not of it
+	serve  net.Listener
+}
+
+func (g *group) Part() bool    { return g.node != nil }
+func (g *group) Leading() bool { return g.node != nil && g.node.Leading() }
+
+func (g *group) Plan(ctx context.Context, least uint64) (uint64, []byte, error) {
+	r, err := g.client.Plan(ctx, least)
+	return r.Epoch, r.Plan, err
+}
+
+func (g *group) LeadersPlan(ctx context.Context) (uint64, []byte, error) {
+	r, err := g.client.LeadersPlan(ctx)
+	return r.Epoch, r.Plan, err
+}
+
+func (g *group) Propose(ctx context.Context, epoch uint64, plan []byte) (bool, error) {
+	r, err := g.client.Propose(ctx, promise.Entry{Op: promise.OpPlan, Epoch: epoch, Plan: json.RawMessage(plan)})
+	return r.First, err
+}
+
+func (g *group) close() {
+	g.client.Close()
+	if g.node != nil {
+		g.serve.Close()
+		g.node.Close()
+	}
+}
--- /dev/null
+++ b/internal/lab/scalelab/plan.go
@@ -0,0 +1,205 @@
+// Package scalelab measures what control costs a fleet at size (docs/CAPACITY.md): hollow agents,
+// the real client code of each part of control without callers, many to a process, against the
+// real control processes. What is counted where stands beside each figure (sample.go). It runs
+// behind `woodlab scale` and in tests; the daemon does not use it. Loopback only.
+package scalelab
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"woodrouter/spread"
+)
+
+// The parts of control.
+const (
+	Discovery = "discovery" // the watch of the list of setup servers (internal/servers/bulletin)
+	Members   = "members"   // a bare membership (internal/fleet/members)
+	Spread    = "spread"    // load spread in common, on a membership of its own (internal/fleet/spreader)
+	Zones     = "zones"     // zone failover, on a membership of its own (internal/fleet/placer)
+	Config    = "config"    // the rollout of configuration (internal/fleet/watcher)
+)
+
+// Parts are all of them. Spread and zones each have their own membership, as in the daemon: beside
+// them a bare one is no part of an agent, and measured alone only.
+var Parts = []string{Discovery, Members, Spread, Zones, Config}
+
+// The agents among which membership, spread and zones talk.
+const (
+	ByFleet   = "fleet"   // all of them
+	ByService = "service" // those of one service
+)
+
+// Bounds of a run on this machine.
+const (
+	MostProcesses = 300
+	MostMemory    = 11 << 30 // bytes, of all processes of a run
+)
+
+// Plan is one run: what agents there are, and what of control they do.
+type Plan struct {
+	Agents, Services int
+	Parts            []string
+	By               string
+	Skew             bool             // one service has a third of all agents
+	Delay            [2]time.Duration // least and most delay between regions, each way; zero: none
+	Servers          int              // setup servers that are listed
+	PerProcess       int
+	Span, Warm       time.Duration
+	JoinMost         time.Duration // bounds the wait until all know all
+	Seed             uint64
+}
+
+// ErrPlan is a plan that can't be played, or not on this machine.
+var ErrPlan = errors.New("scale: plan")
+
+// Check refuses what can't be played.
+func (p Plan) Check() error {
+	for _, part := range p.Parts {
+		if !slices.Contains(Parts, part) {
+			return fmt.Errorf("%w: part %q is none of %v", ErrPlan, part, Parts)
+		}
+	}
+	switch {
+	case len(p.Parts) == 0:
+		return fmt.Errorf("%w: no part", ErrPlan)
+	case p.Agents < 4 || p.Agents > 5000:
+		return fmt.Errorf("%w: %d agents; 4 to 5000", ErrPlan, p.Agents)
+	case p.Services < 1 || p.Services*3 > p.Agents && p.By == ByService:
+		return fmt.Errorf("%w: %d services of %d agents; three agents each are the least by service", ErrPlan, p.Services, p.Agents)
+	case p.By != ByFleet && p.By != ByService:
+		return fmt.Errorf("%w: by %q is neither %s nor %s", ErrPlan, p.By, ByFleet, ByService)
+	case p.PerProcess < 1 || p.Span <= 0 || p.Servers < 1:
+		return fmt.Errorf("%w: per process, span and servers must be positive", ErrPlan)
+	}
+	if n := len(p.processes(p.places())) + controlMachines + 2; n > MostProcesses {
+		return fmt.Errorf("%w: %d processes; at most %d", ErrPlan, n, MostProcesses)
+	}
+	if need := int64(p.Agents)*agentMost + int64(len(p.processes(p.places())))*processMost; need > MostMemory {
+		return fmt.Errorf("%w: %d MB may be needed; at most %d", ErrPlan, need>>20, MostMemory>>20)
+	}
+	return nil
+}
+
+// What an agent and an empty process may take, for the refusal of plans that don't fit: twice the
+// most that was seen of an agent (spread and zones at 400 of one membership). A run ends where its
+// processes pass MostMemory all the same.
+const (
+	agentMost   = 10 << 20
+	processMost = 40 << 20
+)
+
+// controlMachines are what keeps the configuration.
+const controlMachines = 4
+
+func (p Plan) has(part string) bool { return slices.Contains(p.Parts, part) }
+
+// talk tells whether agents talk among themselves.
+func (p Plan) talk() bool { return p.has(Members) || p.has(Spread) || p.has(Zones) }
+
+// Place is who a hollow agent is.
+type Place struct {
+	Name, Service, Zone, Region string
+	Group                       int // whom it talks with
+}
+
+// zones of two regions.
+var zoneNames = []string{"z1", "z2", "z3", "z4", "z5"}
+
+func regionOf(zone string) string {
+	if zone < "z4" {
+		return "r1"
+	}
+	return "r2"
+}
+
+// places are the agents and, last, a spare that joins later. The agents of a service lie in the
+// zones in turn.
+func (p Plan) places() (out []Place) {
+	of := map[int]int{}
+	for i := range p.Agents + 1 {
+		service := i % p.Services
+		switch {
+		case i == p.Agents:
+			service = 0
+		case p.Skew && i < p.Agents/3:
+			service = 0
+		case p.Skew && p.Services > 1:
+			service = 1 + i%(p.Services-1)
+		}
+		zone := zoneNames[of[service]%len(zoneNames)]
+		of[service]++
+		a := Place{Name: fmt.Sprintf("a%d", i), Service: fmt.Sprintf("s%d", service), Zone: zone, Region: regionOf(zone)}
+		if p.By == ByService {
+			a.Group = service
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// peers are the agents of a group, without the spare.
+func peers(places []Place, group int) (out []int) {
+	for i, a := range places[:len(places)-1] {
+		if a.Group == group {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// deciders is how many agents of a group may decide where calls go: its control group.
+const deciders = 3
+
+// Roles of the agents that are measured in a process of their own.
+const (
+	steward  = "steward"  // told by all of its group (spread)
+	decider  = "decider"  // of its group's control group (zones)
+	ordinary = "ordinary" // none of these, for what sharing a process saves
+	empty    = "empty"    // a process without agents
+)
+
+// process is one helper process and the agents in it.
+type process struct {
+	Role   string // "": many agents
+	Agents []int
+}
+
+// processes shares the agents out. Those of the first group on whom others lean have one of
+// their own, so that what they cost is known; so has one that is like all others.
+func (p Plan) processes(places []Place) []process {
+	alone := map[int]string{}
+	first := peers(places, 0)
+	if p.has(Spread) {
+		var names []string
+		for _, i := range first {
+			names = append(names, places[i].Name)
+		}
+		to := spread.StewardAt(names, 0)
+		alone[first[slices.Index(names, to)]] = steward
+	}
+	if p.has(Zones) {
+		for _, i := range first[:min(deciders, len(first))] {
+			alone[i] = decider
+		}
+	}
+	if last := p.Agents - 1; alone[last] == "" {
+		alone[last] = ordinary
+	}
+	out := []process{{Role: empty}}
+	var many []int
+	for i := range places[:p.Agents] {
+		if alone[i] == "" {
+			many = append(many, i)
+			continue
+		}
+		out = append(out, process{alone[i], []int{i}})
+	}
+	for part := range slices.Chunk(many, p.PerProcess) {
+		out = append(out, process{"", part})
+	}
+	out[len(out)-1].Agents = append(slices.Clone(out[len(out)-1].Agents), p.Agents) // the spare waits there
+	return out
+}
--- /dev/null
+++ b/internal/lab/scalelab/scale_test.go
@@ -0,0 +1,246 @@
+package scalelab
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"woodrouter/agent"
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/fleet/members"
+	"woodrouter/internal/servers/bulletin"
+	"woodrouter/internal/standin"
+)
+
+// TestMain is the helper process too: a run starts this binary as it would start woodlab.
+func TestMain(m *testing.M) {
+	if slices.Contains(os.Args, "hollow") {
+		if err := Helper(os.Stdin, os.Stdout, slog.New(slog.DiscardHandler)); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// heard is a core that counts events of the list.
+type heard struct{ n atomic.Int64 }
+
+func (h *heard) Servers([]agent.Server, bool) { h.n.Add(1) }
+
+// TestDiscoveryMessages: of 8 agents each has one watch in flight; nothing is sent while nothing
+// changes and no patience ends; each change and each end of patience is one answer and one new
+// watch for each agent; a watch and an answer stay within their bytes.
+func TestDiscoveryMessages(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	const agents = 8
+	octet, err := faultnet.TakeOctet()
+	require.NoError(t, err)
+	defer octet.Release()
+	list, err := NewList(octet.Host(1), nil)
+	require.NoError(t, err)
+	list.ByHand = true
+	list.Tell(true, endpoints(24, func(string) string { return "127.0.0.1:1" }))
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	cores := make([]heard, agents)
+	for i := range cores {
+		f := &bulletin.Follower{Core: &cores[i], Log: slog.New(slog.DiscardHandler), Patience: time.Hour, Grace: time.Hour,
+			Retry: time.Millisecond, Source: &net.TCPAddr{IP: net.ParseIP(octet.Host(10 + i))}}
+		f.Move(list.Addr)
+		work.Go(func() { f.Run(ctx) })
+	}
+	defer func() { cancel(); work.Wait(); list.Close() }()
+	settled := func(asked, answered, events int) map[string]Watch {
+		var w map[string]Watch
+		require.Eventually(t, func() bool {
+			w = list.Watches()
+			ok := len(w) == agents
+			for i := range cores {
+				one := w[octet.Host(10+i)]
+				ok = ok && one.Asked == asked && one.Answered == answered && one.InFlight == 1 && cores[i].n.Load() == int64(events)
+			}
+			return ok
+		}, standin.Patience, time.Millisecond)
+		return w
+	}
+	const watchMost, idleMost, changeMost, wholeMost = 96, 192, 384, 4096 // bytes
+	w := settled(2, 1, 1)
+	for host, one := range w {
+		require.Equal(t, 1, one.MostOpen, host)
+		require.LessOrEqual(t, one.In, int64(2*watchMost), host)
+		require.LessOrEqual(t, one.Out, int64(wholeMost), host)
+	}
+	steps := []struct {
+		name   string
+		do     func()
+		events int
+		most   int64
+	}{
+		{"a change", func() { list.Tell(false, endpoints(1, func(string) string { return "127.0.0.1:2" })) }, 1, changeMost},
+		{"patience ends", list.Expire, 0, idleMost},
+		{"patience ends again", list.Expire, 0, idleMost},
+		{"another change", func() { list.Tell(false, endpoints(1, func(string) string { return "127.0.0.1:3" })) }, 1, changeMost},
+	}
+	asked, events := 2, 1
+	for _, s := range steps {
+		before := w
+		s.do()
+		asked++
+		events += s.events
+		w = settled(asked, asked-1, events)
+		for host, one := range w {
+			require.Equal(t, 1, one.MostOpen, "%s: %s", s.name, host)
+			require.LessOrEqual(t, one.In-before[host].In, int64(watchMost), "%s: %s", s.name, host)
+			require.LessOrEqual(t, one.Out-before[host].Out, s.most, "%s: %s", s.name, host)
+		}
+	}
+}
+
+// TestMembersMessages: a membership of 8 that all know sends no more datagrams than its tickers
+// give: a probe, its answer and the ways round for each probe interval, and what gossip has left.
+// The bound is of counts by ticks, so that a slow machine only sends fewer.
+func TestMembersMessages(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	const agents, interval = 8, 500 * time.Millisecond
+	// A probe, three asked to probe in its place, and for others the same answered and relayed: 10;
+	// gossip to three others at five ticks: 15.
+	const most = 25
+	octet, err := faultnet.TakeOctet()
+	require.NoError(t, err)
+	defer octet.Release()
+	var all []*members.Members
+	defer func() {
+		for _, m := range all {
+			m.Shut()
+		}
+	}()
+	seed := octet.Host(10) + ":5072"
+	for i := range agents {
+		m, err := members.Open(members.Config{Bind: fmt.Sprintf("%s:5072", octet.Host(10+i)), Seeds: []string{seed}},
+			members.Member{Name: fmt.Sprint("a", i)}, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		all = append(all, m)
+		_, err = m.Rejoin()
+		require.NoError(t, err)
+	}
+	for _, m := range all {
+		require.Eventually(t, func() bool { return m.Size() == agents }, standin.Patience, time.Millisecond)
+	}
+	began := time.Now()
+	before := make([]int64, agents)
+	for i, m := range all {
+		before[i], _, _ = m.Traffic()
+	}
+	time.Sleep(2 * interval)
+	sum := int64(0)
+	for i, m := range all {
+		sent, _, bad := m.Traffic()
+		sum += sent - before[i]
+		require.Zero(t, bad)
+	}
+	ticks := int64(time.Since(began)/interval) + 2
+	require.LessOrEqual(t, sum, agents*most*ticks)
+}
+
+// TestPlay: a small run of all that is here ends with figures of every agent and process, and
+// everybody comes to know everything.
+func TestPlay(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	self, err := os.Executable()
+	require.NoError(t, err)
+	p := Plan{Agents: 8, Services: 2, Parts: []string{Discovery, Members, Spread, Zones}, By: ByService, Servers: 10, PerProcess: 4,
+		Span: time.Second, Warm: time.Second, JoinMost: 20 * time.Second, Seed: 1}
+	r := Run{Plan: p, Self: self, Dir: t.TempDir(), Log: testLog{t}}
+	s, err := r.Play(t.Context())
+	require.NoError(t, err)
+	s.Tell(testLog{t})
+	for _, k := range s.Knew {
+		require.Equal(t, k.Of, k.Reached, "%s", k)
+	}
+	for _, part := range p.Parts {
+		require.Positive(t, s.PartSent[part].Mean, part)
+	}
+	require.Positive(t, s.Core.Mean)
+	require.Positive(t, s.Watches)
+}
+
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(b []byte) (int, error) {
+	l.t.Log(string(b))
+	return len(b), nil
+}
+
+// TestCheck: plans that can't be played here are refused.
+func TestCheck(t *testing.T) {
+	good := Plan{Agents: 730, Services: 27, Parts: []string{Discovery}, By: ByFleet, Servers: 24, PerProcess: 50, Span: time.Second}
+	require.NoError(t, good.Check())
+	cases := map[string]func(p *Plan){
+		"no part":       func(p *Plan) { p.Parts = nil },
+		"unknown part":  func(p *Plan) { p.Parts = []string{"calls"} },
+		"too few":       func(p *Plan) { p.Agents = 2 },
+		"processes":     func(p *Plan) { p.PerProcess = 1 },
+		"memory":        func(p *Plan) { p.Agents = 1500 },
+		"services":      func(p *Plan) { p.By, p.Agents = ByService, 30 },
+		"by":            func(p *Plan) { p.By = "zone" },
+		"nothing spans": func(p *Plan) { p.Span = 0 },
+	}
+	for name, spoil := range cases {
+		p := good
+		spoil(&p)
+		require.ErrorIs(t, p.Check(), ErrPlan, name)
+	}
+}
+
+// TestFit: a line is found, its largest deviation told, and what lies past the sizes is worded so.
+func TestFit(t *testing.T) {
+	f := FitOf("x", []float64{100, 200, 400}, []float64{12, 18, 42}, 730, 50)
+	require.InDelta(t, 0.1029, f.Slope, 1e-3)
+	require.InDelta(t, 2.57, f.Residual, 0.1)
+	require.False(t, f.Measured)
+	require.Contains(t, f.String(), "past the largest size run (400)")
+	require.Contains(t, f.String(), "OVER the budget")
+	f = FitOf("x", []float64{100, 730}, []float64{10, 20}, 730, 50)
+	require.True(t, f.Measured)
+	require.Equal(t, 20.0, f.AtTarget)
+	require.Contains(t, f.String(), "within the budget")
+}
+
+// TestProcesses: every agent is in one process, and whoever others lean on is alone in its own.
+func TestProcesses(t *testing.T) {
+	for _, by := range []string{ByFleet, ByService} {
+		for _, skew := range []bool{false, true} {
+			p := Plan{Agents: 200, Services: 27, Parts: []string{Spread, Zones}, By: by, Skew: skew, PerProcess: 50}
+			places := p.places()
+			seen, roles := map[int]int{}, map[string]int{}
+			for _, x := range p.processes(places) {
+				roles[x.Role]++
+				for _, i := range x.Agents {
+					seen[i]++
+				}
+			}
+			require.Len(t, seen, 201)
+			for i, n := range seen {
+				require.Equal(t, 1, n, i)
+			}
+			require.Equal(t, 1, roles[empty])
+			require.Equal(t, 1, roles[ordinary])
+			require.GreaterOrEqual(t, roles[decider], 2) // the steward may be one of three
+			for _, i := range peers(places, 0)[:deciders] {
+				require.Equal(t, "r1", places[i].Region)
+			}
+		}
+	}
+}
