--- a/internal/lab/scalelab/plan.go
+++ b/internal/lab/scalelab/plan.go
@@ -49,6 +49,7 @@
 	PerProcess       int
 	Span, Warm       time.Duration
 	JoinMost         time.Duration // bounds the wait until all know all
+	DeathMost        time.Duration // bounds the wait until all know of a death; 0: none is waited for
 	Seed             uint64
 }
 
--- a/internal/lab/scalelab/report.go
+++ b/internal/lab/scalelab/report.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -159,10 +161,28 @@
 
 // machineLook is what a control machine's process has taken so far.
 type machineLook struct {
-	CPU           time.Duration
-	Memory        int64
-	In, Out       int64 // bytes of its read and write calls: streams, and its files
-	Disk, DiskOut int64
+	CPU     time.Duration
+	Memory  int64
+	In, Out int64 // bytes of its read and write calls: streams, and its files where the log grows
+}
+
+// ticks are of 10 ms in /proc/PID/stat, on Linux for its programs.
+const tick = 10 * time.Millisecond
+
+// lookAt reads /proc of a process of this run.
+func lookAt(pid int) (m machineLook) {
+	dir := fmt.Sprintf("/proc/%d/", pid)
+	if stat, err := os.ReadFile(dir + "stat"); err == nil {
+		_, rest, _ := strings.Cut(string(stat), ") ")
+		if f := strings.Fields(rest); len(f) > 12 {
+			user, _ := strconv.ParseInt(f[11], 10, 64)
+			system, _ := strconv.ParseInt(f[12], 10, 64)
+			m.CPU = time.Duration(user+system) * tick
+		}
+	}
+	io := procFields(dir + "io")
+	m.In, m.Out, m.Memory = io["rchar"], io["wchar"], procFields(dir + "status")["VmRSS"]<<10
+	return m
 }
 
 func (m machineLook) since(was machineLook, span float64, name string) Cost {
