--- a/internal/lab/scalelab/hollow.go
+++ b/internal/lab/scalelab/hollow.go
@@ -52,14 +52,17 @@
 
 func (d *Deal) addr(i, port int) string { return fmt.Sprintf("%s:%d", d.Hosts[i], port) }
 
-// seeds is how many agents of a group the others join by.
-const seeds = 3
-
-// membership is an agent's file of membership on a port.
+// membership is an agent's file of membership on a port. The seeds are the group's first two
+// agents and its first of the other region: one of each region is the least.
 func (d *Deal) membership(i, port int) *members.Config {
 	c := &members.Config{Bind: d.addr(i, port), Far: d.Delay[1] > 0, Links: d.links(i)}
-	for _, j := range peers(d.Places, d.Places[i].Group) {
-		if j != i && len(c.Seeds) < seeds {
+	group := peers(d.Places, d.Places[i].Group)
+	seeds := slices.Clone(group[:min(2, len(group))])
+	if far := slices.IndexFunc(group, func(j int) bool { return d.Places[j].Region != d.Places[group[0]].Region }); far >= 0 {
+		seeds = append(seeds, group[far])
+	}
+	for _, j := range seeds {
+		if j != i {
 			c.Seeds = append(c.Seeds, d.addr(j, port))
 		}
 	}
@@ -163,9 +166,6 @@
 	listRetry    = 100 * time.Millisecond
 )
 
-// rejoinEvery is how often a membership looks for its seeds, as package placer does.
-const rejoinEvery = 2 * time.Second
-
 // start starts the parts of the plan. What was started before an error is ended by stop.
 func (h *hollow) start() error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -197,16 +197,8 @@
 			return err
 		}
 		h.work.Go(func() {
-			for tick := time.NewTicker(rejoinEvery); ; {
-				h.list.Rejoin()
-				select {
-				case <-ctx.Done():
-					tick.Stop()
-					h.list.Shut()
-					return
-				case <-tick.C:
-				}
-			}
+			h.list.Stay(ctx)
+			h.list.Shut()
 		})
 	}
 	if d.has(Spread) {
