--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -144,21 +144,17 @@
 	return nil
 }
 
-// head tells what was run, of which commit, and where.
+// head tells what was run, of which commit where the build knows it, and where.
 func head(out io.Writer) {
 	fmt.Fprintf(out, "# woodlab %s\n", strings.Join(os.Args[1:], " "))
-	commit := "not known"
 	if info, ok := debug.ReadBuildInfo(); ok {
 		for _, s := range info.Settings {
-			switch {
-			case s.Key == "vcs.revision":
-				commit = s.Value
-			case s.Key == "vcs.modified" && s.Value == "true":
-				commit += ", with changes that are not committed"
+			if s.Key == "vcs.revision" || s.Key == "vcs.modified" {
+				fmt.Fprintf(out, "# %s %s\n", s.Key, s.Value)
 			}
 		}
 	}
 	load, _ := os.ReadFile("/proc/loadavg")
-	fmt.Fprintf(out, "# commit %s, %s %s/%s\n# machine: %d cores, load before %s# began %s\n", commit, runtime.Version(), runtime.GOOS, runtime.GOARCH,
+	fmt.Fprintf(out, "# %s %s/%s\n# machine: %d cores, load before %s# began %s\n", runtime.Version(), runtime.GOOS, runtime.GOARCH,
 		runtime.NumCPU(), load, time.Now().UTC().Format(time.RFC3339))
 }
