--- /dev/null
+++ b/internal/fleet/control/control_test.go
@@ -0,0 +1,222 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net"
+	"net/rpc"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"woodrouter/internal/fleet/quorum"
+	"woodrouter/rollout"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// wait bounds what a test waits for.
+const wait = 20 * time.Second
+
+// machines are a group of control machines on loopback, three of them voters, c4 none.
+type machines struct {
+	t       *testing.T
+	configs map[string]Config
+	nodes   map[string]*Node
+	client  *Client
+}
+
+func free(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T) *machines {
+	g := &machines{t: t, configs: map[string]Config{}, nodes: map[string]*Node{}}
+	no, ids := false, []string{"c1", "c2", "c3", "c4"}
+	peers, boot := map[string]string{}, []quorum.Peer{}
+	for _, id := range ids {
+		peers[id] = free(t)
+		boot = append(boot, quorum.Peer{ID: id, Raft: free(t)})
+	}
+	boot[3].Voter = &no
+	for i, id := range ids {
+		cfg := Config{Config: quorum.Config{ID: id, Raft: boot[i].Raft, Client: peers[id], Data: filepath.Join(t.TempDir(), id),
+			Bootstrap: boot, Timing: quorum.TimingConfig{Heartbeat: "150ms", Election: "150ms", Commit: "10ms", Lease: "100ms"}},
+			Rollout: RolloutConfig{Console: free(t), Peers: peers, Dwell: "50ms", Patience: "1s"}}
+		require.NoError(t, cfg.Valid())
+		g.configs[id] = cfg
+		g.open(id)
+	}
+	g.client = NewClient(peers)
+	t.Cleanup(func() {
+		g.client.Close()
+		for _, id := range slices.Collect(maps.Keys(g.nodes)) {
+			g.close(id)
+		}
+	})
+	return g
+}
+
+func (g *machines) open(id string) {
+	n, err := Open(g.configs[id], slog.New(slog.DiscardHandler))
+	require.NoError(g.t, err)
+	require.NoError(g.t, n.Serve())
+	g.nodes[id] = n
+}
+
+func (g *machines) close(id string) {
+	g.nodes[id].Close()
+	delete(g.nodes, id)
+}
+
+// leader is the machine that leads, once there is one.
+func (g *machines) leader() (id string) {
+	require.Eventually(g.t, func() bool {
+		for id = range g.nodes {
+			if g.nodes[id].Leading() {
+				return true
+			}
+		}
+		return false
+	}, wait, 10*time.Millisecond)
+	return id
+}
+
+func name(t *testing.T, text string) rollout.Name {
+	n, err := rollout.ParseName(text)
+	require.NoError(t, err)
+	return n
+}
+
+// put has a change taken, however long an election takes.
+func (g *machines) put(e rollout.Entry) (uint64, error) {
+	e.Op, e.Author = rollout.OpPut, "ann"
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	var number uint64
+	err := quorum.Patiently(ctx, func() (err error) {
+		number, err = g.client.Put(ctx, e)
+		return err
+	})
+	return number, err
+}
+
+// agent watches one machine, as call agents do.
+type agent struct {
+	t    *testing.T
+	conn *rpc.Client
+	args rollout.WatchArgs
+
+	mu    sync.Mutex
+	last  rollout.WatchReply
+	texts map[string]string // by name
+}
+
+func (g *machines) agent(id, name string) *agent {
+	conn, err := rpc.Dial("tcp", g.configs[id].Client)
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { conn.Close() })
+	return &agent{t: g.t, conn: conn, texts: map[string]string{}, args: rollout.WatchArgs{Have: map[string]uint64{}, PatienceMs: 500,
+		Report: rollout.Report{Agent: rollout.Agent{Name: name, Service: "lessons", Zone: "z1", Region: "r1"}, Life: 1}}}
+}
+
+// watch asks once, and takes the answer.
+func (a *agent) watch() (rollout.WatchReply, error) {
+	a.args.Report.Seq++
+	args := a.args
+	args.Have = maps.Clone(a.args.Have)
+	args.Report.Seen = args.Have
+	if a.last.AgainMs > 0 {
+		args.PatienceMs = a.last.AgainMs
+	}
+	var r rollout.WatchReply
+	if err := a.conn.Call("Rollout.Watch", args, &r); err != nil {
+		return r, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = r
+	a.args.Version = max(a.args.Version, r.Version)
+	for _, d := range r.Docs {
+		key := d.Name.String()
+		if d.Revision <= a.args.Have[key] {
+			a.t.Errorf("%s: %s went from %d to %d", a.args.Report.Agent.Name, key, a.args.Have[key], d.Revision)
+		}
+		a.args.Have[key], a.texts[key] = d.Revision, string(d.Text)
+	}
+	return r, nil
+}
+
+// run watches until the connection ends.
+func (a *agent) run() *agent {
+	go func() {
+		for {
+			if _, err := a.watch(); err != nil {
+				return
+			}
+		}
+	}()
+	return a
+}
+
+// until waits for an agent's state to be as wished.
+func (a *agent) until(what string, ok func() bool) {
+	require.Eventually(a.t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return ok()
+	}, wait, 10*time.Millisecond, "%s: %s", a.args.Report.Agent.Name, what)
+}
+
+func (a *agent) has(name, text string) {
+	a.until(text, func() bool { return a.texts[name] == text })
+}
+
+// TestPutAndWatch: a change taken at the leader comes to watchers of every machine, the one
+// without a vote among them; a second put against the same revision is refused, and whoever
+// comes late gets the whole set.
+func TestPutAndWatch(t *testing.T) {
+	g := start(t)
+	agents := []*agent{}
+	for i, id := range []string{"c1", "c2", "c3", "c4"} {
+		a := g.agent(id, fmt.Sprintf("a%d", i+1)).run()
+		a.until("up to date", func() bool { return a.last.Machine != "" && !a.last.Lagging })
+		agents = append(agents, a)
+	}
+	routes := name(t, "routes@all")
+	first, err := g.put(rollout.Entry{Name: routes, Text: []byte("routes: 1")})
+	require.NoError(t, err)
+	for _, a := range agents {
+		a.has("routes@all", "routes: 1")
+		a.until("its number", func() bool { return a.args.Have["routes@all"] == first })
+	}
+	_, err = g.put(rollout.Entry{Name: routes, Base: first - 1, Text: []byte("routes: 2")})
+	require.ErrorIs(t, err, rollout.ErrConflict)
+	require.ErrorContains(t, err, "ann")
+	for _, e := range []rollout.Entry{{Name: routes, Base: first, Text: []byte("routes: [")}, {Name: routes, Base: first, Text: make([]byte, rollout.MaxText+1)},
+		{Name: rollout.Name{Kind: "a@b"}, Text: []byte("a: 1")}} {
+		_, err = g.put(e)
+		require.ErrorIs(t, err, rollout.ErrEntry)
+	}
+	r, err := g.agent("c4", "late").watch()
+	require.NoError(t, err)
+	require.True(t, r.Whole)
+	require.Len(t, r.Docs, 1)
+	second, err := g.put(rollout.Entry{Name: routes, Base: first, Text: []byte("routes: 2")})
+	require.NoError(t, err)
+	require.Greater(t, second, first)
+	for _, a := range agents {
+		a.has("routes@all", "routes: 2")
+		a.until("not whole", func() bool { return !a.last.Whole })
+	}
+}
