--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -124,6 +124,16 @@
 	return p.cmd != nil
 }
 
+// PID is the process's id; 0 where none runs.
+func (p *Proc) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Wipe removes the data directory, as a lost disk; the process must not run.
 func (p *Proc) Wipe() error {
 	if p.Running() {
--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -92,15 +92,15 @@
 		}
 		s.Tell(out)
 		sizes = append(sizes, s)
-	}
-	tellFits(out, sizes, c.Target)
-	if c.JSON != "" {
-		text, err := json.MarshalIndent(figures{Sizes: sizes, Fits: scalelab.Fits(sizes, c.Target)}, "", " ")
-		if err == nil {
-			err = os.WriteFile(c.JSON, text, 0o644)
+		if c.JSON != "" { // after each size: a run may be ended from outside
+			text, err := json.MarshalIndent(figures{Sizes: sizes, Fits: scalelab.Fits(sizes, c.Target)}, "", " ")
+			if err == nil {
+				err = os.WriteFile(c.JSON, text, 0o644)
+			}
+			failed = errors.Join(failed, err)
 		}
-		failed = errors.Join(failed, err)
 	}
+	tellFits(out, sizes, c.Target)
 	return failed
 }
 
