--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -154,6 +154,7 @@
 			}
 		}
 	}
+	fmt.Fprintln(out, scalelab.Counted)
 	load, _ := os.ReadFile("/proc/loadavg")
 	fmt.Fprintf(out, "# %s %s/%s\n# machine: %d cores, load before %s# began %s\n", runtime.Version(), runtime.GOOS, runtime.GOARCH,
 		runtime.NumCPU(), load, time.Now().UTC().Format(time.RFC3339))
--- a/internal/lab/scalelab/report.go
+++ b/internal/lab/scalelab/report.go
@@ -197,6 +197,15 @@
 	BudgetBytes  = 20_000
 )
 
+// Counted says what the figures are of.
+const Counted = `# Three figures are mean / p99 / largest. Bytes are those in datagrams and streams, without the headers of UDP, TCP and IP.
+# "An agent among many": of each helper process all that it sent and received (memberlist's counters of datagrams, the
+# process's read and write calls for streams), its time by getrusage and its RSS at the span's end, the empty process's
+# taken off, divided by its agents; p99 and largest are over processes. "By agent": discovery counted at the list, config
+# by the watcher, both ways; of members, spread and zones the datagrams that an agent sent, without its streams.
+# "Alone": a process of one agent, or a control machine's (/proc: files where its log grows are in its bytes).
+# An agent with zones and no callers looks at two setup servers of its zone a second; that is in its figures.`
+
 // Tell words a size.
 func (s Size) Tell(out io.Writer) {
 	skew := ""
