--- a/internal/fleet/control/service.go
+++ b/internal/fleet/control/service.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/hashicorp/raft"
+
 	"woodrouter/internal/fleet/quorum"
 	"woodrouter/internal/yamlfile"
 	"woodrouter/rollout"
@@ -17,7 +19,7 @@
 	mostPatience  = 10 * time.Second // below idleTime
 	mostWord      = 512              // bytes of a name in a report; rollout's are shorter
 	mostKinds     = 64
-	mostAgents    = 8192
+	mostRefused   = 128
 )
 
 // firstAgain is the patience that agents of a first stage are asked to come back with, so that
@@ -103,7 +105,9 @@
 	defer m.mu.RUnlock()
 	agent := call.Report.Agent
 	l.changed = m.changed
-	l.reply = rollout.WatchReply{Machine: n.cfg.ID, Version: m.state.Applied(), Lagging: m.lagging}
+	// A process that was stopped may answer before watchLag has looked.
+	lagging := m.lagging || n.deaf()
+	l.reply = rollout.WatchReply{Machine: n.cfg.ID, Version: m.state.Applied(), Lagging: lagging}
 	for _, d := range m.state.For(agent) {
 		if d.Revision > call.Have[d.Name.String()] {
 			l.reply.Docs = append(l.reply.Docs, d)
@@ -116,7 +120,7 @@
 	l.reply.Whole = len(call.Have) == 0
 	fresh := first && l.reply.Whole && call.Version == 0 && l.reply.Version > 0
 	l.behind = call.Version > l.reply.Version
-	l.tell = len(l.reply.Docs) > 0 || fresh || m.lagging != call.from.told.Load()
+	l.tell = len(l.reply.Docs) > 0 || fresh || lagging != call.from.told.Load()
 	return l
 }
 
@@ -130,10 +134,12 @@
 		return fmt.Errorf("%w: field report.agent.name: empty", errAsked)
 	case !word(r.Agent.Name) || !word(r.Agent.Service) || !word(r.Agent.Zone) || !word(r.Agent.Region):
 		return fmt.Errorf("%w: field report.agent: a name over %d bytes", errAsked, mostWord)
-	case len(w.Have) > rollout.MaxDocuments || len(r.Seen) > rollout.MaxDocuments || len(r.Refused) > rollout.MaxDocuments:
+	case len(w.Have) > rollout.MaxDocuments || len(r.Seen) > rollout.MaxDocuments:
 		return fmt.Errorf("%w: over %d documents", errAsked, rollout.MaxDocuments)
 	case len(r.InForce) > mostKinds:
 		return fmt.Errorf("%w: field report.force: over %d kinds", errAsked, mostKinds)
+	case len(r.Refused) > mostRefused:
+		return fmt.Errorf("%w: field report.refused: over %d", errAsked, mostRefused)
 	}
 	for _, names := range []map[string]uint64{w.Have, r.Seen, r.InForce} {
 		for name := range names {
@@ -207,6 +213,22 @@
 	return nil
 }
 
+// MemberArgs has a machine leave the group, or, where Raft is its address, come into it.
+type MemberArgs struct {
+	ID, Raft string
+	Voter    bool
+}
+
+// Member changes the group. Only the leader does.
+func (s *Service) Member(args MemberArgs, reply *quorum.Answer) error {
+	if args.Raft == "" {
+		*reply = s.n.Remove(args.ID)
+	} else {
+		*reply = s.n.Join(args.ID, args.Raft, args.Voter)
+	}
+	return nil
+}
+
 // OverviewArgs asks for one document's view, with its text and history, or ("") all heads.
 type OverviewArgs struct{ Name string }
 
@@ -215,6 +237,7 @@
 	Machine, State, Leader string
 	Applied                uint64
 	Lagging                bool
+	Members                []string // id=log address, with " (no vote)" for one without
 	Names                  []NameView
 }
 
@@ -244,6 +267,13 @@
 	}
 	reports, now := n.reports(), time.Now().UnixMicro()
 	r = OverviewReply{Machine: n.cfg.ID, State: n.Raft.State().String(), Leader: n.Leader()}
+	for _, m := range n.Servers() {
+		text := fmt.Sprintf("%s=%s", m.ID, m.Address)
+		if m.Suffrage != raft.Voter {
+			text += " (no vote)"
+		}
+		r.Members = append(r.Members, text)
+	}
 	n.fsm.mu.RLock()
 	defer n.fsm.mu.RUnlock()
 	st := n.fsm.state
