woodlab scale: the part config, with real control machines in two regions

Four machines of the program, three of them voters, in two regions as deploy/control.yaml has it, hollow agents with the real watcher.

--- a/internal/lab/scalelab/control.go
+++ b/internal/lab/scalelab/control.go
@@ -1,19 +1,239 @@
 package scalelab
 
 import (
+	"bytes"
 	"context"
-	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/fleet/control"
+	"woodrouter/internal/fleet/quorum"
+	"woodrouter/internal/fleet/watcher"
+	"woodrouter/rollout"
+)
+
+// The control machines, placed as deploy/control.yaml has it.
+var machines = []watcher.Machine{{ID: "c1", Region: "r1", Zone: "z1"}, {ID: "c2", Region: "r1", Zone: "z2"},
+	{ID: "c3", Region: "r2", Zone: "z4"}, {ID: "c4", Region: "r2", Zone: "z5"}}
+
+const witness = "c4" // has the log, and no vote
+
+// The ports on each machine's own address.
+const (
+	machineRaft    = 7601
+	machineClient  = 7501
+	machineConsole = 7602
 )
 
-// controls are the machines that keep the configuration.
-type controls struct{}
+// controls are the machines that keep the configuration, each its own process of the program.
+type controls struct {
+	procs  map[string]*faultnet.Proc
+	client *control.Client
+	last   uint64 // the latest revision of the document that is waited for
+}
+
+// startControls starts them, with a proxy on every way between the regions, and tells in the deal
+// where agents of each region reach them.
+func startControls(r *Run, delay func() time.Duration) (*controls, error) {
+	c := &controls{procs: map[string]*faultnet.Proc{}}
+	at := func(i, port int) string { return net.JoinHostPort(r.octet.Host(3+i), strconv.Itoa(port)) }
+	// far is an address as it is reached from the other region.
+	far := func(addr string) (string, error) {
+		if r.Delay[1] == 0 {
+			return addr, nil
+		}
+		l, err := faultnet.NewLink(addr, r.Seed)
+		if err != nil {
+			return "", err
+		}
+		l.Set(faultnet.Pass, delay(), 0)
+		r.links = append(r.links, l)
+		return l.Addr(), nil
+	}
+	direct := map[string]string{}
+	r.deal.Machines = map[string][]watcher.Machine{}
+	farRaft, farClient := map[string]string{}, map[string]string{}
+	var boot []quorum.Peer
+	for i, m := range machines {
+		var err error
+		if farRaft[m.ID], err = far(at(i, machineRaft)); err != nil {
+			return c, err
+		}
+		if farClient[m.ID], err = far(at(i, machineClient)); err != nil {
+			return c, err
+		}
+		direct[m.ID] = at(i, machineClient)
+		votes := m.ID != witness
+		boot = append(boot, quorum.Peer{ID: m.ID, Raft: at(i, machineRaft), Voter: &votes})
+		for _, region := range []string{"r1", "r2"} {
+			seen := m
+			if seen.Client = direct[m.ID]; region != m.Region {
+				seen.Client = farClient[m.ID]
+			}
+			r.deal.Machines[region] = append(r.deal.Machines[region], seen)
+		}
+	}
+	for i, m := range machines {
+		f := control.Config{Rollout: control.RolloutConfig{Console: at(i, machineConsole), Peers: map[string]string{}}}
+		f.ID, f.Raft, f.Client, f.Data, f.Bootstrap, f.Links = m.ID, at(i, machineRaft), at(i, machineClient), filepath.Join(r.Dir, m.ID), boot, map[string]string{}
+		f.Timing = quorum.TimingConfig{Heartbeat: "1s", Election: "1s", Commit: "20ms", Lease: "500ms"}
+		for j, o := range machines {
+			f.Rollout.Peers[o.ID] = direct[o.ID]
+			if o.Region != m.Region {
+				f.Rollout.Peers[o.ID] = farClient[o.ID]
+				f.Links[at(j, machineRaft)] = farRaft[o.ID]
+			}
+		}
+		text, err := yaml.Marshal(f)
+		if err != nil {
+			return c, err
+		}
+		path := filepath.Join(r.Dir, m.ID+".yaml")
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return c, err
+		}
+		c.procs[m.ID] = &faultnet.Proc{Name: m.ID, Bin: r.Bin, Args: []string{"replica", path}, Data: f.Data}
+		if err := c.procs[m.ID].Start(); err != nil {
+			return c, err
+		}
+	}
+	c.client = control.NewClient(direct)
+	return c, nil
+}
+
+func (c *controls) close() {
+	for _, p := range c.procs {
+		p.Kill()
+	}
+	if c.client != nil {
+		c.client.Close()
+	}
+}
+
+// text is a document of a size.
+func text(size int, mark string) []byte {
+	line := []byte("# " + mark + ": a line of a file of routes, as long as they are there\n")
+	return bytes.Repeat(line, size/len(line)+1)[:size]
+}
+
+// documents are what the fleet has: of all, of a region, of a service.
+var documents = []struct {
+	name string
+	size int
+}{{revised + "@all", 4096}, {"spread@all", 400}, {"failover@region/r2", 1500}, {"spread@service/s1", 400}}
+
+// putMost bounds a change's way into the log.
+const putMost = 20 * time.Second
+
+// put puts a document, at once or, while there is no leader yet, as soon as there is one.
+func (c *controls) put(ctx context.Context, name string, base uint64, body []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, putMost)
+	defer cancel()
+	n, err := rollout.ParseName(name)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		rev, err := c.client.Put(ctx, rollout.Entry{Op: rollout.OpPut, AtUs: time.Now().UnixMicro(), Name: n, Base: base, Text: body, Author: "scale"})
+		if err == nil || ctx.Err() != nil || base != 0 {
+			return rev, err
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// first puts the first documents and waits until all agents have them.
+func (c *controls) first(ctx context.Context, r *Run, s *Size) error {
+	began := time.Now()
+	for _, d := range documents {
+		n, err := c.put(ctx, d.name, 0, text(d.size, "first"))
+		if err != nil {
+			return fmt.Errorf("%s: %w\n%s", d.name, err, c.logs())
+		}
+		if strings.HasPrefix(d.name, revised) {
+			c.last = n
+		}
+	}
+	s.Knew = append(s.Knew, r.waitFor(ctx, "start: the first revision, by its first stage (config)", "revision", r.wantRevision(c.last), began, eventMost))
+	return nil
+}
+
+func (r *Run) wantRevision(n uint64) map[int]int64 {
+	out := map[int]int64{}
+	for g := range r.groups() {
+		out[g] = int64(n)
+	}
+	return out
+}
+
+// change puts another revision and waits until it is in force at all agents.
+func (c *controls) change(ctx context.Context, r *Run, s *Size) error {
+	before := map[string]machineLook{}
+	for i := range 2 {
+		before = c.look()
+		began := time.Now()
+		n, err := c.put(ctx, revised+"@all", c.last, text(4096, fmt.Sprint("change ", i)))
+		if err != nil {
+			return fmt.Errorf("a change: %w\n%s", err, c.logs())
+		}
+		c.last = n
+		s.Notes = append(s.Notes, fmt.Sprintf("a change was committed after %.2f s", time.Since(began).Seconds()))
+		k := r.waitFor(ctx, "a revision put: in force, by a first stage with a dwell of 1 s (config)", "revision", r.wantRevision(n), began, eventMost)
+		s.Knew = append(s.Knew, k)
+		if took := time.Since(began).Seconds(); took > 0 {
+			for name, m := range c.look() {
+				x := m.since(before[name], took, name)
+				s.Notes = append(s.Notes, fmt.Sprintf("%s during the change (%.1f s): sent %.0f B/s, received %.0f B/s, %.2f %% of a core", name, took, x.Sent, x.Received, 100*x.Core))
+			}
+		}
+		if err := c.settled(ctx, r); err != nil {
+			s.Notes = append(s.Notes, err.Error())
+		}
+	}
+	return nil
+}
 
-var errNoControl = errors.New("scale: the part config is not in this build")
+// settled waits until no stage is open any more: a change behind it would wait for it.
+func (c *controls) settled(ctx context.Context, r *Run) error {
+	end := time.Now().Add(eventMost / 2)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		open := false
+		for _, m := range machines {
+			o, err := c.client.Overview(ctx, m.ID, revised+"@all")
+			if err != nil || len(o.Names) != 1 || o.Names[0].Latest.Stage != rollout.Everywhere {
+				open = true
+			}
+		}
+		if !open {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("a stage was still open after %v", eventMost/2)
+}
 
-func startControls(*Run, func() time.Duration) (*controls, error) { return nil, errNoControl }
+func (c *controls) logs() (out string) {
+	for _, p := range c.procs {
+		out += p.Log()
+	}
+	return out
+}
 
-func (c *controls) close()                                    {}
-func (c *controls) look() map[string]machineLook              { return map[string]machineLook{} }
-func (c *controls) first(context.Context, *Run, *Size) error  { return errNoControl }
-func (c *controls) change(context.Context, *Run, *Size) error { return errNoControl }
+// look is what each machine's process has taken so far.
+func (c *controls) look() map[string]machineLook {
+	out := map[string]machineLook{}
+	for name, p := range c.procs {
+		if pid := p.PID(); pid > 0 {
+			out[name] = lookAt(pid)
+		}
+	}
+	return out
+}
--- a/internal/lab/scalelab/hollow.go
+++ b/internal/lab/scalelab/hollow.go
@@ -18,6 +18,7 @@
 	"woodrouter/internal/fleet/placer"
 	"woodrouter/internal/fleet/replica"
 	"woodrouter/internal/fleet/spreader"
+	"woodrouter/internal/fleet/watcher"
 	"woodrouter/internal/lab"
 	"woodrouter/internal/servers/bulletin"
 	"woodrouter/internal/settings"
@@ -46,8 +47,8 @@
 	Known  json.RawMessage   // what is told of them where nobody watches the list
 	Via    map[string]string // an address -> the proxy that leads there from the other region
 	Dir    string
-	// Machines keep the configuration: address by region of who asks, then by id.
-	Machines map[string]map[string]string
+	// Machines keep the configuration, as agents of a region reach them.
+	Machines map[string][]watcher.Machine
 }
 
 func (d *Deal) addr(i, port int) string { return fmt.Sprintf("%s:%d", d.Hosts[i], port) }
