A plan asked of all members is not read while a late answer is still decoded into it

Seen by woodlab scale's TestPlay under -race: replica.Client.Plan ends the other members' calls once one has answered, and handed on the value that net/rpc might still write to (Plan.func1 against gobClientCodec.ReadResponseBody). A call that failed hands on an empty answer of its own now. The run's watch of memory has a list of processes of its own for the same reason.

--- a/internal/fleet/replica/client.go
+++ b/internal/fleet/replica/client.go
@@ -111,7 +111,10 @@
 	for _, id := range members {
 		go func() {
 			var one PlanReply
-			c.Call(ctx, id, "Replica.Plan", struct{}{}, &one) // no answer: epoch 0
+			if c.Call(ctx, id, "Replica.Plan", struct{}{}, &one) != nil {
+				answers <- PlanReply{} // epoch 0; an answer that comes late may still be read into the other
+				return
+			}
 			answers <- one
 		}()
 	}
--- a/internal/lab/scalelab/config_test.go
+++ b/internal/lab/scalelab/config_test.go
@@ -161,6 +161,7 @@
 
 // TestPlayConfig: a small run with real control machines ends with everybody at the same revision.
 func TestPlayConfig(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	self, err := os.Executable()
 	require.NoError(t, err)
 	bin, err := faultnet.Build(t.TempDir())
--- a/internal/lab/scalelab/run.go
+++ b/internal/lab/scalelab/run.go
@@ -64,7 +64,7 @@
 	defer r.close()
 	err := r.set(ctx)
 	if err == nil {
-		go r.watchMemory(ctx, cancel)
+		go r.watchMemory(ctx, cancel, slices.Clone(r.procs))
 		err = r.measure(ctx, &s)
 	}
 	if cause := context.Cause(ctx); err != nil && cause != nil {
@@ -272,7 +272,7 @@
 }
 
 // watchMemory ends a run whose processes take more than it may.
-func (r *Run) watchMemory(ctx context.Context, cancel context.CancelCauseFunc) {
+func (r *Run) watchMemory(ctx context.Context, cancel context.CancelCauseFunc, procs []*helperProc) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -280,7 +280,7 @@
 		case <-time.After(2 * time.Second):
 		}
 		sum := int64(0)
-		for _, h := range r.procs {
+		for _, h := range procs {
 			sum += procFields(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))["VmRSS"] << 10
 		}
 		if sum > MostMemory {
