--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -45,6 +45,7 @@
 	PerProcess int             `help:"Agents to a helper process." default:"50"`
 	Span       time.Duration   `help:"How long each size is measured." default:"25s"`
 	Warm       time.Duration   `help:"Warm-up before it, which counts in no figure." default:"10s"`
+	Pace       time.Duration   `help:"Between the starts of two agents of a helper process." default:"100ms"`
 	JoinMost   time.Duration   `help:"How long all may take to know all at the start." default:"60s"`
 	DeathMost  time.Duration   `help:"How long all may take to know of a death; 0s: it is not waited for." default:"60s"`
 	Seed       uint64          `help:"Draws the delays." default:"1"`
@@ -66,7 +67,7 @@
 		return err
 	}
 	plan := scalelab.Plan{Services: c.Services, Parts: c.Parts, By: c.By, Skew: c.Skew, Servers: c.Servers, PerProcess: c.PerProcess,
-		Span: c.Span, Warm: c.Warm, JoinMost: c.JoinMost, DeathMost: c.DeathMost, Seed: c.Seed}
+		Span: c.Span, Warm: c.Warm, Pace: c.Pace, JoinMost: c.JoinMost, DeathMost: c.DeathMost, Seed: c.Seed}
 	switch len(c.Delay) {
 	case 2:
 		plan.Delay = [2]time.Duration{c.Delay[0], max(c.Delay[0], c.Delay[1])}
--- a/internal/lab/scalelab/helper.go
+++ b/internal/lab/scalelab/helper.go
@@ -118,9 +118,6 @@
 	return Answer{Error: "no such order: " + o.Do}
 }
 
-// startPace lies between the starts of two agents of a process: a fleet starts by and by.
-const startPace = 20 * time.Millisecond
-
 func (w *helper) start(one int) Answer {
 	for _, i := range w.deal.Mine {
 		if one >= 0 && i != one || one < 0 && i == w.deal.Agents {
@@ -131,7 +128,7 @@
 			return Answer{Error: fmt.Sprintf("agent %s: %v", h.Name, err)}
 		}
 		w.agents[i] = h
-		time.Sleep(startPace)
+		time.Sleep(w.deal.Pace)
 	}
 	return Answer{}
 }
--- a/internal/lab/scalelab/plan.go
+++ b/internal/lab/scalelab/plan.go
@@ -48,6 +48,7 @@
 	Servers          int              // setup servers that are listed
 	PerProcess       int
 	Span, Warm       time.Duration
+	Pace             time.Duration // between the starts of two agents of a helper process: a fleet starts by and by
 	JoinMost         time.Duration // bounds the wait until all know all
 	DeathMost        time.Duration // bounds the wait until all know of a death; 0: none is waited for
 	Seed             uint64
