--- /dev/null
+++ b/internal/lab/rolloutlab/history.go
@@ -0,0 +1,512 @@
+package rolloutlab
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"woodrouter/rollout"
+)
+
+// Within is the operators' rule: a change that stands is in force, or refused, at every agent
+// within reach this long after its author was told; at one out of reach this long after its return.
+const Within = 9 * time.Second
+
+// Outcome is what an author was told of a put.
+type Outcome string
+
+// The outcomes. Of an unknown one the put may stand or not.
+const (
+	Stood    Outcome = "stood"
+	Conflict Outcome = "conflict"
+	Refused  Outcome = "refused"
+	Unknown  Outcome = "unknown"
+)
+
+// Put is one try of an author to change a document. Times are since the history's start.
+type Put struct {
+	Name         string
+	Base         uint64
+	Author       string
+	Text         string // of no other put: a text tells which put it is of
+	Remove       bool
+	Called, Told time.Duration
+	Outcome      Outcome
+	Revision     uint64 // of one that stood
+}
+
+// Sight is what an agent has at a moment.
+type Sight struct {
+	Agent    string
+	Kind     string
+	Name     string // the document in force, or refused; "": the agent's own file
+	Revision uint64
+	Sum      uint64 // xxhash64 of its text; 0: not seen
+	Refused  bool
+	At       time.Duration
+}
+
+// absence is a time in which an agent was out of reach, by the laboratory's own doing.
+type absence struct{ from, to time.Duration }
+
+// never is the end of an absence that lasts.
+const never = time.Duration(1<<63 - 1)
+
+// History is what happened in a run: the puts with what their authors were told, the log's
+// revisions as the control machines have them, and what every agent had when.
+type History struct {
+	mu      sync.Mutex
+	start   time.Time
+	end     time.Duration
+	agents  map[string]rollout.Agent
+	puts    []Put
+	log     map[uint64]rollout.Revision
+	halted  map[uint64]bool
+	texts   map[uint64]text                // what each number was seen to stand for
+	sights  map[string][]Sight             // by agent, in order
+	away    map[string][]absence           // by agent, in order
+	broken  []string                       // found as it came in
+	latest  map[string]map[string]sighting // agent, document: the highest so far
+	refused map[string]map[uint64]bool     // agent, sums of the texts that its loader refused
+}
+
+type text struct {
+	name    string
+	sum     uint64
+	removed bool
+}
+
+// sighting is the highest revision an agent had of a document, in force or refused.
+type sighting struct{ force, refused uint64 }
+
+// NewHistory begins a history of these agents.
+func NewHistory(agents []rollout.Agent) *History {
+	h := &History{start: time.Now(), agents: map[string]rollout.Agent{}, log: map[uint64]rollout.Revision{}, halted: map[uint64]bool{},
+		texts: map[uint64]text{}, sights: map[string][]Sight{}, away: map[string][]absence{}, latest: map[string]map[string]sighting{},
+		refused: map[string]map[uint64]bool{}}
+	for _, a := range agents {
+		h.agents[a.Name] = a
+		h.latest[a.Name], h.refused[a.Name] = map[string]sighting{}, map[uint64]bool{}
+	}
+	return h
+}
+
+// Now is the history's clock.
+func (h *History) Now() time.Duration { return time.Since(h.start) }
+
+// Put enters a put whose author was told.
+func (h *History) Put(p Put) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.puts = append(h.puts, p)
+	if p.Outcome == Stood {
+		h.stands(p.Revision, text{p.Name, sum(p.Text, p.Remove), p.Remove}, "its author "+p.Author)
+	}
+}
+
+// Logged enters revisions as a control machine has them.
+func (h *History) Logged(machine string, revs []rollout.Revision) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range revs {
+		h.stands(r.Revision, text{r.Name.String(), sum(string(r.Text), r.Removed), r.Removed}, machine)
+		if r.Stage == rollout.Halted {
+			h.halted[r.Revision] = true
+		}
+		if was, ok := h.log[r.Revision]; ok && (was.Base != r.Base || was.Author != r.Author) {
+			h.broke("revision %d: base %d by %s, and at %s base %d by %s", r.Revision, was.Base, was.Author, machine, r.Base, r.Author)
+		}
+		h.log[r.Revision] = r
+	}
+}
+
+// Sight enters what an agent has from now on.
+func (h *History) Sight(s Sight) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.Refused && s.Sum != 0 {
+		h.refused[s.Agent][s.Sum] = true
+	}
+	if s.Name != "" && s.Revision > 0 {
+		if !s.Refused && s.Sum != 0 {
+			h.stands(s.Revision, text{s.Name, s.Sum, false}, s.Agent)
+		}
+		had := h.latest[s.Agent][s.Name]
+		switch {
+		case s.Refused:
+			had.refused = max(had.refused, s.Revision)
+		case s.Revision < had.force:
+			h.broke("%s has %s %d in force at %v, after %d", s.Agent, s.Name, s.Revision, s.At, had.force)
+		default:
+			had.force = s.Revision
+		}
+		h.latest[s.Agent][s.Name] = had
+	}
+	if n := len(h.sights[s.Agent]); n > 0 {
+		if last := h.sights[s.Agent][n-1]; last.Kind == s.Kind && last.Name == s.Name && last.Revision == s.Revision && last.Refused == s.Refused && last.Sum == s.Sum {
+			return
+		}
+	}
+	h.sights[s.Agent] = append(h.sights[s.Agent], s)
+}
+
+// Away tells that an agent is out of reach from now on, or within reach again.
+func (h *History) Away(agent string, on bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all, now := h.away[agent], time.Since(h.start)
+	out := len(all) > 0 && all[len(all)-1].to == never
+	switch {
+	case on && !out:
+		h.away[agent] = append(all, absence{now, never})
+	case !on && out:
+		all[len(all)-1].to = now
+	}
+}
+
+// Reached tells whether an agent is within reach.
+func (h *History) Reached(agent string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := h.away[agent]
+	return len(all) == 0 || all[len(all)-1].to != never
+}
+
+// End stops the history's clock: what was due later is not asked.
+func (h *History) End() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.end = time.Since(h.start)
+}
+
+func sum(s string, removed bool) uint64 {
+	if removed {
+		return 0
+	}
+	return xxhash.Sum64String(s)
+}
+
+func (h *History) broke(format string, args ...any) {
+	h.broken = append(h.broken, fmt.Sprintf(format, args...))
+}
+
+// stands notes what a number stands for: by whomever it is told, it is one text.
+func (h *History) stands(revision uint64, t text, by string) {
+	was, ok := h.texts[revision]
+	if ok && was != t {
+		h.broke("revision %d is %s with sum %x, and by %s %s with sum %x", revision, was.name, was.sum, by, t.name, t.sum)
+	}
+	if !ok {
+		h.texts[revision] = t
+	}
+}
+
+// Broken is all rules that the run broke.
+func (h *History) Broken() (out []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out = slices.Clone(h.broken)
+	note := func(all []string) { out = append(out, all...) }
+	note(h.compareAndSet())
+	note(h.kept())
+	note(h.order())
+	note(h.late())
+	return out
+}
+
+// of are the log's revisions of a document by number.
+func (h *History) of(name string) (out []rollout.Revision) {
+	for _, n := range slices.Sorted(maps.Keys(h.log)) {
+		if h.log[n].Name.String() == name {
+			out = append(out, h.log[n])
+		}
+	}
+	return out
+}
+
+// compareAndSet: of two puts with one base at most one stands, and between a revision and the one
+// it was written against there is no other.
+func (h *History) compareAndSet() (out []string) {
+	type base struct {
+		name string
+		base uint64
+	}
+	stood := map[base]Put{}
+	for _, p := range h.puts {
+		if p.Outcome != Stood {
+			continue
+		}
+		k := base{p.Name, p.Base}
+		if o, ok := stood[k]; ok && o.Revision != p.Revision {
+			out = append(out, fmt.Sprintf("%s: two puts on base %d stand: %d by %s, %d by %s", p.Name, p.Base, o.Revision, o.Author, p.Revision, p.Author))
+		}
+		stood[k] = p
+		for _, r := range h.of(p.Name) {
+			if r.Revision > p.Base && r.Revision < p.Revision {
+				out = append(out, fmt.Sprintf("%s: %d by %s on base %d stands, though %d came between", p.Name, p.Revision, p.Author, p.Base, r.Revision))
+			}
+		}
+	}
+	return out
+}
+
+// kept: a put that was told to stand is in the log with its text and author, one that was told
+// not to stand is not, and no revision comes from nobody.
+func (h *History) kept() (out []string) {
+	by := map[uint64][]rollout.Revision{} // sum of the text
+	for _, r := range h.log {
+		if !r.Removed && r.Restores == 0 {
+			by[sum(string(r.Text), false)] = append(by[sum(string(r.Text), false)], r)
+		}
+	}
+	written := map[uint64]bool{}
+	for _, p := range h.puts {
+		s := sum(p.Text, p.Remove)
+		written[s] = true
+		r, ok := h.log[p.Revision]
+		switch {
+		case p.Outcome == Stood && !ok:
+			out = append(out, fmt.Sprintf("%s: %d by %s was told to stand, and is in no machine's log", p.Name, p.Revision, p.Author))
+		case p.Outcome == Stood && (r.Name.String() != p.Name || r.Author != p.Author || sum(string(r.Text), r.Removed) != s || r.Base != p.Base):
+			out = append(out, fmt.Sprintf("%s: %d by %s on base %d is another in the log: %s by %s on base %d", p.Name, p.Revision, p.Author, p.Base, r.Name, r.Author, r.Base))
+		case (p.Outcome == Conflict || p.Outcome == Refused) && !p.Remove && len(by[s]) > 0:
+			out = append(out, fmt.Sprintf("%s: by %s on base %d was told %s, and stands as %d", p.Name, p.Author, p.Base, p.Outcome, by[s][0].Revision))
+		}
+	}
+	for s, all := range by {
+		if !written[s] {
+			out = append(out, fmt.Sprintf("%s: nobody wrote %d (author %q)", all[0].Name, all[0].Revision, all[0].Author))
+		}
+		if len(all) > 1 {
+			out = append(out, fmt.Sprintf("%s: one put stands twice, as %d and %d", all[0].Name, all[0].Revision, all[1].Revision))
+		}
+	}
+	return out
+}
+
+// order: of two puts of a document that stand the one called after the other was told has the
+// higher number, and a conflict has somebody else's change to show for it.
+func (h *History) order() (out []string) {
+	for i, p := range h.puts {
+		for _, o := range h.puts[:i] {
+			a, b := o, p
+			if a.Told > b.Called {
+				a, b = b, a
+			}
+			if a.Name == b.Name && a.Outcome == Stood && b.Outcome == Stood && a.Told < b.Called && a.Revision >= b.Revision {
+				out = append(out, fmt.Sprintf("%s: %d was told before %d was called", a.Name, a.Revision, b.Revision))
+			}
+		}
+		if p.Outcome == Conflict && !h.changed(p) {
+			out = append(out, fmt.Sprintf("%s: by %s on base %d was told of a conflict with nobody", p.Name, p.Author, p.Base))
+		}
+	}
+	return out
+}
+
+// changed tells whether a document's latest revision may have been another than a put's base
+// while the put was under way.
+func (h *History) changed(p Put) bool {
+	called := map[uint64]time.Duration{}
+	for _, o := range h.puts {
+		if o.Outcome == Stood {
+			called[o.Revision] = o.Called
+		}
+	}
+	known := p.Base == 0
+	for _, r := range h.of(p.Name) {
+		known = known || r.Revision == p.Base
+		if at, ok := called[r.Revision]; r.Revision > p.Base && (!ok || at <= p.Told) {
+			return true
+		}
+	}
+	return !known // a base that never was
+}
+
+// late: what stands is at every agent within reach in time.
+func (h *History) late() (out []string) {
+	for _, p := range h.puts {
+		if p.Outcome != Stood || h.halted[p.Revision] {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(h.agents)) {
+			due, asked := h.due(h.agents[name], p)
+			if !asked || due > h.end && h.end > 0 {
+				continue
+			}
+			if at, ok := h.at(h.agents[name], p, true); !ok || at > due {
+				how := "never"
+				if ok {
+					how = "after " + (at - p.Told).Round(time.Millisecond).String()
+				}
+				out = append(out, fmt.Sprintf("%s: %d (told at %v) was due at %s by %v and came %s; away %v", p.Name, p.Revision,
+					p.Told.Round(time.Millisecond), name, due.Round(time.Millisecond), how, h.away[name]))
+			}
+		}
+	}
+	return out
+}
+
+// due is when an agent must have a put that stands; false: never, or not to be seen there.
+func (h *History) due(a rollout.Agent, p Put) (time.Duration, bool) {
+	n, err := rollout.ParseName(p.Name)
+	if err != nil || !n.Scope.Holds(a) || h.shadowed(a, n, p.Told) {
+		return 0, false
+	}
+	due := p.Told + Within
+	for _, out := range h.away[a.Name] {
+		switch {
+		case out.to < p.Told || out.from > due:
+		case out.to == never:
+			return 0, false
+		default:
+			due = max(due, out.to+Within)
+		}
+	}
+	return due, true
+}
+
+// shadowed tells whether a narrower document of the kind may have held at an agent since.
+func (h *History) shadowed(a rollout.Agent, n rollout.Name, since time.Duration) bool {
+	for _, p := range h.puts {
+		o, err := rollout.ParseName(p.Name)
+		if err != nil || o.Kind != n.Kind || p.Outcome == Conflict || p.Outcome == Refused || !o.Scope.Holds(a) {
+			continue
+		}
+		if slices.Index(rollout.Levels, o.Scope.Level) <= slices.Index(rollout.Levels, n.Scope.Level) {
+			continue
+		}
+		if !h.goneBefore(p.Name, a, since) {
+			return true
+		}
+	}
+	return false
+}
+
+// goneBefore tells whether a document's last revision is a removal that an agent had done with by
+// then.
+func (h *History) goneBefore(name string, a rollout.Agent, by time.Duration) bool {
+	var last Put
+	for _, p := range h.puts {
+		if p.Name == name && p.Outcome == Stood && p.Revision > last.Revision {
+			last = p
+		}
+	}
+	at, ok := h.at(a, last, false)
+	return last.Remove && ok && at <= by
+}
+
+// at is when an agent first had a put, or a later change of its document: in force, or (with
+// refusals) refused. A removal is done where another document is in force instead.
+func (h *History) at(a rollout.Agent, p Put, refusals bool) (time.Duration, bool) {
+	kind, _, _ := strings.Cut(p.Name, "@")
+	held := false // the document was in force at the agent last
+	for _, s := range h.sights[a.Name] {
+		if s.Kind != kind && s.Name != p.Name {
+			continue
+		}
+		if s.Refused {
+			if refusals && (s.Name == p.Name && s.Revision >= p.Revision || s.Sum != 0 && h.refusedSince(p, s.Sum)) {
+				return s.At, true
+			}
+			continue
+		}
+		if s.Name == p.Name && s.Revision >= p.Revision {
+			return s.At, true
+		}
+		if p.Remove && s.At >= p.Called && s.Name != p.Name {
+			return s.At, true
+		}
+		held = s.Name == p.Name
+	}
+	return p.Told, p.Remove && !held
+}
+
+// refusedSince tells whether a text is that of a put's revision or of a later one.
+func (h *History) refusedSince(p Put, sum uint64) bool {
+	for n, t := range h.texts {
+		if t.name == p.Name && t.sum == sum && n >= p.Revision {
+			return true
+		}
+	}
+	return false
+}
+
+// Spread is how long one change took: from the put's answer to each agent within reach.
+type Spread struct {
+	Put
+	Agents []time.Duration // sorted
+	Away   int
+	None   int // refused there, or superseded before
+}
+
+// Spreads are the changes that went everywhere, with what each took.
+func (h *History) Spreads() (out []Spread) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.puts {
+		if p.Outcome != Stood || h.halted[p.Revision] {
+			continue
+		}
+		s := Spread{Put: p}
+		for _, a := range h.agents {
+			due, asked := h.due(a, p)
+			if !asked || due != p.Told+Within {
+				s.Away++
+				continue
+			}
+			if at, ok := h.at(a, p, false); ok {
+				s.Agents = append(s.Agents, max(at-p.Told, 0))
+			} else {
+				s.None++
+			}
+		}
+		slices.Sort(s.Agents)
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b Spread) int { return cmp.Compare(a.Called, b.Called) })
+	return out
+}
+
+// Counts are the puts by outcome.
+func (h *History) Counts() map[Outcome]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[Outcome]int{}
+	for _, p := range h.puts {
+		out[p.Outcome]++
+	}
+	return out
+}
+
+// Standing is a document's newest revision that is for all agents of its scope; ok is false while
+// one is on its way or nothing is known.
+func (h *History) Standing(name string) (rollout.Revision, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := h.of(name)
+	if len(all) == 0 {
+		return rollout.Revision{}, false
+	}
+	last := all[len(all)-1]
+	return last, last.Stage == rollout.Everywhere
+}
+
+// Has tells whether an agent has a standing revision, in force or refused.
+func (h *History) Has(agent string, r rollout.Revision) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, n := h.agents[agent], r.Name
+	p := Put{Name: n.String(), Revision: r.Revision, Remove: r.Removed, Text: string(r.Text)}
+	if !n.Scope.Holds(a) || h.shadowed(a, n, never) {
+		return true
+	}
+	_, ok := h.at(a, p, true)
+	return ok
+}
--- /dev/null
+++ b/internal/lab/rolloutlab/history_test.go
@@ -0,0 +1,119 @@
+package rolloutlab
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"woodrouter/rollout"
+)
+
+// TestChecker: a history as it should be breaks nothing, and each fault put into it is found.
+func TestChecker(t *testing.T) {
+	const doc, sec = "routes@all", time.Second
+	name, err := rollout.ParseName(doc)
+	require.NoError(t, err)
+	put := func(base, revision uint64, author, text string, at time.Duration, o Outcome) Put {
+		return Put{Name: doc, Base: base, Author: author, Text: text, Called: at, Told: at + sec, Outcome: o, Revision: revision}
+	}
+	rev := func(n, base uint64, author, text string) rollout.Revision {
+		return rollout.Revision{Document: rollout.Document{Name: name, Revision: n, Text: []byte(text)}, Base: base, Author: author, Stage: rollout.Everywhere}
+	}
+	has := func(agent string, n uint64, text string, at time.Duration) Sight {
+		return Sight{Agent: agent, Kind: "routes", Name: doc, Revision: n, Sum: sum(text, false), At: at}
+	}
+	good := func() *History {
+		h := NewHistory([]rollout.Agent{{Name: "a"}, {Name: "b"}})
+		h.Put(put(0, 5, "ann", "one", 0, Stood))
+		h.Put(put(5, 8, "ann", "two", 10*sec, Stood))
+		h.Put(put(5, 0, "bob", "three", 10*sec, Conflict))
+		h.Logged("c1", []rollout.Revision{rev(5, 0, "ann", "one"), rev(8, 5, "ann", "two")})
+		for _, agent := range []string{"a", "b"} {
+			h.Sight(has(agent, 5, "one", 2*sec))
+			h.Sight(has(agent, 8, "two", 12*sec))
+		}
+		h.end = 60 * sec
+		return h
+	}
+	require.Empty(t, good().Broken())
+	cases := map[string]struct {
+		spoil func(*History)
+		want  string
+	}{
+		"an agent goes back":                     {func(h *History) { h.Sight(has("a", 5, "one", 13*sec)) }, "a has routes@all 5 in force at 13s, after 8"},
+		"two texts under one number at agents":   {func(h *History) { h.Sight(has("a", 8, "other", 13*sec)) }, "revision 8 is routes@all"},
+		"two texts under one number at machines": {func(h *History) { h.Logged("c2", []rollout.Revision{rev(5, 0, "ann", "uno")}) }, "revision 5 is routes@all"},
+		"a number of two authors":                {func(h *History) { h.Logged("c2", []rollout.Revision{rev(5, 0, "eve", "one")}) }, "at c2 base 0 by eve"},
+		"two stand on one base":                  {func(h *History) { h.Put(put(5, 9, "bob", "four", 10*sec, Stood)) }, "two puts on base 5 stand"},
+		"one came between": {func(h *History) {
+			h.Logged("c1", []rollout.Revision{rev(7, 5, "bob", "four")})
+		}, "though 7 came between"},
+		"a promise forgotten": {func(h *History) { h.Put(put(8, 11, "bob", "four", 20*sec, Stood)) }, "is in no machine's log"},
+		"a promise changed": {func(h *History) {
+			h.Put(put(8, 11, "bob", "four", 20*sec, Stood))
+			h.Logged("c1", []rollout.Revision{rev(11, 8, "eve", "four")})
+		}, "is another in the log"},
+		"told of a conflict, and stands": {func(h *History) {
+			h.Logged("c1", []rollout.Revision{rev(9, 8, "bob", "three")})
+		}, "was told conflict, and stands as 9"},
+		"written by nobody": {func(h *History) { h.Logged("c1", []rollout.Revision{rev(9, 8, "bob", "five")}) }, "nobody wrote 9"},
+		"one put twice": {func(h *History) {
+			h.Logged("c1", []rollout.Revision{rev(9, 8, "ann", "two")})
+		}, "one put stands twice"},
+		"numbers against time": {func(h *History) { h.Put(put(1, 3, "bob", "four", 20*sec, Stood)) }, "5 was told before 3 was called"},
+		"a conflict with nobody": {func(h *History) {
+			h.Put(put(8, 0, "bob", "six", 20*sec, Conflict))
+		}, "a conflict with nobody"},
+		"an agent is left out":       {func(h *History) { h.sights["b"] = h.sights["b"][:1] }, "8 (told at 11s) was due at b by 20s and came never"},
+		"an agent is late":           {func(h *History) { h.sights["b"][1].At = 21 * sec }, "came after 10s"},
+		"late after it was reached":  {func(h *History) { h.sights["b"][1].At = 45 * sec; h.away["b"] = []absence{{9 * sec, 30 * sec}} }, "due at b by 39s"},
+		"a refusal of another text":  {func(h *History) { h.sights["b"][1] = Sight{Agent: "b", Kind: "routes", Sum: 7, Refused: true, At: 12 * sec} }, "due at b"},
+		"a removal not kept":         {removed(50 * sec), "due at a by 40s and came after"},
+		"an agent goes back, in one": {func(h *History) { h.Sight(has("b", 6, "zero", 13*sec)) }, "b has routes@all 6"},
+	}
+	for what, c := range cases {
+		h := good()
+		c.spoil(h)
+		require.Contains(t, strings.Join(h.Broken(), "\n"), c.want, what)
+	}
+	fine := map[string]func(*History){
+		"out of reach all the time": func(h *History) { h.sights["b"] = nil; h.away["b"] = []absence{{0, never}} },
+		"reached later":             func(h *History) { h.sights["b"][1].At = 38 * sec; h.away["b"] = []absence{{9 * sec, 30 * sec}} },
+		"refused": func(h *History) {
+			h.sights["b"][1] = Sight{Agent: "b", Kind: "routes", Sum: sum("two", false), Refused: true, At: 12 * sec}
+		},
+		"not told, and stands": func(h *History) {
+			h.Put(put(8, 0, "bob", "seven", 20*sec, Unknown))
+			h.Logged("c1", []rollout.Revision{rev(9, 8, "bob", "seven")})
+		},
+		"not told, and does not": func(h *History) { h.Put(put(8, 0, "bob", "seven", 20*sec, Unknown)) },
+		"halted, and restored": func(h *History) {
+			h.Put(put(8, 11, "bob", "bad", 20*sec, Stood))
+			bad, back := rev(11, 8, "bob", "bad"), rev(12, 11, "", "two")
+			bad.Stage, back.Restores = rollout.Halted, 8
+			h.Logged("c1", []rollout.Revision{bad, back})
+			h.Sight(has("a", 11, "bad", 21*sec))
+			h.Sight(has("a", 12, "two", 23*sec))
+		},
+		"removed": removed(33 * sec),
+	}
+	for what, change := range fine {
+		h := good()
+		change(h)
+		require.Empty(t, h.Broken(), what)
+	}
+}
+
+// removed takes the document away; the agents are back at their own file then.
+func removed(at time.Duration) func(*History) {
+	return func(h *History) {
+		name := rollout.Name{Kind: "routes", Scope: rollout.Scope{Level: rollout.All}}
+		h.Put(Put{Name: name.String(), Base: 8, Author: "ann", Remove: true, Called: 30 * time.Second, Told: 31 * time.Second, Outcome: Stood, Revision: 20})
+		h.Logged("c1", []rollout.Revision{{Document: rollout.Document{Name: name, Revision: 20, Removed: true}, Base: 8, Author: "ann", Stage: rollout.Everywhere}})
+		for _, agent := range []string{"a", "b"} {
+			h.Sight(Sight{Agent: agent, Kind: "routes", At: at})
+		}
+	}
+}
