A client of a group asks another member after one whose answer is unknown

Client.Put turns a call without an answer into quorum.Unknown, on which Each returned without forgetting the member. It forgets it now, as after any other error.

--- a/internal/fleet/quorum/client.go
+++ b/internal/fleet/quorum/client.go
@@ -135,6 +135,7 @@
 		case NotLeader:
 			c.Follow(r.Leader)
 		case Unknown:
+			c.forget(id) // it lost its leadership, or says nothing: the next call asks another first
 			return &Later{ErrUnknown, after, r.Error}
 		default:
 			c.Follow("")
