--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -29,6 +29,7 @@
 	Promises promisesCommand `cmd:"" help:"Replicated promises (docs/replication.md)."`
 	Zones    zonesCommand    `cmd:"" help:"Zone failover (docs/failover.md)."`
 	Demo     demoCommand     `cmd:"" help:"Start two call agents and three setup servers and show calls being served; nothing to configure."`
+	Rollout  rolloutCommand  `cmd:"" help:"Distribution of configuration (docs/rollout.md)."`
 	Fleet    fleetCommand    `cmd:"" help:"Play hundreds of call agents with faults between them; exit 1 if a rule is broken (docs/spread.md)."`
 }
 
@@ -122,6 +123,10 @@
 			err = cli.Demo.run(ctx, cli.Bin, dir, out)
 		case "fleet":
 			err = cli.Fleet.run(ctx, cli.Bin, dir, out)
+		case "rollout measure":
+			err = cli.Rollout.Measure.run(ctx, cli.Bin, dir, out)
+		case "rollout schedules":
+			err = cli.Rollout.Schedules.run(ctx, cli.Bin, dir, out)
 		case "zones model":
 			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
 		case "zones cost":
--- a/internal/lab/rolloutlab/history.go
+++ b/internal/lab/rolloutlab/history.go
@@ -26,6 +26,7 @@
 	Stood    Outcome = "stood"
 	Conflict Outcome = "conflict"
 	Refused  Outcome = "refused"
+	NotTaken Outcome = "not taken" // no quorum
 	Unknown  Outcome = "unknown"
 )
 
@@ -69,7 +70,7 @@
 	puts   []Put
 	log    map[uint64]rollout.Revision
 	halted map[uint64]bool
-	texts  map[uint64]text              // what each number was seen to stand for
+	texts  map[uint64]content           // what each number was seen to stand for
 	sights map[string][]Sight           // by agent, in order
 	away   map[string][]absence         // by agent, in order
 	broken []string                     // found as it came in
@@ -77,7 +78,7 @@
 	docs   map[string]rollout.Name      // documents of which a put stood, or may have
 }
 
-type text struct {
+type content struct {
 	name    string
 	sum     uint64
 	removed bool
@@ -86,7 +87,7 @@
 // NewHistory begins a history of these agents.
 func NewHistory(agents []rollout.Agent) *History {
 	h := &History{start: time.Now(), agents: map[string]rollout.Agent{}, log: map[uint64]rollout.Revision{}, halted: map[uint64]bool{},
-		texts: map[uint64]text{}, sights: map[string][]Sight{}, away: map[string][]absence{}, latest: map[string]map[string]uint64{},
+		texts: map[uint64]content{}, sights: map[string][]Sight{}, away: map[string][]absence{}, latest: map[string]map[string]uint64{},
 		docs: map[string]rollout.Name{}}
 	for _, a := range agents {
 		h.agents[a.Name] = a
@@ -107,7 +108,7 @@
 		h.docs[p.Name] = n
 	}
 	if p.Outcome == Stood {
-		h.stands(p.Revision, text{p.Name, sum(p.Text, p.Remove), p.Remove}, "its author "+p.Author)
+		h.stands(p.Revision, content{p.Name, sum(p.Text, p.Remove), p.Remove}, "its author "+p.Author)
 	}
 }
 
@@ -116,24 +117,31 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, r := range revs {
-		h.stands(r.Revision, text{r.Name.String(), sum(string(r.Text), r.Removed), r.Removed}, machine)
+		h.stands(r.Revision, content{r.Name.String(), sum(string(r.Text), r.Removed), r.Removed}, machine)
 		if r.Stage == rollout.Halted {
 			h.halted[r.Revision] = true
 		}
 		if was, ok := h.log[r.Revision]; ok && (was.Base != r.Base || was.Author != r.Author) {
 			h.broke("revision %d: base %d by %s, and at %s base %d by %s", r.Revision, was.Base, was.Author, machine, r.Base, r.Author)
 		}
-		h.log[r.Revision] = r
+		if was, ok := h.log[r.Revision]; !ok || came(r.Stage) >= came(was.Stage) { // a machine may lag
+			h.log[r.Revision] = r
+		}
 	}
 }
 
+// came is how far a stage is on a revision's way.
+func came(s rollout.Stage) int {
+	return slices.Index([]rollout.Stage{rollout.Waiting, rollout.First, rollout.Everywhere, rollout.Superseded, rollout.Halted}, s)
+}
+
 // Sight enters what an agent has from now on.
 func (h *History) Sight(s Sight) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if s.Name != "" && s.Revision > 0 && !s.Refused {
 		if s.Sum != 0 {
-			h.stands(s.Revision, text{s.Name, s.Sum, false}, s.Agent)
+			h.stands(s.Revision, content{s.Name, s.Sum, false}, s.Agent)
 		}
 		if had := h.latest[s.Agent][s.Name]; s.Revision < had {
 			h.broke("%s has %s %d in force at %v, after %d", s.Agent, s.Name, s.Revision, s.At, had)
@@ -190,7 +198,7 @@
 }
 
 // stands notes what a number stands for: by whomever it is told, it is one text.
-func (h *History) stands(revision uint64, t text, by string) {
+func (h *History) stands(revision uint64, t content, by string) {
 	was, ok := h.texts[revision]
 	if ok && was != t {
 		h.broke("revision %d is %s with sum %x, and by %s %s with sum %x", revision, was.name, was.sum, by, t.name, t.sum)
@@ -243,7 +251,7 @@
 		stood[k] = p
 		for _, r := range h.of(p.Name) {
 			// A halt restores the former text beside one that waits, which stays what authors see.
-			beside := r.Author == byRollout && r.Base < p.Base
+			beside := r.Author == rollout.ByRollout && r.Base < p.Base
 			if r.Revision > p.Base && r.Revision < p.Revision && !beside {
 				out = append(out, fmt.Sprintf("%s: %d by %s on base %d stands, though %d came between", p.Name, p.Revision, p.Author, p.Base, r.Revision))
 			}
@@ -271,7 +279,7 @@
 			out = append(out, fmt.Sprintf("%s: %d by %s was told to stand, and is in no machine's log", p.Name, p.Revision, p.Author))
 		case p.Outcome == Stood && (r.Name.String() != p.Name || r.Author != p.Author || sum(string(r.Text), r.Removed) != s || r.Base != p.Base):
 			out = append(out, fmt.Sprintf("%s: %d by %s on base %d is another in the log: %s by %s on base %d", p.Name, p.Revision, p.Author, p.Base, r.Name, r.Author, r.Base))
-		case (p.Outcome == Conflict || p.Outcome == Refused) && !p.Remove && p.Restore == 0 && len(by[s]) > 0:
+		case p.Outcome != Stood && p.Outcome != Unknown && !p.Remove && p.Restore == 0 && len(by[s]) > 0:
 			out = append(out, fmt.Sprintf("%s: by %s on base %d was told %s, and stands as %d", p.Name, p.Author, p.Base, p.Outcome, by[s][0].Revision))
 		}
 	}
@@ -362,10 +370,10 @@
 	again := map[uint64]uint64{} // began under another number
 	for _, r := range h.log {
 		was, ok := h.log[r.Restores]
-		if ok && r.Author != byRollout && r.Base == was.Base {
+		if ok && r.Author != rollout.ByRollout && r.Base == was.Base {
 			again[r.Restores] = r.Revision
 		}
-		if r.Author == byRollout {
+		if r.Author == rollout.ByRollout {
 			at := time.UnixMicro(r.AtUs).Sub(h.start)
 			out = append(out, Put{Name: r.Name.String(), Base: r.Base, Author: r.Author, Text: string(r.Text), Remove: r.Removed, Called: at, Told: at, Revision: r.Revision})
 		}
@@ -497,7 +505,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range h.duties() {
-		if p.Author == byRollout {
+		if p.Author == rollout.ByRollout {
 			continue
 		}
 		s := Spread{Put: p}
@@ -557,4 +565,9 @@
 	return ok
 }
 
-const byRollout = "rollout"
+// Halted tells whether a revision was given up.
+func (h *History) Halted(revision uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.halted[revision]
+}
--- a/internal/lab/rolloutlab/history_test.go
+++ b/internal/lab/rolloutlab/history_test.go
@@ -73,7 +73,7 @@
 			h.sights["b"][1] = Sight{Agent: "b", Kind: "routes", Sum: 7, Refused: true, At: 12 * sec}
 		}, "due at b"},
 		"a restored text comes late": {func(h *History) {
-			bad, back := rev(11, 8, "bob", "bad"), rev(12, 11, byRollout, "two")
+			bad, back := rev(11, 8, "bob", "bad"), rev(12, 11, rollout.ByRollout, "two")
 			bad.Stage, back.Restores, back.AtUs = rollout.Halted, 8, h.start.Add(22*sec).UnixMicro()
 			h.Put(put(8, 11, "bob", "bad", 20*sec, Stood))
 			h.Logged("c1", []rollout.Revision{bad, back})
@@ -102,7 +102,7 @@
 		"not told, and does not": func(h *History) { h.Put(put(8, 0, "bob", "seven", 20*sec, Unknown)) },
 		"halted, and restored": func(h *History) {
 			h.Put(put(8, 11, "bob", "bad", 20*sec, Stood))
-			bad, back := rev(11, 8, "bob", "bad"), rev(12, 11, byRollout, "two")
+			bad, back := rev(11, 8, "bob", "bad"), rev(12, 11, rollout.ByRollout, "two")
 			bad.Stage, back.Restores, back.AtUs = rollout.Halted, 8, h.start.Add(22*sec).UnixMicro()
 			h.Logged("c1", []rollout.Revision{bad, back})
 			h.Sight(has("a", 11, "bad", 21*sec))
@@ -112,7 +112,7 @@
 		"one that waited behind a halted one": func(h *History) {
 			h.Put(put(8, 11, "bob", "bad", 20*sec, Stood))
 			h.Put(put(11, 12, "ann", "next", 20*sec, Stood))
-			bad, waited, back, began := rev(11, 8, "bob", "bad"), rev(12, 11, "ann", "next"), rev(13, 11, byRollout, "two"), rev(14, 11, "ann", "next")
+			bad, waited, back, began := rev(11, 8, "bob", "bad"), rev(12, 11, "ann", "next"), rev(13, 11, rollout.ByRollout, "two"), rev(14, 11, "ann", "next")
 			bad.Stage, waited.Stage, back.Stage = rollout.Halted, rollout.Superseded, rollout.Superseded
 			back.Restores, back.AtUs, began.Restores = 8, h.start.Add(22*sec).UnixMicro(), 12
 			h.Logged("c1", []rollout.Revision{bad, waited, back, began})
--- /dev/null
+++ b/internal/lab/rolloutlab/measure.go
@@ -0,0 +1,120 @@
+package rolloutlab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Measurement is how long changes take to all agents of a fleet.
+type Measurement struct {
+	Bin, Dir string
+	Hollow   int
+	Real     int
+	Changes  int // in calm, one after another
+	Faults   int // further changes, under faults drawn from the seed
+	Seed     uint64
+	Delay    time.Duration
+	Hour     time.Duration
+}
+
+// Run measures and writes what it finds to out. An error is a broken check, or a run that did
+// not end.
+func (m Measurement) Run(ctx context.Context, out io.Writer) error {
+	rng := rand.New(rand.NewPCG(m.Seed, 2))
+	w, err := Start(ctx, Plan{Bin: m.Bin, Dir: m.Dir, Hollow: m.Hollow, Real: m.Real, Seed: m.Seed, Delay: m.Delay})
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	r := Report{Schedule: Schedule{Seed: m.Seed, Hollow: m.Hollow, Real: m.Real, Delay: m.Delay, Hour: m.Hour}}
+	c := &scene{World: w, Schedule: r.Schedule, rng: rng, ann: w.author("ann"), bob: w.author("bob"), report: &r}
+	err = c.measure(ctx, m)
+	c.finish()
+	r.Tell(out, m.Faults > 0)
+	if err != nil {
+		err = fmt.Errorf("%w\n%s", err, w.Logs())
+	}
+	if broken := r.Err(); broken != nil {
+		return fmt.Errorf("%w (run: %v)\n%s", broken, err, w.Logs())
+	}
+	return err
+}
+
+func (c *scene) measure(ctx context.Context, m Measurement) error {
+	if err := c.change(ctx); err != nil {
+		return err
+	}
+	if err := c.Settled(ctx); err != nil {
+		return err
+	}
+	for range m.Changes {
+		if err := c.change(ctx); err != nil {
+			return err
+		}
+		if err := c.Settled(ctx); err != nil {
+			return err
+		}
+	}
+	for i := 0; m.Faults > 0 && c.History.Counts()[Stood] < 1+m.Changes+m.Faults; i++ {
+		f := faults[i%len(faults)]
+		if i >= len(faults) {
+			f = faults[c.rng.IntN(len(faults))]
+		}
+		if err := c.step(ctx, i, f); err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+	}
+	return nil
+}
+
+// Tell writes what a run showed.
+func (r Report) Tell(out io.Writer, faulty bool) {
+	fmt.Fprintf(out, "%d hollow and %d real agents, %v between regions, seed %d; puts: %v\n", r.Hollow, r.Real, r.Delay, r.Seed, r.Puts)
+	if len(r.Faults) > 0 {
+		fmt.Fprintf(out, "faults: %v\n", r.Faults)
+	}
+	one, all, called := newHistogram(), newHistogram(), newHistogram()
+	past, away, none := 0, 0, 0
+	for _, s := range r.Spreads {
+		away, none = away+s.Away, none+s.None
+		if len(s.Agents) == 0 {
+			continue
+		}
+		last := s.Agents[len(s.Agents)-1]
+		record(all, last)
+		record(called, last+s.Told-s.Called)
+		if last > Within {
+			past++
+		}
+		for _, d := range s.Agents {
+			record(one, d)
+		}
+	}
+	fmt.Fprintln(out, "| in force | measured | p50 | p99 | longest |\n| --- | --- | --- | --- | --- |")
+	for _, f := range []struct {
+		what string
+		h    *hdrhistogram.Histogram
+	}{{"at every agent within reach, from the put's answer", all}, {"the same, from the put's call", called}, {"at one agent, from the put's answer", one}} {
+		fmt.Fprintf(out, "| %s | %d | %s | %s | %s |\n", f.what, f.h.TotalCount(), millis(f.h.ValueAtQuantile(50)), millis(f.h.ValueAtQuantile(99)), millis(f.h.Max()))
+	}
+	fmt.Fprintf(out, "changes later than %v at an agent within reach all the time: %d; agent and change: %d out of reach or out of scope, %d refused or never in force there\n", Within, past, away, none)
+	for _, b := range r.Returns {
+		fmt.Fprintf(out, "%d agents back at once: all current after %v; connections by machine %v, bytes %v\n", b.Agents, b.Took.Round(time.Millisecond), b.Conns, b.Bytes)
+	}
+	fmt.Fprintf(out, "calls at the real agents: %+v\n", r.Calls)
+	fmt.Fprintf(out, "checks broken: %d; rules on the wire: %v\n", len(r.Broken), r.Rules)
+}
+
+// newHistogram holds microseconds up to five minutes with three digits.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (5 * time.Minute).Microseconds(), 3)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) { _ = h.RecordValue(d.Microseconds()) } // beyond five minutes: the run ended
+
+func millis(us int64) string { return fmt.Sprintf("%.1f ms", float64(us)/1000) }
--- /dev/null
+++ b/internal/lab/rolloutlab/world.go
@@ -0,0 +1,584 @@
+// Package rolloutlab is the laboratory of the distribution of configuration: control machines and
+// call agents as processes of the program, hundreds of further agents that are nothing but a
+// watcher with a recording loader, a fault proxy on every link between them, authors who change
+// documents, and a checker of what every author was told and every agent had in force. Tests and
+// cmd/woodlab use it. Loopback only.
+package rolloutlab
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"woodrouter/internal/faultnet"
+	"woodrouter/internal/fleet/control"
+	"woodrouter/internal/fleet/watcher"
+	"woodrouter/internal/lab"
+	"woodrouter/internal/lab/crew"
+	"woodrouter/internal/lab/emulator"
+	"woodrouter/rollout"
+)
+
+// Plan is what a world is started with.
+type Plan struct {
+	Bin, Dir string
+	Hollow   int // agents that are a watcher and a recording loader
+	Real     int // agents that are processes with callers
+	Seed     uint64
+	Delay    time.Duration // between the regions, each way
+}
+
+// The fleet's shape: five zones in two regions, 27 services; three control machines that vote and
+// one that does not.
+var (
+	zones    = []string{"z1", "z2", "z3", "z4", "z5"}
+	regionOf = map[string]string{"z1": "west", "z2": "west", "z3": "west", "z4": "east", "z5": "east",
+		"c1": "west", "c2": "west", "c3": "east", "c4": "east"}
+	machineZones = map[string]string{"c1": "z1", "c2": "z2", "c3": "z4", "c4": "z5"}
+	machineNames = []string{"c1", "c2", "c3", "c4"}
+	voters       = []string{"c1", "c2", "c3"}
+)
+
+const services = 27
+
+// Real agents are in two zones, one in each region: documents of the others are for hollow agents.
+var realZones = []string{"z1", "z4"}
+
+// World is machines and agents, and the links between them.
+type World struct {
+	Plan
+	History *History
+
+	machines map[string]*machine
+	raft     faultnet.Mesh                        // between machines: the log
+	peers    faultnet.Mesh                        // between machines: reports
+	links    map[string]map[string]*faultnet.Link // from a zone's agents to a machine
+	hollow   []*hollow
+	crew     *crew.Crew
+	calls    *emulator.Callers
+	ops      *control.Client
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+
+	mu      sync.Mutex
+	cuts    []func(a, b string) bool
+	dropped map[*faultnet.Link]bool
+	leader  string            // as the machines said last
+	heads   map[string]uint64 // latest revision of each document, as the leader said last
+	known   map[string]string // machine and document -> what its history was read at
+}
+
+// machine is a control machine.
+type machine struct {
+	*faultnet.Proc
+	id, raft, client, console string
+	live                      bool // it runs and is not stalled
+}
+
+// Start starts the machines, waits until they have a leader, and starts the agents.
+func Start(ctx context.Context, p Plan) (*World, error) {
+	w := &World{Plan: p, machines: map[string]*machine{}, links: map[string]map[string]*faultnet.Link{},
+		dropped: map[*faultnet.Link]bool{}, heads: map[string]uint64{}, known: map[string]string{}}
+	var agents []rollout.Agent
+	for i := range p.Hollow {
+		z := zones[i%len(zones)]
+		a := rollout.Agent{Name: fmt.Sprintf("h%d", i), Service: fmt.Sprintf("svc%02d", (i/len(zones))%services+1), Zone: z, Region: regionOf[z]}
+		agents = append(agents, a)
+		w.hollow = append(w.hollow, &hollow{Agent: a, world: w, dir: filepath.Join(p.Dir, a.Name)})
+	}
+	for i := range p.Real {
+		agents = append(agents, realAgent(i))
+	}
+	w.History = NewHistory(agents)
+	run, cancel := context.WithCancel(ctx)
+	w.stop = cancel
+	if err := w.start(ctx, run); err != nil {
+		logs := w.Logs()
+		w.Close()
+		return nil, fmt.Errorf("%w\n%s", err, logs)
+	}
+	return w, nil
+}
+
+func realAgent(i int) rollout.Agent {
+	z := realZones[i%len(realZones)]
+	return rollout.Agent{Name: fmt.Sprintf("a%d", i), Service: "lessons", Zone: z, Region: regionOf[z]}
+}
+
+// startMost bounds the start of a world on a busy machine.
+const startMost = 90 * time.Second
+
+func (w *World) start(ctx, run context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startMost)
+	defer cancel()
+	if err := w.startMachines(); err != nil {
+		return err
+	}
+	clients := map[string]string{}
+	for id, m := range w.machines {
+		clients[id] = m.client
+	}
+	w.ops = control.NewClient(clients)
+	for _, id := range machineNames {
+		w.work.Go(func() { w.observe(run, id) })
+	}
+	first, done := context.WithTimeout(ctx, lab.StepMost)
+	defer done()
+	if _, err := w.Leader(first); err != nil {
+		return err
+	}
+	if w.Real > 0 {
+		if err := w.startCrew(ctx, run); err != nil {
+			return err
+		}
+	}
+	return each(w.hollow, func(a *hollow) error { return a.start() })
+}
+
+// each does something for all, some at once.
+func each[T any](all []T, do func(T) error) error {
+	next, errs := make(chan T), make(chan error, len(all))
+	var work sync.WaitGroup
+	for range 16 {
+		work.Go(func() {
+			for a := range next {
+				errs <- do(a)
+			}
+		})
+	}
+	for _, a := range all {
+		next <- a
+	}
+	close(next)
+	work.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *World) startMachines() error {
+	host, err := faultnet.NewHost()
+	if err != nil {
+		return err
+	}
+	var held []net.Listener
+	release := func() {
+		for _, ln := range held {
+			ln.Close()
+		}
+	}
+	raft, client := map[string]string{}, map[string]string{}
+	for _, id := range machineNames {
+		var at [3]string
+		for i := range at {
+			if at[i], err = lab.Reserve(host, &held); err != nil {
+				release()
+				return err
+			}
+		}
+		w.machines[id] = &machine{id: id, raft: at[0], client: at[1], console: at[2], live: true}
+		raft[id], client[id] = at[0], at[1]
+	}
+	if w.raft, err = faultnet.NewMesh(raft, w.Seed); err == nil {
+		w.peers, err = faultnet.NewMesh(client, w.Seed+100)
+	}
+	for i, z := range zones {
+		w.links[z] = map[string]*faultnet.Link{}
+		for j, id := range machineNames {
+			if err == nil {
+				w.links[z][id], err = faultnet.NewLink(client[id], w.Seed+uint64(200+10*i+j))
+			}
+		}
+	}
+	release() // the machines take their ports from here
+	if err != nil {
+		return err
+	}
+	w.relink()
+	for _, m := range w.machines {
+		if err := w.launch(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// calm are timers with which a busy machine's pauses don't cost the group its leader, as lab.Calm.
+var calm = map[string]string{"heartbeat": lab.Calm.Heartbeat, "election": lab.Calm.Election, "lease": lab.Calm.Lease}
+
+// launch writes a machine's file and starts it.
+func (w *World) launch(m *machine) error {
+	links, peers := map[string]string{}, map[string]string{}
+	var boot []map[string]any
+	for _, id := range machineNames {
+		o := w.machines[id]
+		boot = append(boot, map[string]any{"id": id, "raft": o.raft, "voter": slices.Contains(voters, id)})
+		peers[id] = o.client
+		if id != m.id {
+			links[o.raft], peers[id] = w.raft[m.id][id].Addr(), w.peers[m.id][id].Addr()
+		}
+	}
+	text, err := yaml.Marshal(map[string]any{"id": m.id, "raft": m.raft, "client": m.client, "data": filepath.Join(w.Dir, m.id),
+		"bootstrap": boot, "links": links, "snapshot": map[string]any{"entries": 64}, "timing": calm,
+		"rollout": map[string]any{"console": m.console, "peers": peers}})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(w.Dir, m.id+".yaml")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	if m.Proc == nil {
+		m.Proc = &faultnet.Proc{Name: m.id, Bin: w.Bin, Args: []string{"replica", path}, Data: filepath.Join(w.Dir, m.id)}
+	}
+	return m.Proc.Start()
+}
+
+// machinesFor is the machines as the agents of a zone reach them.
+func (w *World) machinesFor(zone string) (out []watcher.Machine) {
+	for _, id := range machineNames {
+		out = append(out, watcher.Machine{ID: id, Client: w.links[zone][id].Addr(), Region: regionOf[id], Zone: machineZones[id]})
+	}
+	return out
+}
+
+// startCrew starts the real agents with callers at work, and watches what they have in force.
+func (w *World) startCrew(ctx, run context.Context) (err error) {
+	d := emulator.Campus()
+	dir := filepath.Join(w.Dir, "crew")
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return err
+	}
+	w.crew, err = crew.Start(ctx, crew.Plan{Bin: w.Bin, Dir: dir, Deployment: d, Agents: w.Real, Servers: 3, Seed: w.Seed, Env: w.file})
+	if err != nil {
+		return err
+	}
+	w.calls = w.crew.Call(run, emulator.Load{Rates: emulator.Uneven(w.Real, 0.5*d.Total(3), w.Seed), Seed: w.Seed, Choice: 0.3, Shift: 5 * time.Second})
+	for i := range w.Real {
+		w.work.Go(func() { w.follow(run, i) })
+	}
+	return nil
+}
+
+// file writes a real agent's file of the rollout.
+func (w *World) file(c *crew.Crew, i int) ([]string, error) {
+	a := realAgent(i)
+	text, err := yaml.Marshal(map[string]any{"service": a.Service, "zone": a.Zone, "region": a.Region,
+		"data": filepath.Join(c.Dir, a.Name+".rollout"), "machines": w.machinesFor(a.Zone)})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(c.Dir, a.Name+"-rollout.yaml")
+	return []string{"WOODROUTER_ROLLOUT=" + path}, os.WriteFile(path, text, 0o600)
+}
+
+// region tells whose side a zone's agents or a machine are on.
+func across(a, b string) bool { return regionOf[a] != regionOf[b] }
+
+func (w *World) severed(a, b string) bool {
+	return slices.ContainsFunc(w.cuts, func(cut func(a, b string) bool) bool { return cut(a, b) || cut(b, a) })
+}
+
+// Cut cuts the links between zones and machines that are picked, beside what is cut already.
+func (w *World) Cut(pick func(a, b string) bool) {
+	w.mu.Lock()
+	w.cuts = append(w.cuts, pick)
+	w.mu.Unlock()
+	w.relink()
+}
+
+// Heal makes all links whole.
+func (w *World) Heal() {
+	w.mu.Lock()
+	w.cuts = nil
+	w.mu.Unlock()
+	w.relink()
+}
+
+// relink has every link as the cuts say, and tells the history who is within reach now.
+func (w *World) relink() {
+	w.mu.Lock()
+	set := func(l *faultnet.Link, from, to string) {
+		drop := w.severed(from, to)
+		mode, delay := faultnet.Pass, time.Duration(0)
+		if across(from, to) {
+			delay = w.Delay
+		}
+		if drop {
+			mode, delay = faultnet.Drop, 0
+		}
+		l.Set(mode, delay, 0)
+		if drop != w.dropped[l] { // what was made behind a cut leads nowhere for good
+			l.Reset()
+			w.dropped[l] = drop
+		}
+	}
+	for _, mesh := range []map[string]map[string]*faultnet.Link{w.raft, w.peers, w.links} {
+		for from, tos := range mesh {
+			for to, l := range tos {
+				set(l, from, to)
+			}
+		}
+	}
+	w.mu.Unlock()
+	w.reach()
+}
+
+// alive notes that a machine runs, or does not.
+func (w *World) alive(id string, on bool) {
+	w.mu.Lock()
+	w.machines[id].live = on
+	w.mu.Unlock()
+	w.reach()
+}
+
+// reach tells the history which agents are within reach: those of a zone with a whole link to a
+// machine that runs and is with a majority of the voters.
+func (w *World) reach() {
+	if w.History == nil {
+		return
+	}
+	w.mu.Lock()
+	with := w.majority()
+	zone := map[string]bool{}
+	for _, z := range zones {
+		zone[z] = slices.ContainsFunc(with, func(id string) bool { return !w.severed(z, id) })
+	}
+	w.mu.Unlock()
+	for _, a := range w.hollow {
+		w.History.Away(a.Name, !zone[a.Zone] || !a.up())
+	}
+	for i := range w.Real {
+		a := realAgent(i)
+		w.History.Away(a.Name, !zone[a.Zone] || w.crew == nil || !w.crew.Procs[i].Running())
+	}
+}
+
+// majority is the machines that run and reach, directly, a majority of voters that run and reach one another.
+func (w *World) majority() (out []string) {
+	for _, id := range machineNames {
+		if !w.machines[id].live {
+			continue
+		}
+		n := 0
+		for _, v := range voters {
+			if w.machines[v].live && (v == id || !w.severed(id, v)) {
+				n++
+			}
+		}
+		if n > len(voters)/2 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// lookEvery is the pause between two looks at a machine.
+const lookEvery = 150 * time.Millisecond
+
+// observe reads a machine's documents, again where something changed, until ctx ends.
+func (w *World) observe(ctx context.Context, id string) {
+	for ctx.Err() == nil {
+		w.look(ctx, id)
+		lab.Pause(ctx, lookEvery)
+	}
+}
+
+// askMost bounds one question to a machine: a stalled one says nothing.
+const askMost = time.Second
+
+func (w *World) look(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, askMost)
+	defer cancel()
+	v, err := w.ops.Overview(ctx, id, "")
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	if v.State == "Leader" {
+		w.leader = id
+	}
+	w.mu.Unlock()
+	for _, n := range v.Names {
+		name := n.Latest.Name.String()
+		at := fmt.Sprint(n.Latest.Revision, n.Latest.Stage)
+		w.mu.Lock()
+		fresh := w.known[id+name] != at
+		if v.State == "Leader" {
+			w.heads[name] = n.Latest.Revision
+		}
+		w.mu.Unlock()
+		if !fresh {
+			continue
+		}
+		one, err := w.ops.Overview(ctx, id, name)
+		if err != nil {
+			return err
+		}
+		for _, o := range one.Names {
+			if o.Latest.Name.String() == name {
+				w.History.Logged(id, o.History)
+				at = fmt.Sprint(o.Latest.Revision, o.Latest.Stage)
+			}
+		}
+		w.mu.Lock()
+		w.known[id+name] = at
+		w.mu.Unlock()
+	}
+	return nil
+}
+
+// Leader waits until a machine that runs says that it leads, and names it.
+func (w *World) Leader(ctx context.Context, but ...string) (string, error) {
+	for {
+		for _, id := range voters {
+			w.mu.Lock()
+			live := w.machines[id].live && !slices.Contains(but, id)
+			w.mu.Unlock()
+			if !live {
+				continue
+			}
+			if s, err := w.status(ctx, id); err == nil && s.State == "Leader" {
+				return id, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("no leader: %w: %s", ctx.Err(), w.states())
+		case <-time.After(30 * time.Millisecond):
+		}
+	}
+}
+
+func (w *World) status(ctx context.Context, id string) (control.OverviewReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askMost)
+	defer cancel()
+	return w.ops.Overview(ctx, id, "")
+}
+
+// states is what each machine says of itself, for a step that did not end.
+func (w *World) states() string {
+	var out []string
+	for _, id := range machineNames {
+		s, err := w.status(context.Background(), id)
+		out = append(out, fmt.Sprintf("%s runs %v: %s, leader %s, applied %d (%v)", id, w.machines[id].Running(), s.State, s.Leader, s.Applied, err))
+	}
+	return strings.Join(out, "; ")
+}
+
+// Settled waits until these documents, or all, stand everywhere and every agent within reach has
+// what stands.
+func (w *World) Settled(ctx context.Context, names ...string) error {
+	ctx, cancel := context.WithTimeout(ctx, settleMost)
+	defer cancel()
+	last := ""
+	for {
+		if last = w.unsettled(ctx, names); last == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not settled in %v: %s; %s", settleMost, last, w.states())
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// settleMost bounds what a settling is waited for; whether it came in time the history tells.
+const settleMost = 3 * Within
+
+// unsettled names what is not everywhere yet.
+func (w *World) unsettled(ctx context.Context, names []string) string {
+	leader, err := w.Leader(ctx)
+	if err != nil {
+		return err.Error()
+	}
+	if err := w.look(ctx, leader); err != nil {
+		return err.Error()
+	}
+	if names == nil {
+		w.mu.Lock()
+		names = slices.Sorted(maps.Keys(w.heads))
+		w.mu.Unlock()
+	}
+	for _, name := range names {
+		r, ok := w.History.Standing(name)
+		if !ok {
+			return fmt.Sprintf("%s: %d by %s is %s", name, r.Revision, r.Author, r.Stage)
+		}
+		if lacking := w.lacking(r); len(lacking) > 0 {
+			return fmt.Sprintf("%s: %d is not at %d agents: %v", name, r.Revision, len(lacking), lacking[:min(len(lacking), 5)])
+		}
+	}
+	return ""
+}
+
+func (w *World) lacking(r rollout.Revision) (out []string) {
+	for _, a := range w.History.agents {
+		if w.History.Reached(a.Name) && !w.History.Has(a.Name, r) {
+			out = append(out, a.Name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Logs is every machine's log, for a failed run.
+func (w *World) Logs() (out string) {
+	for _, id := range machineNames {
+		if m := w.machines[id]; m != nil && m.Proc != nil {
+			out += m.Log()
+		}
+	}
+	return out
+}
+
+// Close ends everything.
+func (w *World) Close() {
+	w.stop()
+	for _, a := range w.hollow {
+		a.cancel()
+	}
+	for _, a := range w.hollow {
+		a.wait()
+	}
+	if w.calls != nil {
+		w.calls.Wait()
+	}
+	w.work.Wait()
+	if w.crew != nil {
+		w.crew.Close()
+	}
+	var down sync.WaitGroup
+	for _, m := range w.machines {
+		if m.Proc != nil {
+			down.Go(m.Kill)
+		}
+	}
+	down.Wait()
+	if w.ops != nil {
+		w.ops.Close()
+	}
+	for _, mesh := range []faultnet.Mesh{w.raft, w.peers, w.links} {
+		for _, tos := range mesh {
+			for _, l := range tos {
+				if l != nil {
+					l.Close()
+				}
+			}
+		}
+	}
+}
