rolloutlab: an agent that starts without what it had is seen at once

Trial on a scratch copy with a watcher that forgets its disk: the schedule passed, as a hollow agent's start told nothing of kinds with no document. It tells now, and the same trial fails with two broken checks. A trial with compare-and-set taken out of the state failed before and after (ten broken checks).

--- a/internal/lab/rolloutlab/agents.go
+++ b/internal/lab/rolloutlab/agents.go
@@ -56,8 +56,9 @@
 	if err != nil {
 		return err
 	}
-	for kind, n := range w.InForce() {
-		if n == 0 {
+	force := w.InForce()
+	for _, kind := range kinds {
+		if force[kind] == 0 {
 			a.world.History.Sight(Sight{Agent: a.Name, Kind: kind, At: a.world.History.Now()})
 		}
 	}
