--- a/internal/lab/rolloutlab/measure.go
+++ b/internal/lab/rolloutlab/measure.go
@@ -60,7 +60,7 @@
 			return err
 		}
 	}
-	for i := 0; m.Faults > 0 && c.History.Counts()[Stood] < 1+m.Changes+m.Faults; i++ {
+	for i := 0; m.Faults > 0 && (i < len(faults) || c.History.Counts()[Stood] < 1+m.Changes+m.Faults); i++ { // each fault once at least
 		f := faults[i%len(faults)]
 		if i >= len(faults) {
 			f = faults[c.rng.IntN(len(faults))]
