--- a/internal/lab/rolloutlab/agents.go
+++ b/internal/lab/rolloutlab/agents.go
@@ -62,6 +62,7 @@
 			a.world.History.Sight(Sight{Agent: a.Name, Kind: kind, At: a.world.History.Now()})
 		}
 	}
+	a.world.acknowledged(a.Name, w.Say()) // from its disk
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	a.mu.Lock()
@@ -97,6 +98,7 @@
 	a.mu.Unlock()
 	if done != nil {
 		<-done
+		a.world.acknowledged(a.Name, a.watch.Say())
 	}
 }
 
@@ -168,6 +170,7 @@
 var (
 	inForce = regexp.MustCompile(`(?m)^(\S+): revision (\d+) of (\S+) in force$`)
 	ownFile = regexp.MustCompile(`(?m)^(\S+): the agent's own file`)
+	seen    = regexp.MustCompile(`(?m)^document (\S+): told of revision \d+, accepted (\d+)$`)
 	refused = regexp.MustCompile(`(?m)^refused (\S+) revision (\d+):`)
 )
 
@@ -180,15 +183,31 @@
 			s.Agent, s.At = name, w.History.Now()
 			w.History.Sight(s)
 		}
+		if said != "" {
+			w.acknowledged(name, said)
+		}
+	}
+}
+
+// acknowledged takes from an agent's answer what it acknowledges: what it accepted and has saved.
+func (w *World) acknowledged(agent, said string) {
+	if !strings.Contains(said, "saved true") {
+		return
 	}
+	all := map[string]uint64{}
+	for _, m := range seen.FindAllStringSubmatch(said, -1) {
+		all[m[1]] = number(m[2])
+	}
+	w.History.Acknowledged(agent, all)
+}
+
+func number(s string) uint64 {
+	n, _ := strconv.ParseUint(s, 10, 64) // the expressions let only digits through
+	return n
 }
 
 // read takes the sights from an agent's answer.
 func read(said string) (out []Sight) {
-	number := func(s string) uint64 {
-		n, _ := strconv.ParseUint(s, 10, 64) // the expression lets only digits through
-		return n
-	}
 	for _, m := range refused.FindAllStringSubmatch(said, -1) {
 		kind, _, _ := strings.Cut(m[1], "@")
 		out = append(out, Sight{Kind: kind, Name: m[1], Revision: number(m[2]), Refused: true})
--- a/internal/lab/rolloutlab/history.go
+++ b/internal/lab/rolloutlab/history.go
@@ -75,6 +75,7 @@
 	away   map[string][]absence         // by agent, in order
 	broken []string                     // found as it came in
 	latest map[string]map[string]uint64 // agent, document: the highest in force so far
+	acked  map[string]map[string]uint64 // agent, document: the highest acknowledged so far
 	docs   map[string]rollout.Name      // documents of which a put stood, or may have
 }
 
@@ -88,10 +89,10 @@
 func NewHistory(agents []rollout.Agent) *History {
 	h := &History{start: time.Now(), agents: map[string]rollout.Agent{}, log: map[uint64]rollout.Revision{}, halted: map[uint64]bool{},
 		texts: map[uint64]content{}, sights: map[string][]Sight{}, away: map[string][]absence{}, latest: map[string]map[string]uint64{},
-		docs: map[string]rollout.Name{}}
+		docs: map[string]rollout.Name{}, acked: map[string]map[string]uint64{}}
 	for _, a := range agents {
 		h.agents[a.Name] = a
-		h.latest[a.Name] = map[string]uint64{}
+		h.latest[a.Name], h.acked[a.Name] = map[string]uint64{}, map[string]uint64{}
 	}
 	return h
 }
@@ -157,6 +158,20 @@
 	h.sights[s.Agent] = append(h.sights[s.Agent], s)
 }
 
+// Acknowledged enters what an agent tells as accepted and kept: of a document never less than before.
+func (h *History) Acknowledged(agent string, seen map[string]uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, had := range h.acked[agent] {
+		if seen[name] < had {
+			h.broke("%s acknowledges %s %d, and had acknowledged %d", agent, name, seen[name], had)
+		}
+	}
+	for name, n := range seen {
+		h.acked[agent][name] = max(h.acked[agent][name], n)
+	}
+}
+
 // Away tells that an agent is out of reach from now on, or within reach again.
 func (h *History) Away(agent string, on bool) {
 	h.mu.Lock()
--- a/internal/lab/rolloutlab/history_test.go
+++ b/internal/lab/rolloutlab/history_test.go
@@ -80,8 +80,12 @@
 			h.Sight(has("a", 12, "two", 23*sec))
 			h.Sight(has("b", 12, "two", 33*sec))
 		}, "12 (told at 22s) was due at b by 31s and came after 11s"},
-		"an agent drops a document":  {func(h *History) { h.Sight(Sight{Agent: "a", Kind: "routes", At: 13 * sec}) }, "a has its own file 0 in force at 13s, after routes@all 8"},
-		"a removal not kept":         {removed(50 * sec), "due at a by 40s and came after"},
+		"an agent drops a document": {func(h *History) { h.Sight(Sight{Agent: "a", Kind: "routes", At: 13 * sec}) }, "a has its own file 0 in force at 13s, after routes@all 8"},
+		"a removal not kept":        {removed(50 * sec), "due at a by 40s and came after"},
+		"an agent forgets what it acknowledged": {func(h *History) {
+			h.Acknowledged("a", map[string]uint64{doc: 8})
+			h.Acknowledged("a", map[string]uint64{doc: 5})
+		}, "a acknowledges routes@all 5, and had acknowledged 8"},
 		"an agent goes back, in one": {func(h *History) { h.Sight(has("b", 6, "zero", 13*sec)) }, "b has routes@all 6"},
 	}
 	for what, c := range cases {
--- a/internal/lab/rolloutlab/schedule.go
+++ b/internal/lab/rolloutlab/schedule.go
@@ -366,6 +366,10 @@
 	return c.Settled(ctx, everyone) // while it is cut off
 }
 
+// returnBytes bounds what an agent that comes back may have sent and fetched until it has a change:
+// the texts are below a kilobyte together, so most of it is the wire's own types and its reports.
+const returnBytes = 64 << 10
+
 // zoneBack has all of a zone's hollow agents go, changes what they had, and has them back at once.
 func (c *scene) zoneBack(ctx context.Context) error {
 	zone := zones[c.rng.IntN(len(zones))]
@@ -391,16 +395,19 @@
 		return err
 	}
 	r.Took = time.Since(began)
-	conns, most := int64(0), int64(0)
+	conns, most, bytes := int64(0), int64(0), int64(0)
 	for id, l := range c.links[zone] {
 		n, b := l.Traffic()
 		r.Conns[id], r.Bytes[id] = n-r.Conns[id], b-r.Bytes[id]
-		conns, most = conns+r.Conns[id], max(most, r.Conns[id])
+		conns, most, bytes = conns+r.Conns[id], max(most, r.Conns[id]), bytes+r.Bytes[id]
 	}
 	c.report.Returns = append(c.report.Returns, r)
 	if conns > int64(4*len(picked)+8) {
 		return fmt.Errorf("%d agents of %s made %d connections: %v", len(picked), zone, conns, r.Conns)
 	}
+	if bytes > int64(len(picked))*returnBytes {
+		return fmt.Errorf("%d agents of %s moved %d bytes: %v", len(picked), zone, bytes, r.Bytes)
+	}
 	if len(picked) >= 40 && most > conns*3/4 {
 		return fmt.Errorf("of %d connections %d went to one machine: %v", conns, most, r.Conns)
 	}
