rolloutlab: agents are within reach from their start on

The machines' links were told to the history before any agent ran, and nobody told it of their start, so all were out of reach until the first fault: a run in calm checked nothing. The start tells it now, and a run in which no agent was followed fails.

--- a/internal/lab/rolloutlab/schedule.go
+++ b/internal/lab/rolloutlab/schedule.go
@@ -56,6 +56,9 @@
 	if len(r.Broken) > 0 {
 		all = append(all, fmt.Errorf("%d checks broken: %s", len(r.Broken), strings.Join(r.Broken[:min(len(r.Broken), 8)], "\n  ")))
 	}
+	if !slices.ContainsFunc(r.Spreads, func(s Spread) bool { return len(s.Agents) > 0 }) {
+		all = append(all, errors.New("no change was followed at any agent within reach: nothing was checked"))
+	}
 	if r.Calls.Lost > 0 {
 		all = append(all, fmt.Errorf("%d calls of the real agents lost", r.Calls.Lost))
 	}
--- a/internal/lab/rolloutlab/world.go
+++ b/internal/lab/rolloutlab/world.go
@@ -141,7 +141,9 @@
 			return err
 		}
 	}
-	return each(w.hollow, func(a *hollow) error { return a.start() })
+	err := each(w.hollow, func(a *hollow) error { return a.start() })
+	w.reach()
+	return err
 }
 
 // each does something for all, some at once.
