rolloutlab: the next change is put once the failing one has begun

By the leader's log 239 was taken 14 ms after 238, before 238 was started, and superseded it as it should: the laboratory's own race. It waits for the first stage now.

--- a/internal/lab/rolloutlab/history.go
+++ b/internal/lab/rolloutlab/history.go
@@ -580,6 +580,14 @@
 	return ok
 }
 
+// Begun tells whether a revision has come to its first stage.
+func (h *History) Begun(revision uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r, ok := h.log[revision]
+	return ok && r.Stage != rollout.Waiting
+}
+
 // Halted tells whether a revision was given up.
 func (h *History) Halted(revision uint64) bool {
 	h.mu.Lock()
--- a/internal/lab/rolloutlab/schedule.go
+++ b/internal/lab/rolloutlab/schedule.go
@@ -478,6 +478,14 @@
 	if err != nil {
 		return err
 	}
+	for !c.History.Begun(bad.Revision) { // what still waits would be superseded by the next, and never fail
+		if ctx.Err() != nil {
+			return fmt.Errorf("%d does not begin: %w: %s", bad.Revision, ctx.Err(), c.states())
+		}
+		if leader, err := c.Leader(ctx); err == nil {
+			c.look(ctx, leader)
+		}
+	}
 	c.bob.put(ctx, Put{Name: everyone, Base: bad.Revision, Text: c.bob.next()})
 	if err := c.Settled(ctx, everyone); err != nil {
 		return err
