--- a/internal/lab/labcli/rollout.go
+++ b/internal/lab/labcli/rollout.go
@@ -57,6 +57,9 @@
 					all.RecordValue(s.Agents[n-1].Milliseconds())
 				}
 			}
+			for _, slow := range r.Slow() {
+				fmt.Fprintf(out, "seed %d: slow: %s\n", seed, slow)
+			}
 			return fmt.Sprintf("puts %v, calls lost %d of %d", r.Puts, r.Calls.Lost, r.Calls.Calls)
 		})
 	})
--- a/internal/lab/rolloutlab/authors.go
+++ b/internal/lab/rolloutlab/authors.go
@@ -32,7 +32,6 @@
 	name   string
 	world  *World
 	client *control.Client
-	n      int
 }
 
 func (w *World) author(name string) *author { return &author{name: name, world: w, client: w.ops} }
@@ -46,10 +45,10 @@
 	return &author{name: name, world: w, client: control.NewClient(at)}
 }
 
-// next is a text of the author's own.
+// next is a text that nobody put yet.
 func (a *author) next(marks ...string) string {
-	a.n++
-	return text(fmt.Sprintf("%s-%d", a.name, a.n), 2+a.n%4, marks...)
+	n := a.world.texts.Add(1)
+	return text(fmt.Sprintf("%s-%d", a.name, n), int(2+n%4), marks...)
 }
 
 // put tries once and enters what came of it.
--- a/internal/lab/rolloutlab/measure.go
+++ b/internal/lab/rolloutlab/measure.go
@@ -103,6 +103,9 @@
 		fmt.Fprintf(out, "| %s | %d | %s | %s | %s |\n", f.what, f.h.TotalCount(), millis(f.h.ValueAtQuantile(50)), millis(f.h.ValueAtQuantile(99)), millis(f.h.Max()))
 	}
 	fmt.Fprintf(out, "changes later than %v at an agent within reach all the time: %d; agent and change: %d out of reach or out of scope, %d refused or never in force there\n", Within, past, away, none)
+	for _, slow := range r.Slow() {
+		fmt.Fprintln(out, "slow:", slow)
+	}
 	for _, b := range r.Returns {
 		fmt.Fprintf(out, "%d agents back at once: all current after %v; connections by machine %v, bytes %v\n", b.Agents, b.Took.Round(time.Millisecond), b.Conns, b.Bytes)
 	}
--- a/internal/lab/rolloutlab/schedule.go
+++ b/internal/lab/rolloutlab/schedule.go
@@ -32,7 +32,8 @@
 type Report struct {
 	Schedule
 	Faults  []string
-	Times   []time.Duration // of each fault, until all stood again
+	Begun   []time.Duration // each fault, by the history's clock,
+	Times   []time.Duration // and how long until all stood again
 	Puts    map[Outcome]int
 	Spreads []Spread
 	Returns []Return
@@ -65,6 +66,26 @@
 	return errors.Join(all...)
 }
 
+// slow is a change that took longer than this, though within the rule.
+const slow = 4 * time.Second
+
+// Slow words the changes that took long, with the fault that was played when each was told.
+func (r Report) Slow() (out []string) {
+	for _, s := range r.Spreads {
+		if n := len(s.Agents); n > 0 && s.Agents[n-1] > slow {
+			during := "calm"
+			for i, at := range r.Begun {
+				if at <= s.Told {
+					during = r.Faults[i]
+				}
+			}
+			out = append(out, fmt.Sprintf("%s %d by %s, told at %v, took %v (%s)", s.Name, s.Revision, s.Author,
+				s.Told.Round(time.Millisecond), s.Agents[n-1].Round(time.Millisecond), during))
+		}
+	}
+	return out
+}
+
 // scene is what a fault may touch.
 type scene struct {
 	*World
@@ -167,7 +188,7 @@
 
 // step plays one fault with authors at work beside it, heals all, and waits until all stands.
 func (c *scene) step(ctx context.Context, i int, f fault) error {
-	began, stop, done := time.Now(), make(chan struct{}), make(chan struct{})
+	began, at, stop, done := time.Now(), c.History.Now(), make(chan struct{}), make(chan struct{})
 	rng := rand.New(rand.NewPCG(c.Schedule.Seed, uint64(1000+i)))
 	go func() {
 		defer close(done)
@@ -180,7 +201,7 @@
 	<-done
 	c.Heal()
 	if err = errors.Join(err, c.Settled(ctx)); err == nil {
-		c.report.Faults, c.report.Times = append(c.report.Faults, f.name), append(c.report.Times, time.Since(began))
+		c.report.Faults, c.report.Begun, c.report.Times = append(c.report.Faults, f.name), append(c.report.Begun, at), append(c.report.Times, time.Since(began))
 	}
 	return err
 }
--- a/internal/lab/rolloutlab/world.go
+++ b/internal/lab/rolloutlab/world.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -68,6 +69,7 @@
 	ops      *control.Client
 	stop     context.CancelFunc
 	work     sync.WaitGroup
+	texts    atomic.Int64 // written so far, by all authors
 
 	mu      sync.Mutex
 	cuts    []func(a, b string) bool
