--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -29,6 +29,7 @@
 	Promises promisesCommand `cmd:"" help:"Replicated promises (docs/replication.md)."`
 	Zones    zonesCommand    `cmd:"" help:"Zone failover (docs/failover.md)."`
 	Demo     demoCommand     `cmd:"" help:"Start two call agents and three setup servers and show calls being served; nothing to configure."`
+	Rollout  rolloutCommand  `cmd:"" help:"Distribution of configuration (docs/rollout.md)."`
 	Fleet    fleetCommand    `cmd:"" help:"Play hundreds of call agents with faults between them; exit 1 if a rule is broken (docs/spread.md)."`
 	Chain    chainCommand    `cmd:"" help:"Measure chains of call agents between servers without work of their own (docs/CAPACITY.md)."`
 	Scale    scaleCommand    `cmd:"" help:"Measure what control costs a fleet at size, with hollow agents (docs/CAPACITY.md)."`
@@ -128,6 +129,10 @@
 			err = cli.Chain.run(ctx, parsed.Command(), cli.Bin, dir, out)
 		case "scale run", "scale hollow", "scale fit <files>":
 			err = cli.Scale.run(ctx, parsed.Command(), cli.Bin, dir, out, errs)
+		case "rollout measure":
+			err = cli.Rollout.Measure.run(ctx, cli.Bin, dir, out)
+		case "rollout schedules":
+			err = cli.Rollout.Schedules.run(ctx, cli.Bin, dir, out)
 		case "zones model":
 			err = zonelab.Report(out, cli.Zones.Model.Seed, cli.Zones.Model.Plot)
 		case "zones cost":
