A late answer of one member no longer changes what another has answered since

TestLateAnswer forces the order by a codec that keeps the first answer back: without the change it heard 1 where another member had answered 2. quorum and replica pass under -race.

--- a/internal/fleet/quorum/client.go
+++ b/internal/fleet/quorum/client.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/rpc"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -210,8 +211,14 @@
 func (l *line) ask(ctx context.Context, conn *rpc.Client, most time.Duration, method string, args, reply any) (again bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
+	// A value of its own: an answer that comes late is decoded when the caller may be reading
+	// another member's.
+	own := reflect.New(reflect.TypeOf(reply).Elem())
 	select {
-	case call := <-conn.Go(method, args, reply, make(chan *rpc.Call, 1)).Done:
+	case call := <-conn.Go(method, args, own.Interface(), make(chan *rpc.Call, 1)).Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(own.Elem())
+		}
 		return l.answered(conn, call.Error), call.Error
 	case <-ctx.Done():
 		l.late(conn)
--- a/internal/fleet/quorum/client_test.go
+++ b/internal/fleet/quorum/client_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/gob"
+	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -65,3 +69,48 @@
 	require.NoError(t, err)
 	require.Equal(t, "b", asked[len(asked)-1])
 }
+
+// lateCodec keeps its first answer back until a second one is due, and writes it before that.
+type lateCodec struct {
+	io.ReadWriteCloser
+	in   *gob.Decoder
+	out  *gob.Encoder
+	kept *rpc.Response
+	body any
+}
+
+func (c *lateCodec) ReadRequestHeader(r *rpc.Request) error { return c.in.Decode(r) }
+func (c *lateCodec) ReadRequestBody(body any) error         { return c.in.Decode(body) }
+func (c *lateCodec) WriteResponse(r *rpc.Response, body any) error {
+	if c.kept == nil {
+		first := *r
+		c.kept, c.body = &first, body
+		return nil
+	}
+	return errors.Join(c.out.Encode(c.kept), c.out.Encode(c.body), c.out.Encode(r), c.out.Encode(body))
+}
+
+// TestLateAnswer: what a member answers after its caller has given up changes nothing that the
+// caller has heard from another since.
+func TestLateAnswer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	srv := rpc.NewServer()
+	require.NoError(t, srv.RegisterName("Echo", echo{}))
+	go func() {
+		if conn, err := ln.Accept(); err == nil {
+			srv.ServeCodec(&lateCodec{ReadWriteCloser: conn, in: gob.NewDecoder(conn), out: gob.NewEncoder(conn)})
+		}
+	}()
+	c := NewClient(map[string]string{"a": ln.Addr().String()})
+	defer c.Close()
+	var heard, then int
+	c.CallTimeout = 50 * time.Millisecond
+	require.ErrorIs(t, c.Call(t.Context(), "a", "Echo.Say", 1, &heard), context.DeadlineExceeded)
+	heard = 2 // another member's answer
+	c.CallTimeout = 10 * time.Second
+	require.NoError(t, c.Call(t.Context(), "a", "Echo.Say", 3, &then))
+	require.Equal(t, 3, then)
+	require.Equal(t, 2, heard)
+}
