--- a/internal/fleet/control/conn.go
+++ b/internal/fleet/control/conn.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"woodrouter/internal/gobframe"
 )
 
 // Bounds of what callers may take. A watch is a request that waits, so that a connection's
@@ -317,22 +319,9 @@
 
 // number peeks at an unsigned number of gob's at an offset, and tells its width.
 func (f *frames) number(at int) (n uint64, width int, err error) {
-	b, err := f.r.Peek(at + 1)
-	if err != nil {
-		return 0, 0, err
-	}
-	if b[at] <= 0x7f {
-		return uint64(b[at]), 1, nil
-	}
-	bytes := -int(int8(b[at]))
-	if bytes > 8 {
-		return 0, 0, fmt.Errorf("%w: a number of %d bytes", errJunk, bytes)
-	}
-	if b, err = f.r.Peek(at + 1 + bytes); err != nil {
-		return 0, 0, err
-	}
-	for _, d := range b[at+1:] {
-		n = n<<8 | uint64(d)
+	n, width, err = gobframe.Number(f.r, at)
+	if errors.Is(err, gobframe.ErrNumber) {
+		err = fmt.Errorf("%w: %w", errJunk, err)
 	}
-	return n, 1 + bytes, nil
+	return n, width, err
 }
--- a/internal/fleet/watcher/line.go
+++ b/internal/fleet/watcher/line.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"woodrouter/internal/gobframe"
 	"woodrouter/rollout"
 )
 
@@ -103,30 +104,19 @@
 	return b[0], err
 }
 
-// next reads the length of the next message: one byte below 128, or the count of bytes that
-// follow, negated, and those bytes.
+// next looks at the length of the next message.
 func (f *frames) next() error {
-	head, err := f.r.Peek(1)
+	size, width, err := gobframe.Number(f.r, 0)
+	if errors.Is(err, gobframe.ErrNumber) {
+		return fmt.Errorf("%w: %w", errSize, err)
+	}
 	if err != nil {
 		return err
 	}
-	size, width := uint64(head[0]), 0
-	if head[0] > 0x7f {
-		if width = -int(int8(head[0])); width > 8 {
-			return fmt.Errorf("%w: length of %d bytes", errSize, width)
-		}
-		if head, err = f.r.Peek(1 + width); err != nil {
-			return err
-		}
-		size = 0
-		for _, b := range head[1:] {
-			size = size<<8 | uint64(b)
-		}
-	}
 	if size > uint64(f.left) {
 		return fmt.Errorf("%w: a message of %d bytes, %d left of %d", errSize, size, f.left, mostAnswer)
 	}
-	f.rest = 1 + width + int(size)
+	f.rest = width + int(size)
 	f.left = max(f.left-f.rest, 0)
 	return nil
 }
