TestStalled forces the crossing it raced: accepted by the server, not yet the actor's

Cause: the test, not the program. It took the server's sight (two connections accepted) for the actor's state. Between the two the dial's result still waits in the actor's mailbox, and a set-up handed over then goes by the connection in use, as it must. That set-up was never answered, so the old connection rightly kept it.

Change: the second dial comes back when the test says so. A set-up before that must go by the old connection, one after the new connection's first report by the new one; both on the old are answered and count, the doubt is learned, and the old ends only after Linger. The linger is now measured from before the answer: the core hears of it after the linger has begun, so that a late test could see less than the whole.

--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -327,22 +327,43 @@
 }
 
 // TestStalled: a connection on which a set-up is out and nothing is heard may have lost all
-// that would follow. New set-ups go by another; the old one stays for its own, as a server
-// with a queue is as quiet.
+// that would follow. New set-ups go by another, from when its dial has come back on; the old one
+// stays for its own, as a server with a queue is as quiet.
 func TestStalled(t *testing.T) {
-	p, c := start(t, Config{Aim: 400 * ms, Speak: standin.Patience, Silence: time.Hour})
+	var dials atomic.Int32
+	back := make(chan struct{}) // closed: the second dial comes back
+	p, c := start(t, Config{Aim: 400 * ms, ConnectTimeout: standin.Patience, Speak: standin.Patience, Silence: time.Hour,
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := net.Dial("tcp", addr)
+			if dials.Add(1) == 2 {
+				select {
+				case <-back:
+				case <-ctx.Done():
+				}
+			}
+			return conn, err
+		}})
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
 	p.SetUp(attemptFor(one, 30*time.Second))
 	g := s.Await(t, isup.SetUp)
+	standin.Next(t, c.reports) // the first connection's
 	require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
 	p.SetUp(attemptFor(two, 30*time.Second))
+	crossed := s.Await(t, isup.SetUp)
+	assert.Same(t, g.Conn, crossed.Conn, "the server has accepted the second, the actor does not have it yet")
+	close(back)
+	standin.Next(t, c.reports) // the second one's: what is read there the actor has
+	p.SetUp(attemptFor("0000000000000003", 30*time.Second))
 	assert.NotSame(t, g.Conn, s.Await(t, isup.SetUp).Conn)
 	g.Answer("")
 	told := c.await(t)
 	assert.Equal(t, []any{true, one}, []any{told.stands, told.id}, "and its answer still counts")
 	assert.Greater(t, p.cfg.doubts.after(100*ms), 100*ms, "the doubt was wrong: the next comes later")
-	answered := time.Now()
+	answered := time.Now() // before the answer: the core hears of it after the linger has begun
+	crossed.Answer("")
+	told = c.await(t)
+	assert.Equal(t, []any{true, two}, []any{told.stands, told.id})
 	require.Eventually(t, func() bool {
 		_, err := g.Conn.Write([]byte("\x00\x09\x06\x00\x00\x00\x00\x00\x00\x00\x01")) // means nothing
 		return err != nil
