Lab: callers of a stopping agent find another, also in crews of four (TestDeployments)

Cause: the laboratory. Callers.to looked for another line 8 on, and again 8 on: among four agents (and two, and eight) that is the same line each time, so Divert did nothing in this test.

Change: where looking 8 on has come round, one on. Nothing is excused further; the check past 600 ms stays.

--- a/internal/lab/emulator/callers.go
+++ b/internal/lab/emulator/callers.go
@@ -159,10 +159,15 @@
 	l.mu.Unlock()
 }
 
-// to is the line that a new try takes: its own, or one after it that callers may go to.
+// to is the line that a new try takes: its own, or one after it that callers may go to. It looks
+// eight on, so that the callers of neighbours spread, and where that comes round too soon, one on.
 func (c *Callers) to(l *line) *line {
-	for i := range c.lines {
-		o := c.lines[(l.agent+i*7+i)%len(c.lines)]
+	for i := range 2 * len(c.lines) {
+		at := l.agent + 8*i
+		if i >= len(c.lines) {
+			at = l.agent + i
+		}
+		o := c.lines[at%len(c.lines)]
 		o.mu.Lock()
 		away := o.away
 		o.mu.Unlock()
