--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -229,7 +229,7 @@
 // TestReset: set-ups out on a connection that breaks may have run; calls that stand
 // outlive it, and their end comes on the next one.
 func TestReset(t *testing.T) {
-	p, c := start(t, Config{})
+	p, c := start(t, Config{Stall: standin.Patience}) // no other takes its place, however late the answer
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
 	stand(t, p, c, s, one)
@@ -249,7 +249,7 @@
 // lost, and then nobody else would end the call that stands.
 func TestReleaseOutlivesConnection(t *testing.T) {
 	var hold sync.Mutex
-	p, c := start(t, Config{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+	p, c := start(t, Config{Stall: standin.Patience, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		hold.Lock()
 		defer hold.Unlock()
 		return net.Dial("tcp", addr)
@@ -407,7 +407,8 @@
 	p.news(listed(s.Addr, policy.Up, time.Now()))
 	stand(t, p, c, s, one)
 	p.news(listed(s.Addr, policy.Gone, time.Time{}))
-	c.ended(t, agent.Stood, policy.Cut)
+	c.ended(t, agent.Stood, policy.Cut) // told in the middle of the actor's work
+	require.Eventually(t, p.trunks["s"].finished.Load, standin.Patience, ms)
 	p.news()
 	assert.Empty(t, p.trunks, "and forgotten when it is gone for good")
 }
@@ -455,14 +456,21 @@
 // a check of its silence is refused must not cut its calls; the reset at its end does.
 func TestDrainingRefuses(t *testing.T) {
 	var dials atomic.Int32
-	p, c := start(t, Config{Silence: 100 * ms, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-		dials.Add(1)
+	refused := make(chan struct{}) // closed once it listens no more: until then no check is made
+	p, c := start(t, Config{Silence: 100 * ms, ConnectTimeout: standin.Patience, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			select {
+			case <-refused:
+			case <-ctx.Done():
+			}
+		}
 		return net.Dial("tcp", addr)
 	}})
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
 	stand(t, p, c, s, one)
 	s.Refuse()
+	close(refused)
 	p.news(listed(s.Addr, policy.Draining, time.Time{}))
 	require.Eventually(t, func() bool { return dials.Load() >= 5 }, standin.Patience, ms)
 	assert.Empty(t, c.told, "the call stands")
@@ -474,7 +482,7 @@
 // there, by an answer or by a probe's report, what is out on the old one is lost and ends.
 func TestOvertaken(t *testing.T) {
 	for _, probes := range []bool{false, true} {
-		p, c := start(t, Config{Stall: time.Second, Speak: standin.Patience, Silence: time.Hour, Probes: probes})
+		p, c := start(t, Config{Stall: 2 * time.Second, Speak: standin.Patience, Silence: time.Hour, Probes: probes, ProbeTimeout: standin.Patience})
 		s := standin.NewServer(t, "")
 		p.news(listed(s.Addr, policy.Up, time.Time{}))
 		p.SetUp(attemptFor(one, 30*time.Second))
@@ -484,7 +492,8 @@
 			g.Conn.Send(isup.Message{Type: isup.TestResult, Call: g.Call}.WithCause(isup.Passed).
 				WithText(isup.Report, "x0:900;x1:1000;latency_ms:0"))
 		} else {
-			require.Eventually(t, func() bool { return len(s.Conns()) == 2 }, standin.Patience, ms)
+			standin.Next(t, c.reports) // the first connection's
+			standin.Next(t, c.reports) // the second one's: the actor has it, and set-ups go there
 			stand(t, p, c, s, two)
 		}
 		assert.ErrorIs(t, c.ended(t, agent.Written, policy.Cut).err, errStalled)
--- a/internal/servers/trunk/wanted_test.go
+++ b/internal/servers/trunk/wanted_test.go
@@ -73,7 +73,7 @@
 // within the jitter; a set-up that comes before has its connection at once.
 func TestJitter(t *testing.T) {
 	dials := make(chan string, 10)
-	p, c := start(t, Config{Jitter: time.Hour, Dial: func(_ context.Context, address string) (net.Conn, error) {
+	p, c := start(t, Config{Jitter: time.Hour, Stall: standin.Patience, Dial: func(_ context.Context, address string) (net.Conn, error) {
 		dials <- address
 		return net.Dial("tcp", address)
 	}})
@@ -89,7 +89,7 @@
 // TestStopCrossing: what a server has on its way as the process stops does not reset the connection,
 // and with it the last that was written there: the release of a call.
 func TestStopCrossing(t *testing.T) {
-	p, c := start(t, Config{StopLinger: standin.Patience})
+	p, c := start(t, Config{Stall: standin.Patience, StopLinger: standin.Patience})
 	s := standin.NewServer(t, "")
 	p.news(listed(s.Addr, policy.Up, time.Time{}))
 	g := stand(t, p, c, s, one)
