--- a/spread/spread.go
+++ b/spread/spread.go
@@ -29,6 +29,13 @@
 	Senders int
 	Period  time.Duration // between two summaries; 0: DefaultPeriod. Senders may have different ones
 	Seed    uint64        // with the rank, draws where its order begins, so that senders begin apart
+
+	// Stewards are the names of those who may be steward where these are not the senders themselves, as
+	// control machines are; empty: the senders alive. All senders of a service name the same.
+	Stewards []string
+	// Service is the key by which the stewards of different services lie apart on the same machines. It
+	// counts only beside Stewards; empty: the key of senders that are steward themselves.
+	Service string
 }
 
 // DefaultPeriod is the time between two summaries where the configuration names none.
--- a/spread/steward.go
+++ b/spread/steward.go
@@ -29,6 +29,7 @@
 // nothing that a new one does not learn within some periods.
 type Steward struct {
 	cfg     Config
+	remote  bool // it has no sight of its own (remote.go)
 	seq     uint64
 	senders map[string]*sender
 	servers map[string]*joint
--- a/spread/view.go
+++ b/spread/view.go
@@ -25,6 +25,10 @@
 	Stood  uint64 `json:"k"`
 	Seen
 	Age time.Duration `json:"a,omitempty"` // of the figures
+
+	// For a steward that has no sight of its own (NewRemoteSteward); told where Config.Stewards is set.
+	Cold float64 `json:"w,omitempty"` // set-ups a second that all senders together may send it, by this sender's sight; 0: it is warm
+	Down bool    `json:"x,omitempty"` // it is on this sender's list no more, and has set-ups unanswered
 }
 
 // Stamp names one message of a process.
@@ -42,6 +46,8 @@
 	Demand float64       `json:"d"` // first tries a second
 	Counts []Count       `json:"c"`
 	Period time.Duration `json:"p,omitempty"` // the sender's; 0: not told, as by older versions
+	// Senders is how many there are by the sender's settings; 0: not told, as where Config.Stewards is empty.
+	Senders int `json:"n,omitempty"`
 }
 
 // Due is what the steward tells of one server.
@@ -52,6 +58,7 @@
 	Out    float64       `json:"o,omitempty"` // unanswered, of all senders
 	Idle   time.Duration `json:"i,omitempty"` // since anybody sent it one
 	Grant  int           `json:"g,omitempty"` // set-ups that the hearer may send it while it is cold
+	Duty   bool          `json:"y,omitempty"` // it is idle, and the hearer's next call is to go there; a remote steward alone says so
 }
 
 // View is what the steward tells one sender in answer to a summary.
@@ -67,7 +74,10 @@
 
 // StewardAt names who of those alive is to be told, by rendezvous hashing (Thaler and
 // Ravishankar 1998): place 0 is the first, and the next follow where it is silent.
-func StewardAt(alive []string, place int) string { return Rendezvous(alive, "steward", place) }
+func StewardAt(alive []string, place int) string { return Rendezvous(alive, stewardKey, place) }
+
+// stewardKey orders senders that are steward themselves.
+const stewardKey = "steward"
 
 // Rendezvous is the name at a place of the order that a key gives to names.
 func Rendezvous(names []string, key string, place int) string {
@@ -122,6 +132,9 @@
 	if late := now - s.viewAt; s.seq > 2 {
 		place = int(late / (3 * s.cfg.period()))
 	}
+	if len(s.cfg.Stewards) > 0 {
+		return Rendezvous(s.cfg.Stewards, cmp.Or(s.cfg.Service, stewardKey), place)
+	}
 	return StewardAt(s.alive, place)
 }
 
