A server that leaves a whole list is no longer told to be up, to who spreads the load

policy.list marked a server that a whole list does not name as gone, but told package spread so only where a list names it as gone. TestLeftList fails without the line. Alone, it changes only where the turn of a server begins that leaves a whole list and comes back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -397,6 +397,7 @@
 	for _, s := range c.servers {
 		if e.Whole && !listed[s.ID] && s.State != Gone {
 			s.State = Gone
+			c.spread.Listed(s.ID, false)
 			c.logf("server %s has left the list", s.ID)
 		}
 	}
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -236,6 +236,15 @@
 	}
 }
 
+// TestLeftList: a server that a whole list no longer names is not told to be up, to whoever spreads the load.
+func TestLeftList(t *testing.T) {
+	b := newBench(t, testSettings(), up(2)...)
+	b.do(List{Whole: true, Servers: up(1)})
+	if known := b.c.Spread().Known(b.now); len(known) != 1 {
+		t.Errorf("%v are up, one is listed", known)
+	}
+}
+
 // TestReplacedForGood: where new servers take the place of old ones under new ids for ever,
 // those that are gone must not stay; a call that stands at one still ends.
 func TestReplacedForGood(t *testing.T) {
