spread: stewards on control machines decide by service, and Hear is linear in servers

One decision of stewards among agents does change: what a sender sent before its first word to a joint is no longer taken for what it sent within a period.

TestRightsNeverDoubled: also with remote stewards, restarts under a new life, senders that differ in their number, and late news.

--- a/spread/bench_test.go
+++ b/spread/bench_test.go
@@ -101,6 +101,49 @@
 	}
 }
 
+// BenchmarkHearService takes one summary of a service of as many senders as servers, at a steward with a sight
+// of its own (near) and at one without (remote).
+func BenchmarkHearService(b *testing.B) {
+	for _, kind := range []string{"near", "remote"} {
+		for _, n := range []int{10, 27, 100, 243} {
+			b.Run(fmt.Sprintf("%s/size=%d", kind, n), func(b *testing.B) {
+				w, all := stewarded(n, n)
+				if kind == "remote" {
+					w = NewRemoteSteward(Config{Name: "c1", Life: 1})
+				}
+				hear := func(i int) (v View) { // a period goes round in as many summaries as there are senders
+					now, s := time.Hour+time.Duration(i+n)*period/time.Duration(n), &all[i%n]
+					s.From.Seq, s.Demand = uint64(i/n+2), 64
+					if kind == "remote" {
+						s.Senders = n
+					}
+					for j := range s.Counts {
+						s.Counts[j].Sent += uint64(j % 3)
+						s.Counts[j].Done = s.Counts[j].Sent
+						s.Counts[j].Age = time.Second
+					}
+					v, _ = w.Hear(now, *s)
+					return v
+				}
+				for i := range 30 * n { // all rates are learned
+					hear(i)
+				}
+				var v View
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					v = hear(i + 30*n)
+				}
+				if len(v.Dues) != n {
+					b.Fatalf("%d servers", len(v.Dues))
+				}
+				b.ReportMetric(encoded(b, v), "bytes/view")
+				b.ReportMetric(encoded(b, all[0]), "bytes/summary")
+			})
+		}
+	}
+}
+
 // BenchmarkFollow takes a view of n servers at a sender.
 func BenchmarkFollow(b *testing.B) {
 	for _, n := range sizes {
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -81,6 +81,7 @@
 	chilled           bool
 	up                bool
 	due               Due
+	sentAt            Time // the latest set-up of this sender; below 0: none yet
 }
 
 // Seat keeps where a server's part of a State is, once found.
@@ -92,13 +93,16 @@
 	servers map[string]*server
 	demand  rate // set-ups of first tries
 	view    *View
-	viewAt  Time
+	told    bool // a view told shares, and is followed
+	viewAt  Time // when the latest that did came
+	heardAt Time // when the latest view of any kind came
 	lent    Time // its rights are lent until then; below 0: they never were
 	lentTo  string
 	seq     uint64
 	rng     *rand.Rand
 	alive   []string
 	asked   []*server // those asked for their order since the last set-up
+	turn    turn
 
 	summaries [8]sentAt // the latest, by number
 }
@@ -115,7 +119,7 @@
 func (s *State) get(id string) *server {
 	v := s.servers[id]
 	if v == nil {
-		v = &server{turn: s.apart(), up: true}
+		v = &server{turn: s.apart(), up: true, sentAt: -1}
 		s.servers[id] = v
 	}
 	return v
@@ -128,8 +132,8 @@
 
 // Listed tells which servers are up; others are forgotten.
 func (s *State) Listed(id string, up bool) {
-	if !up && s.servers[id] == nil {
-		return
+	if !up && s.servers[id] == nil && !s.distant() {
+		return // a distant steward must not hear of it as listed once this sender has a word of it
 	}
 	v := s.get(id)
 	if up && !v.up {
@@ -170,6 +174,7 @@
 	s.asked = s.asked[:0]
 	v.turn++
 	v.sent++
+	v.sentAt, v.due.Duty = now, false
 	if v.cold(now) {
 		s.spend(now, v)
 	}
@@ -207,7 +212,7 @@
 
 // Follows tells whether this sender follows a view that is fresh.
 func (s *State) Follows(now Time) bool {
-	return s.view != nil && now-s.viewAt < viewPeriods*s.cfg.period()
+	return s.told && now-s.viewAt < viewPeriods*s.cfg.period()
 }
 
 // Order is a server's place among others that are equal to the module: the largest goes first.
@@ -235,8 +240,11 @@
 
 // Look drops a view that is too old to follow.
 func (s *State) Look(now Time) {
-	if s.view != nil && !s.Follows(now) {
+	if s.view != nil && now-s.heardAt >= viewPeriods*s.cfg.period() {
 		s.view = nil
+	}
+	if s.told && !s.Follows(now) {
+		s.told = false
 		for _, v := range s.servers {
 			v.share, v.due = 0, Due{}
 		}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -15,16 +15,22 @@
 const ms = time.Millisecond
 
 // TestRightsNeverDoubled: whatever is lost, late or doubled, however the senders are split over
-// two stewards, whoever stands still for a while and whosever period changes, all together never send a cold server more
-// than the budget and what may have been saved up at the start.
+// two stewards, whoever stands still for a while and whosever period changes, and where stewards die and come back
+// without memory under a new life, all together never send a cold server more than the budget and what may
+// have been saved up at the start. Stewards have a sight of their own or none, and then some senders own a
+// smaller part, by other settings, and the news of the cold server comes to each in its own time.
 func TestRightsNeverDoubled(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const perSecond, span, step = 8.0, 40 * time.Second, 50 * ms
 		n := rapid.IntRange(2, 12).Draw(t, "senders")
 		loss := rapid.IntRange(0, 60).Draw(t, "loss")
 		slow := time.Duration(rapid.IntRange(1, 2500).Draw(t, "slowest")) * ms
-		flips := rapid.IntRange(0, 40).Draw(t, "flips") // how often a sender turns to the other steward
-		churn := rapid.IntRange(0, 20).Draw(t, "churn") // how often somebody's period changes
+		flips := rapid.IntRange(0, 40).Draw(t, "flips")       // how often a sender turns to the other steward
+		churn := rapid.IntRange(0, 20).Draw(t, "churn")       // how often somebody's period changes
+		restarts := rapid.IntRange(0, 10).Draw(t, "restarts") // of a steward, in a thousand steps
+		remote := rapid.Bool().Draw(t, "remote")
+		reload := remote && rapid.Bool().Draw(t, "senders differ")
+		late := rapid.IntRange(1, 5000).Draw(t, "news") // of the cold server, ms
 		periods := []time.Duration{100 * ms, 500 * ms, 2 * time.Second}
 		rnd := rapid.Custom(func(t *rapid.T) int { return rapid.IntRange(0, 1<<30).Draw(t, "x") })
 		seed := uint64(rnd.Draw(t, "seed"))
@@ -45,18 +51,32 @@
 			}
 		}
 		senders := make([]*State, n)
-		offset, stalled, with := make([]Time, n+2), make([]Time, n), make([]int, n)
+		offset, stalled, with, told := make([]Time, n+2), make([]Time, n), make([]int, n), make([]Time, n)
 		for i := range senders {
-			senders[i] = New(Config{Name: fmt.Sprint("a", i), Life: 1, Rank: i, Senders: n})
+			cfg := Config{Name: fmt.Sprint("a", i), Life: 1, Rank: i, Senders: n}
+			if remote {
+				cfg.Stewards, told[i] = []string{"w1", "w2"}, time.Duration(draw(late))*ms
+			}
+			if reload && i%2 == 1 {
+				cfg.Senders = 2 * n
+			}
+			senders[i] = New(cfg)
 			senders[i].Listed("s", true)
 		}
 		for i := range offset {
 			offset[i] = time.Duration(draw(1e9)) * 1000
 		}
-		stewards := []*Steward{NewSteward(Config{Name: "w1", Life: 1, Senders: n}), NewSteward(Config{Name: "w2", Life: 1, Senders: n})}
-		for i, w := range stewards {
-			w.Cold(offset[n+i], "s", perSecond)
+		stewards, lives := make([]*Steward, 2), []int64{0, 0}
+		begin := func(w int, now Time) {
+			lives[w]++
+			cfg := Config{Name: fmt.Sprint("w", w+1), Life: lives[w], Senders: n}
+			if stewards[w] = NewRemoteSteward(cfg); !remote {
+				stewards[w] = NewSteward(cfg)
+				stewards[w].Cold(now+offset[n+w], "s", perSecond)
+			}
 		}
+		begin(0, 0)
+		begin(1, 0)
 		sent := 0
 		for now := Time(0); now < span; now += step {
 			slices.SortStableFunc(post, func(a, b letter) int { return int(a.at - b.at) })
@@ -74,6 +94,11 @@
 					send(now, letter{to: to, view: v})
 				}
 			}
+			for w := range stewards {
+				if draw(1000) < restarts {
+					begin(w, now)
+				}
+			}
 			for i := range n + len(stewards) {
 				switch p := periods[draw(len(periods))]; {
 				case draw(1000) >= churn:
@@ -98,7 +123,7 @@
 					s.demand.x, s.demand.at, s.demand.begun = 5, at, true
 					send(now, letter{to: -1 - with[i], sum: s.Summary(at, fmt.Sprint("w", with[i]+1))})
 				}
-				if s.ColdRoom(at, "s", at, perSecond, time.Second) {
+				if now >= told[i] && s.ColdRoom(at, "s", at, perSecond, time.Second) {
 					s.Sent(at, "s", true)
 					sent++
 				}
--- a/spread/view.go
+++ b/spread/view.go
@@ -123,21 +123,64 @@
 	return v.place
 }
 
-func score(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+func score(key, name string) uint64 {
+	var room [2 * mostName]byte
+	return xxhash.Sum64(append(append(append(room[:0], key...), 0), name...))
+}
 
 // Steward is whom this sender tells now: the first in order or, where its views have not come
 // for some periods, the next.
 func (s *State) Steward(now Time) string {
+	if s.distant() {
+		return s.stewardOf(now)
+	}
 	place := 0
 	if late := now - s.viewAt; s.seq > 2 {
-		place = int(late / (3 * s.cfg.period()))
-	}
-	if len(s.cfg.Stewards) > 0 {
-		return Rendezvous(s.cfg.Stewards, cmp.Or(s.cfg.Service, stewardKey), place)
+		place = int(late / (silentPeriods * s.cfg.period()))
 	}
 	return StewardAt(s.alive, place)
 }
 
+// distant tells whether stewards are no senders.
+func (s *State) distant() bool { return len(s.cfg.Stewards) > 0 }
+
+// turn is which of Config.Stewards a sender tells. Nobody takes a dead machine off that list, as the
+// membership takes a dead sender off those alive. So a sender stays with the next one for as long as that
+// answers, and turns to the first again with one summary now and then; by its first answer it comes back.
+// All senders are back within that time. While they are not, two stewards hear some of them each, and
+// one that hears less than half tells nothing.
+type turn struct {
+	begun bool
+	place int
+	at    Time // it turned to whom it tells
+	tried Time // it last tried the first
+}
+
+const (
+	silentPeriods = 3 // a steward whose views have not come for so long is passed over for the next
+	tryPeriods    = 8 // and tried again so long after
+)
+
+// stewardOf is Steward where Config.Stewards names them.
+func (s *State) stewardOf(now Time) string {
+	t := &s.turn
+	switch {
+	case !t.begun:
+		*t = turn{begun: true, at: now}
+	case now-max(s.heardAt, t.at) >= silentPeriods*s.cfg.period():
+		t.place = (t.place + 1) % len(s.cfg.Stewards)
+		t.at, t.tried = now, now
+	case t.place > 0 && (now-t.tried >= tryPeriods*s.cfg.period() || now == t.tried && now > t.at):
+		t.tried = now
+		return s.stewardAt(0)
+	}
+	return s.stewardAt(t.place)
+}
+
+func (s *State) stewardAt(place int) string {
+	return Rendezvous(s.cfg.Stewards, cmp.Or(s.cfg.Service, stewardKey), place)
+}
+
 // Summary words what this sender knows, for the steward that it names.
 func (s *State) Summary(now Time, steward string) Summary {
 	s.seq++
@@ -148,9 +191,18 @@
 	}
 	for id, v := range s.servers {
 		if v.up || v.sent > v.done {
-			out.Counts = append(out.Counts, Count{Server: id, Sent: v.sent, Done: v.done, Stood: v.stood, Seen: v.seen, Age: now - v.seenAt})
+			c := Count{Server: id, Sent: v.sent, Done: v.done, Stood: v.stood, Seen: v.seen, Age: now - v.seenAt}
+			if s.distant() {
+				if c.Down = !v.up; v.up && v.cold(now) {
+					c.Cold = v.joint
+				}
+			}
+			out.Counts = append(out.Counts, c)
 		}
 	}
+	if s.distant() {
+		out.Senders = max(s.cfg.Senders, 1)
+	}
 	slices.SortFunc(out.Counts, func(a, b Count) int { return cmp.Compare(a.Server, b.Server) })
 	s.remember(now, s.seq)
 	return out
@@ -165,18 +217,33 @@
 	if s.view != nil && v.From.Name == s.view.From.Name && v.From.Life == s.view.From.Life && v.From.Seq <= s.view.From.Seq {
 		return false
 	}
-	s.view, s.viewAt = &v, now
+	s.view, s.heardAt = &v, now
+	// A distant steward that is unsure tells no shares, and what was told before holds on.
+	tells := !s.distant() || slices.ContainsFunc(v.Dues, func(d Due) bool { return d.Share > 0 })
+	if tells {
+		s.told, s.viewAt = true, now
+	}
+	at := s.summaries[v.Echo.Seq%uint64(len(s.summaries))]
+	if t := &s.turn; t.place > 0 && at.seq == v.Echo.Seq && at.at >= t.at && v.From.Name == s.stewardAt(0) {
+		t.place, t.at = 0, now // the first is there again
+	}
 	named := map[string]bool{}
 	for _, d := range v.Dues {
+		if s.distant() && s.servers[d.Server] == nil {
+			continue // it is on no list of this sender's, and none is made of a view
+		}
 		named[d.Server] = true
 		o := s.get(d.Server)
-		o.share, o.due = max(d.Share, 1e-6), d
+		if tells {
+			o.share, o.due = max(d.Share, 1e-6), d
+			o.due.Duty = d.Duty && at.seq == v.Echo.Seq && o.sentAt < at.at // it has not done it since
+		}
 		if d.Grant > 0 {
 			s.grant(now, o, d.Grant, v.Echo.Seq, v.Period)
 		}
 	}
 	for id, o := range s.servers {
-		if !named[id] {
+		if tells && !named[id] {
 			o.share, o.due = 0, Due{}
 		}
 	}
@@ -189,6 +256,9 @@
 
 // onDuty tells whether this sender is the one whose next call an idle server gets.
 func (s *State) onDuty(now Time, id string, v *server) bool {
+	if s.distant() { // who is alive only the steward knows
+		return v.due.Duty && !v.cold(now) && v.sent == v.done
+	}
 	if v.cold(now) || v.due.Idle == 0 || len(s.alive) == 0 {
 		return false
 	}
@@ -206,6 +276,7 @@
 	mostName    = 256
 	mostRate    = 1e9
 	mostPeriod  = time.Minute
+	mostSenders = 1 << 16
 )
 
 // Valid names the first field of a summary that can't be used.
@@ -219,6 +290,9 @@
 	if s.Period < 0 || s.Period > mostPeriod {
 		return fmt.Errorf("field p: %v", s.Period)
 	}
+	if s.Senders < 0 || s.Senders > mostSenders {
+		return fmt.Errorf("field n: %d senders", s.Senders)
+	}
 	if len(s.Counts) > mostServers {
 		return fmt.Errorf("field c: %d servers", len(s.Counts))
 	}
@@ -232,7 +306,7 @@
 		case c.Age < 0:
 			return fmt.Errorf("field %sa: %v", at, c.Age)
 		}
-		for name, x := range map[string]float64{"t": c.Lines, "u": max(c.Util, 0), "q": max(c.Wait, 0)} {
+		for name, x := range map[string]float64{"t": c.Lines, "u": max(c.Util, 0), "q": max(c.Wait, 0), "w": c.Cold} {
 			if err := figure(at+name, x); err != nil {
 				return err
 			}
