woodlab chain path plays bare relays in turn: what any process in between adds

Cause: the time added by an agent was told against a chain without any process in between, so that waking one process more on a shared machine counted as the agent's. Change: a third way of a chain, a process of the laboratory that reads a message, finds its connection and writes it (chainlab.Relay; GOMAXPROCS=1, same sockets towards callers and server). What each process did comes from /proc: processor time by threads (ns), wake-ups, read and write calls. The work of a chain's processes was read in ticks of 10 ms; it is read in nanoseconds now. Tests: TestChain plays relays too, checks the two accounts of processor time against one another and counts writes; TestReports wants the new lines.

--- a/internal/lab/chainlab/chain_test.go
+++ b/internal/lab/chainlab/chain_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,10 +17,17 @@
 
 var bin string
 
-func TestMain(m *testing.M) { os.Exit(lab.BuildAndRun(m, &bin)) }
+// TestMain also is the bare relay that a rig starts.
+func TestMain(m *testing.M) {
+	if i := slices.Index(os.Args, "relay"); i > 0 && i+2 < len(os.Args) {
+		fmt.Fprintln(os.Stderr, Relay(context.Background(), os.Args[i+1], os.Args[i+2]))
+		os.Exit(1)
+	}
+	os.Exit(lab.BuildAndRun(m, &bin))
+}
 
-// TestChain: tens of calls through a chain of three agents, and through the same chain without
-// them. Every call is answered once, at the full depth, after one set-up at each server. Counts
+// TestChain: tens of calls through a chain of three agents, through three relays in their place, and
+// through the same chain without either. Every call is answered once, at the full depth, after one set-up at each server. Counts
 // only: how long it takes is not looked at.
 func TestChain(t *testing.T) {
 	const calls = 60
@@ -27,12 +36,12 @@
 	r, err := newRig(bin, t.TempDir())
 	require.NoError(t, err)
 	defer r.close()
-	for name, agents := range map[string]int{"agents": 3, "direct": 0} {
-		t.Run(name, func(t *testing.T) {
-			c, err := r.chain(ctx, 3, agents > 0)
+	for w, between := range map[way]int{agents: 3, relays: 3, direct: 0} {
+		t.Run(w.String(), func(t *testing.T) {
+			c, err := r.chain(ctx, 3, w)
 			require.NoError(t, err)
 			defer c.close()
-			require.Len(t, c.agents, agents)
+			require.Len(t, c.agents, between)
 			got, err := c.play(ctx, load{rate: 200, span: time.Minute, most: calls, seed: 1})
 			require.NoError(t, err)
 			require.NoError(t, got.err())
@@ -51,6 +60,10 @@
 			for _, a := range c.agents {
 				spent, err := processorTime(a.PID())
 				assert.NoError(t, err)
+				did, err := workOf(a.PID())
+				assert.NoError(t, err)
+				assert.InDelta(t, spent.Seconds(), did.processor.Seconds(), 0.1, "two accounts of one thing")
+				assert.True(t, did.writes >= 2*calls && did.reads > 0 && did.wakes > 0, "%+v: a set-up and an answer are written for each call", did)
 				rss, err := resident(a.PID())
 				assert.NoError(t, err)
 				fds, err := descriptors(a.PID())
@@ -103,10 +116,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	var out strings.Builder
-	require.NoError(t, Path{Bin: bin, Dir: t.TempDir(), Lengths: []int{1, 2}, Rate: 100, Rounds: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
+	require.NoError(t, Path{Bin: bin, Former: bin, Dir: t.TempDir(), Lengths: []int{1, 2}, Rate: 100, Rounds: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
 	require.NoError(t, Ramp{Bin: bin, Dir: t.TempDir(), Lengths: []int{1}, Base: 64, First: 100, Factor: 2, Steps: 2, Span: 300 * time.Millisecond}.Run(ctx, &out))
 	require.NoError(t, Memory{Bin: bin, Dir: t.TempDir(), Step: 100, Looks: 2, Repeats: 1, MemoryMB: 64, CallRate: 1000}.Run(ctx, &out))
-	for _, want := range []string{"chain of 1\n", "chain of 2\n", "highest rate that held", "calls that stand", "calls that wait for their answer", "idle connections of callers"} {
+	for _, want := range []string{"chain of 1\n", "chain of 2\n", "by relays", "ours, former", "highest rate that held", "calls that stand", "calls that wait for their answer", "idle connections of callers"} {
 		assert.Contains(t, out.String(), want)
 	}
 	assert.Regexp(t, `100: +\d+ KB, \d+ descriptors; 0 calls refused, 100 set-ups`, out.String(), "calls that stand")
--- a/internal/lab/chainlab/load.go
+++ b/internal/lab/chainlab/load.go
@@ -36,7 +36,7 @@
 	latency, late                  *hdrhistogram.Histogram
 	hops                           *hdrhistogram.Histogram
 	took                           time.Duration // of the counted span
-	processor                      time.Duration // of all agents in it
+	work                           work          // of all agents in it
 }
 
 // answerMost is how long the last calls of a load are waited for; left is what calls are told.
@@ -91,18 +91,18 @@
 		return result{}, err
 	}
 	defer func() { k.wire.Close(); k.readers.Wait() }()
-	var before time.Duration
+	var before work
 	count := func() {
 		for _, p := range c.peers {
 			p.record(true)
 		}
-		before, err = c.processor()
+		before, err = c.work()
 	}
 	k.send(ctx, l, count)
 	if err != nil {
 		return result{}, err
 	}
-	after, err := c.processor()
+	after, err := c.work()
 	if err != nil {
 		return result{}, err
 	}
@@ -114,7 +114,7 @@
 			k.res.hops.Merge(h)
 		}
 	}
-	k.res.processor = after - before
+	k.res.work = after.plus(before, -1)
 	k.res.lost = k.res.asked - k.res.answered - k.res.refused
 	return *k.res, ctx.Err()
 }
--- a/internal/lab/chainlab/path.go
+++ b/internal/lab/chainlab/path.go
@@ -13,9 +13,11 @@
 	"gonum.org/v1/gonum/stat"
 )
 
-// Path measures chains at one rate: with agents and without them in turn, several rounds.
+// Path measures chains at one rate: with agents, with bare relays and without either in turn,
+// several rounds.
 type Path struct {
 	Bin, Dir   string
+	Former     string // an earlier program, played too; "": none
 	Lengths    []int
 	Rate       float64 // calls a second, which is what each agent of the chain takes
 	Rounds     int
@@ -23,63 +25,99 @@
 	Seed       uint64
 }
 
-// pair is the same chain with and without agents, both up.
-type pair struct {
-	n            int
-	with, direct *chain
+// set is the same chain in several ways, all up.
+type set struct {
+	n      int
+	ways   []way
+	chains [wayCount]*chain
 }
 
-// side is the plays of one side of a pair, added up.
+// side is the plays of one way, added up.
 type side struct {
 	result
+	idle  work          // while calls went past it,
+	still time.Duration // for so long
 }
 
 func newSide() *side {
-	return &side{result{latency: newHistogram(), late: newHistogram(), hops: newHistogram()}}
+	return &side{result: result{latency: newHistogram(), late: newHistogram(), hops: newHistogram()}}
 }
 
 func (s *side) add(r result) {
 	s.asked, s.answered, s.refused, s.lost = s.asked+r.asked, s.answered+r.answered, s.refused+r.refused, s.lost+r.lost
-	s.took, s.processor = s.took+r.took, s.processor+r.processor
+	s.took, s.work = s.took+r.took, s.work.plus(r.work, 1)
 	s.latency.Merge(r.latency)
 	s.late.Merge(r.late)
 	s.hops.Merge(r.hops)
 }
 
-func (r *rig) pair(ctx context.Context, n int) (*pair, error) {
-	p := &pair{n: n}
-	var err error
-	if p.with, err = r.chain(ctx, n, true); err != nil {
-		return nil, err
+func (r *rig) set(ctx context.Context, n int, ways ...way) (*set, error) {
+	s := &set{n: n, ways: ways}
+	for _, w := range ways {
+		var err error
+		if s.chains[w], err = r.chain(ctx, n, w); err != nil {
+			s.close()
+			return nil, err
+		}
 	}
-	if p.direct, err = r.chain(ctx, n, false); err != nil {
-		p.with.close()
-		return nil, err
+	return s, nil
+}
+
+func (s *set) close() {
+	for _, c := range s.chains {
+		if c != nil {
+			c.close()
+		}
 	}
-	return p, nil
 }
 
-func (p *pair) close() { p.with.close(); p.direct.close() }
-
-// round plays both sides once, in the order asked for. idle is what the agents had of processors
-// while the calls went past them.
-func (p *pair) round(ctx context.Context, l load, directFirst bool) (with, direct result, idle float64, err error) {
-	for i := range 2 {
-		if (i == 0) != directFirst {
-			with, err = p.with.play(ctx, l)
-		} else {
-			var before, after time.Duration
-			before, _ = p.with.processor()
-			began := time.Now()
-			direct, err = p.direct.play(ctx, l)
-			after, _ = p.with.processor()
-			idle = (after - before).Seconds() / time.Since(began).Seconds()
+// played is what came of one round, by way.
+type played struct {
+	results [wayCount]result
+	idle    [wayCount]work // of those that calls went past, while none was in between
+	still   time.Duration
+}
+
+// round plays each way once, from the turn-th on.
+func (s *set) round(ctx context.Context, l load, turn int) (p played, err error) {
+	for i := range s.ways {
+		w := s.ways[(turn+i)%len(s.ways)]
+		if w != direct {
+			if p.results[w], err = s.chains[w].play(ctx, l); err != nil {
+				return p, err
+			}
+			continue
+		}
+		began := time.Now()
+		if err := s.idle(&p, -1); err != nil {
+			return p, err
+		}
+		if p.results[w], err = s.chains[w].play(ctx, l); err != nil {
+			return p, err
 		}
+		if err := s.idle(&p, 1); err != nil {
+			return p, err
+		}
+		p.still = time.Since(began)
+	}
+	for _, r := range p.results {
+		if err := r.err(); err != nil {
+			return p, err
+		}
+	}
+	return p, nil
+}
+
+// idle adds what has been done so far, so many times, to what was done idle.
+func (s *set) idle(p *played, times int64) error {
+	for _, w := range s.ways {
+		did, err := s.chains[w].work()
 		if err != nil {
-			return with, direct, idle, err
+			return err
 		}
+		p.idle[w] = p.idle[w].plus(did, times)
 	}
-	return with, direct, idle, firstError(with.err(), direct.err())
+	return nil
 }
 
 // quietMost is the callers' own lateness, 99th percentile, up to which a play is quiet: the machine
@@ -88,17 +126,43 @@
 
 func (r result) quiet() bool { return time.Duration(r.late.ValueAtPercentile(99)) <= quietMost }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
+// quantiles that are told, in percent.
+var quantiles = []float64{50, 99, 99.9}
+
+// measured is what came of one chain over all rounds, by way.
+type measured struct {
+	*set
+	sides  [wayCount]*side
+	quiet  [wayCount]*side // the same, of quiet plays alone
+	plays  [wayCount]int   // how many those are
+	rounds []played
+}
+
+func (m *measured) add(p played) {
+	m.rounds = append(m.rounds, p)
+	for _, w := range m.ways {
+		r := p.results[w]
+		m.sides[w].add(r)
+		m.sides[w].idle = m.sides[w].idle.plus(p.idle[w], 1)
+		m.sides[w].still += p.still
+		if r.quiet() {
+			m.quiet[w].add(r)
+			m.plays[w]++
 		}
 	}
-	return nil
 }
 
-// quantiles that are told, in percent.
-var quantiles = []float64{50, 99, 99.9}
+// contrasts are the differences that are told, of those ways that were played.
+var contrasts = []struct {
+	name string
+	a, b way
+}{
+	{"added", agents, direct},
+	{"by relays", relays, direct},
+	{"ours", agents, relays}, // what the agents add beyond any process in between
+	{"ours, former", former, relays},
+	{"mended", agents, former},
+}
 
 // Run plays the rounds and tells of each chain, and of the lines through all of them.
 func (m Path) Run(ctx context.Context, out io.Writer) error {
@@ -107,82 +171,47 @@
 		return err
 	}
 	defer r.close()
-	type measured struct {
-		*pair
-		with, direct *side
-		still        [2]*side // the same, of quiet plays alone
-		plays        [2]int   // how many those are
-		rounds       [][2]result
-		idle         float64
+	ways := []way{agents, relays, direct}
+	if m.Former != "" {
+		r.former, ways = m.Former, []way{agents, former, relays, direct}
 	}
 	var all []*measured
 	for _, n := range m.Lengths {
-		p, err := r.pair(ctx, n)
+		s, err := r.set(ctx, n, ways...)
 		if err != nil {
 			return err
 		}
-		defer p.close()
-		all = append(all, &measured{pair: p, with: newSide(), direct: newSide(), still: [2]*side{newSide(), newSide()}})
+		defer s.close()
+		c := &measured{set: s}
+		for _, w := range ways {
+			c.sides[w], c.quiet[w] = newSide(), newSide()
+		}
+		all = append(all, c)
 	}
-	fmt.Fprintf(out, "%g calls a second, Poisson, through each chain; %d rounds of %v with agents and %v without (after %v of warm-up each), in turn\n",
-		m.Rate, m.Rounds, m.Span, m.Span, m.Warm)
-	fmt.Fprintf(out, "a play is quiet where p99 of the callers' own lateness is within %v: the machine is shared\n", quietMost)
-	fmt.Fprintln(out, "latencies in µs from the moment a call was due; a hop: from placing a call to its answer, without the time below")
+	fmt.Fprintf(out, "%g calls a second, Poisson, through each chain; %d rounds of %v each way: %v (after %v of warm-up each), in turn\n",
+		m.Rate, m.Rounds, m.Span, ways, m.Warm)
+	fmt.Fprintf(out, "a play is quiet where p99 of the callers' own lateness is within %v: the machine may be shared\n", quietMost)
+	fmt.Fprintln(out, "latencies in µs from the moment a call was due; a hop: from placing a call to its answer, without the time below; added: agents less direct; by relays: relays less direct; ours: agents less relays")
 	for i := range m.Rounds {
 		for _, c := range all {
-			l := load{rate: m.Rate, warm: m.Warm, span: m.Span, seed: m.Seed + uint64(i)}
-			with, direct, idle, err := c.round(ctx, l, i%2 == 1)
+			p, err := c.round(ctx, load{rate: m.Rate, warm: m.Warm, span: m.Span, seed: m.Seed + uint64(i)}, i)
 			if err != nil {
 				return err
 			}
-			c.with.add(with)
-			c.direct.add(direct)
-			for i, r := range []result{with, direct} {
-				if r.quiet() {
-					c.still[i].add(r)
-					c.plays[i]++
-				}
-			}
-			c.rounds = append(c.rounds, [2]result{with, direct})
-			c.idle += idle / float64(m.Rounds)
+			c.add(p)
 		}
 	}
 	var lengths []float64
 	added := map[string][]float64{}
 	for _, c := range all {
-		fmt.Fprintf(out, "\nchain of %d\n", c.n)
-		fmt.Fprintf(out, "  %-12s %6s %6s %5s %5s %8s %8s %8s %8s %8s | callers late p50 %s\n", "", "calls", "answ.", "ref.", "lost", "mean", "p50", "p99", "p99.9", "max", "p99 max")
-		tell(out, "with agents", c.with)
-		tell(out, "direct", c.direct)
-		compare(out, "added", c.with.latency, c.direct.latency, 1)
-		if c.n > 1 {
-			compare(out, "added / hop", c.with.latency, c.direct.latency, float64(c.n))
-		}
-		hops(out, "hop, agent", c.with.hops)
-		hops(out, "hop, direct", c.direct.hops)
-		compare(out, "hop added", c.with.hops, c.direct.hops, 1)
-		if c.plays[0] > 0 && c.plays[1] > 0 {
-			fmt.Fprintf(out, "  quiet plays: %d with agents, %d direct\n", c.plays[0], c.plays[1])
-			tell(out, "with agents", c.still[0])
-			tell(out, "direct", c.still[1])
-			compare(out, "added", c.still[0].latency, c.still[1].latency, 1)
-			hops(out, "hop, agent", c.still[0].hops)
-			hops(out, "hop, direct", c.still[1].hops)
-			compare(out, "hop added", c.still[0].hops, c.still[1].hops, 1)
-		}
+		c.tell(out)
+		a, b := c.sides[agents].latency, c.sides[direct].latency
 		for _, q := range quantiles[:2] {
-			var diffs, ratios []float64
-			for _, both := range c.rounds {
-				a, b := both[0].latency.ValueAtPercentile(q), both[1].latency.ValueAtPercentile(q)
-				diffs, ratios = append(diffs, float64(a-b)/1e3), append(ratios, float64(a)/float64(b))
-			}
-			fmt.Fprintf(out, "  rounds, added p%g:%s; ratios:%s\n", q, list(diffs, "%.0f"), list(ratios, "%.2f"))
 			name := fmt.Sprintf("p%g", q)
-			added[name] = append(added[name], float64(c.with.latency.ValueAtPercentile(q)-c.direct.latency.ValueAtPercentile(q))/1e3)
+			added[name] = append(added[name], float64(a.ValueAtPercentile(q)-b.ValueAtPercentile(q))/1e3)
 		}
-		added["mean"] = append(added["mean"], (c.with.latency.Mean()-c.direct.latency.Mean())/1e3)
+		added["mean"] = append(added["mean"], (a.Mean()-b.Mean())/1e3)
 		lengths = append(lengths, float64(c.n))
-		fmt.Fprintf(out, "  processor time: %s; idle agents %.2f ms a second each\n", perCall(c.with.result, c.n, c.idle), 1e3*c.idle/float64(c.n))
 	}
 	if len(lengths) > 1 {
 		fmt.Fprintln(out, "\nlines through the chains: added µs = a + b × agents")
@@ -193,30 +222,100 @@
 	return nil
 }
 
-// perCall words the agents' processor time, with what they take idle and without.
-func perCall(r result, n int, idle float64) string {
-	calls := float64(max(r.asked*n, 1))
-	whole := float64(r.processor.Microseconds())
-	return fmt.Sprintf("%.0f µs a call and agent, %.0f without what idle agents take (%v in all)",
-		whole/calls, (whole-1e6*idle*r.took.Seconds())/calls, r.processor)
+// tell tells of one chain.
+func (m *measured) tell(out io.Writer) {
+	fmt.Fprintf(out, "\nchain of %d\n", m.n)
+	fmt.Fprintf(out, "  %-16s %6s %6s %5s %5s %8s %8s %8s %8s %8s | callers late p50 %s\n", "", "calls", "answ.", "ref.", "lost", "mean", "p50", "p99", "p99.9", "max", "p99 max")
+	m.tellSides(out, m.sides)
+	quiet := true
+	for _, w := range m.ways {
+		quiet = quiet && m.plays[w] > 0
+	}
+	if quiet {
+		fmt.Fprint(out, "  quiet plays:")
+		for _, w := range m.ways {
+			fmt.Fprintf(out, " %d of %d %v;", m.plays[w], len(m.rounds), w)
+		}
+		fmt.Fprintln(out)
+		m.tellSides(out, m.quiet)
+	}
+	for _, q := range quantiles[:2] {
+		for _, k := range contrasts {
+			if m.sides[k.a] == nil || m.sides[k.b] == nil {
+				continue
+			}
+			var diffs, ratios []float64
+			for _, p := range m.rounds {
+				a, b := p.results[k.a].latency.ValueAtPercentile(q), p.results[k.b].latency.ValueAtPercentile(q)
+				diffs, ratios = append(diffs, float64(a-b)/1e3), append(ratios, float64(a)/float64(b))
+			}
+			fmt.Fprintf(out, "  rounds, %s p%g:%s; ratios:%s\n", k.name, q, list(diffs, "%.0f"), list(ratios, "%.2f"))
+		}
+	}
+	fmt.Fprintln(out, "  of one process: processor time a call, and without what it takes idle; the same of its threads' wake-ups, reads and writes; a second idle")
+	for _, w := range m.ways {
+		if w != direct {
+			fmt.Fprintf(out, "    %-12s %s\n", w, m.sides[w].spent(m.n))
+		}
+	}
+}
+
+func (m *measured) tellSides(out io.Writer, sides [wayCount]*side) {
+	for _, w := range m.ways {
+		tell(out, w.String(), sides[w])
+	}
+	differ := func(of string, n float64, h func(*side) *hdrhistogram.Histogram) {
+		for _, k := range contrasts {
+			if sides[k.a] != nil && sides[k.b] != nil {
+				compare(out, k.name+of, h(sides[k.a]), h(sides[k.b]), n)
+			}
+		}
+	}
+	latencies := func(s *side) *hdrhistogram.Histogram { return s.latency }
+	differ("", 1, latencies)
+	if m.n > 1 {
+		differ(" / hop", float64(m.n), latencies)
+	}
+	for _, w := range m.ways {
+		hops(out, "hop, "+w.String(), sides[w].hops)
+	}
+	differ(", hop", 1, func(s *side) *hdrhistogram.Histogram { return s.hops })
+}
+
+// spent words what one of n processes did.
+func (s *side) spent(n int) string {
+	calls, seconds, still := float64(max(s.asked, 1)*n), s.took.Seconds()*float64(n), max(s.still.Seconds(), 1e-9)*float64(n)
+	var b strings.Builder
+	for _, f := range []struct {
+		name        string
+		whole, idle float64
+	}{
+		{"µs", s.work.processor.Seconds() * 1e6, s.idle.processor.Seconds() * 1e6 / still},
+		{"wake-ups", float64(s.work.wakes), float64(s.idle.wakes) / still},
+		{"reads", float64(s.work.reads), float64(s.idle.reads) / still},
+		{"writes", float64(s.work.writes), float64(s.idle.writes) / still},
+	} {
+		fmt.Fprintf(&b, "%s %.1f, %.1f (%.1f idle); ", f.name, f.whole/calls, (f.whole-f.idle*seconds)/calls, f.idle)
+	}
+	return strings.TrimSuffix(b.String(), "; ")
 }
 
 func tell(out io.Writer, name string, s *side) {
 	h := s.latency
-	fmt.Fprintf(out, "  %-12s %6d %6d %5d %5d %8.0f %8s %8s %8s %8s | %s %s %s\n", name, s.asked, s.answered, s.refused, s.lost, h.Mean()/1e3,
+	fmt.Fprintf(out, "  %-16s %6d %6d %5d %5d %8.0f %8s %8s %8s %8s | %s %s %s\n", name, s.asked, s.answered, s.refused, s.lost, h.Mean()/1e3,
 		us(h.ValueAtPercentile(50)), us(h.ValueAtPercentile(99)), us(h.ValueAtPercentile(99.9)), us(h.Max()),
 		us(s.late.ValueAtPercentile(50)), us(s.late.ValueAtPercentile(99)), us(s.late.Max()))
 }
 
 func hops(out io.Writer, name string, h *hdrhistogram.Histogram) {
-	fmt.Fprintf(out, "  %-12s %6d %6s %5s %5s %8.0f %8s %8s %8s %8s\n", name, h.TotalCount(), "", "", "", h.Mean()/1e3,
+	fmt.Fprintf(out, "  %-16s %6d %6s %5s %5s %8.0f %8s %8s %8s %8s\n", name, h.TotalCount(), "", "", "", h.Mean()/1e3,
 		us(h.ValueAtPercentile(50)), us(h.ValueAtPercentile(99)), us(h.ValueAtPercentile(99.9)), us(h.Max()))
 }
 
 // compare tells what the agents added: the difference of the means and quantiles, over so many
 // hops, and the ratio.
 func compare(out io.Writer, name string, a, b *hdrhistogram.Histogram, over float64) {
-	fmt.Fprintf(out, "  %-12s %25s %8.0f", name, "", (a.Mean()-b.Mean())/1e3/over)
+	fmt.Fprintf(out, "  %-16s %25s %8.0f", name, "", (a.Mean()-b.Mean())/1e3/over)
 	for _, q := range quantiles {
 		fmt.Fprintf(out, " %8.0f", float64(a.ValueAtPercentile(q)-b.ValueAtPercentile(q))/1e3/over)
 	}
@@ -308,7 +407,7 @@
 }
 
 func (m Ramp) climb(ctx context.Context, out io.Writer, r *rig, n int) error {
-	p, err := r.pair(ctx, n)
+	p, err := r.set(ctx, n, agents, direct)
 	if err != nil {
 		return err
 	}
@@ -327,17 +426,22 @@
 		}
 		lab, _ := processorTime(os.Getpid())
 		began := time.Now()
-		with, direct, idle, err := p.round(ctx, load{rate: rate, warm: m.Warm, span: span, seed: m.Seed + uint64(i+1)}, (i%2 == 0) != again)
+		turn := 0
+		if (i%2 == 0) != again {
+			turn = 1
+		}
+		both, err := p.round(ctx, load{rate: rate, warm: m.Warm, span: span, seed: m.Seed + uint64(i+1)}, turn)
 		if err != nil {
 			return err
 		}
 		after, _ := processorTime(os.Getpid())
-		a, d := with.latency, direct.latency
+		with, idle := both.results[agents], both.idle[agents].processor.Seconds()/both.still.Seconds()
+		a, d := with.latency, both.results[direct].latency
 		if i < 0 {
 			base = with
 		}
 		why := broken(with, base)
-		used := with.processor.Seconds() / with.took.Seconds()
+		used := with.work.processor.Seconds() / with.took.Seconds()
 		add50, add99 := float64(a.ValueAtPercentile(50)-d.ValueAtPercentile(50))/1e3, float64(a.ValueAtPercentile(99)-d.ValueAtPercentile(99))/1e3
 		fmt.Fprintf(out, "  %7.0f %7d %6d | %7s %7s %7s | %7s %7s | %7.0f %7.0f %6.2f | %7.1f %7.1f | %5.2f %5.2f %5.2f | %6s %6.0f %s\n", rate, with.asked, with.refused+with.lost,
 			us(a.ValueAtPercentile(50)), us(a.ValueAtPercentile(99)), us(a.ValueAtPercentile(99.9)), us(d.ValueAtPercentile(50)), us(d.ValueAtPercentile(99)),
--- a/internal/lab/chainlab/process.go
+++ b/internal/lab/chainlab/process.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -35,19 +36,63 @@
 	return time.Duration(sum) * tick, nil
 }
 
-// resident is a process's resident memory in bytes.
-func resident(pid int) (int64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+// work is what processes have done since their start.
+type work struct {
+	processor     time.Duration // to the nanosecond, of the threads there are
+	wakes         int64         // times that a thread gave its processor up to wait, and came back
+	reads, writes int64         // system calls of these kinds
+}
+
+func (w work) plus(v work, times int64) work {
+	return work{w.processor + time.Duration(times)*v.processor, w.wakes + times*v.wakes, w.reads + times*v.reads, w.writes + times*v.writes}
+}
+
+// workOf reads a process's work. Go ends no thread, so that all threads' together is the process's.
+func workOf(pid int) (w work, err error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
+	if err != nil {
+		return w, err
+	}
+	for _, t := range threads {
+		var ran int64
+		text, err := os.ReadFile(t + "/schedstat")
+		if err == nil {
+			_, err = fmt.Sscan(string(text), &ran)
+		}
+		if err != nil {
+			return w, err
+		}
+		waits, err := figure(t+"/status", "voluntary_ctxt_switches:")
+		if err != nil {
+			return w, err
+		}
+		w.processor, w.wakes = w.processor+time.Duration(ran), w.wakes+waits
+	}
+	io := fmt.Sprintf("/proc/%d/io", pid)
+	if w.reads, err = figure(io, "syscr:"); err == nil {
+		w.writes, err = figure(io, "syscw:")
+	}
+	return w, err
+}
+
+// figure is the number behind a word at the beginning of a line.
+func figure(path, word string) (int64, error) {
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return 0, err
 	}
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-			return kb << 10, err
+		if rest, ok := strings.CutPrefix(line, word); ok {
+			return strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 		}
 	}
-	return 0, fmt.Errorf("/proc/%d/status has no VmRSS", pid)
+	return 0, fmt.Errorf("%s has no %s", path, word)
+}
+
+// resident is a process's resident memory in bytes.
+func resident(pid int) (int64, error) {
+	kb, err := figure(fmt.Sprintf("/proc/%d/status", pid), "VmRSS:")
+	return kb << 10, err
 }
 
 // descriptors is how many a process has open.
--- a/internal/lab/chainlab/rig.go
+++ b/internal/lab/chainlab/rig.go
@@ -50,6 +50,7 @@
 // rig is the addresses of a run and its bulletin, which lists nothing new.
 type rig struct {
 	Bin, Dir string
+	former   string // the program of former agents
 	octet    *faultnet.Octet
 	peers    int // addresses taken
 	agents   int
@@ -115,7 +116,8 @@
 // limits are an agent's bounds.
 type limits struct {
 	memoryMB, sockets int
-	held              bool // the system holds it to its descriptors, as the platform does
+	held              bool   // the system holds it to its descriptors, as the platform does
+	bin               string // another program than the rig's
 }
 
 // agent starts an agent that knows these servers.
@@ -140,13 +142,26 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	a.Proc = &faultnet.Proc{Name: name, Bin: r.Bin, Env: append(os.Environ(), "PROXY_CONFIG="+path, "WOODROUTER_SOURCE="+host, "GOMAXPROCS=1")}
+	a.Proc = &faultnet.Proc{Name: name, Bin: cmp.Or(l.bin, r.Bin), Env: append(os.Environ(), "PROXY_CONFIG="+path, "WOODROUTER_SOURCE="+host, "GOMAXPROCS=1")}
 	if l.held { // the shell sets its own bound and becomes the agent
-		a.Proc.Bin, a.Proc.Args = "/bin/sh", []string{"-c", `ulimit -n "$0" && exec "$1"`, strconv.Itoa(l.sockets), r.Bin}
+		a.Proc.Bin, a.Proc.Args = "/bin/sh", []string{"-c", `ulimit -n "$0" && exec "$1"`, strconv.Itoa(l.sockets), a.Proc.Bin}
 	}
 	return a, a.Proc.Start()
 }
 
+// relay starts a Relay, which cmd/woodlab and this package's tests are when asked for it.
+func (r *rig) relay(server *peer) (*agent, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	r.agents++
+	a := &agent{addr: fmt.Sprintf("%s:%d", r.octet.Host(agentsAt+r.agents), agentPort)}
+	a.Proc = &faultnet.Proc{Name: fmt.Sprintf("a%d", r.agents), Bin: self, Args: []string{"chain", "relay", a.addr, server.addr()},
+		Env: append(os.Environ(), "GOMAXPROCS=1")}
+	return a, a.Proc.Start()
+}
+
 // readyMost bounds an agent's start on a busy machine.
 const readyMost = 30 * time.Second
 
@@ -192,15 +207,29 @@
 	return nil
 }
 
-// chain is peers in a row, with an agent before each or without any.
+// way is what lies before each peer of a chain.
+type way int
+
+// The ways. What relays add is what any process in between adds on this machine.
+const (
+	agents way = iota
+	former     // agents of another program, an earlier one
+	relays
+	direct // nothing
+	wayCount
+)
+
+func (w way) String() string { return [...]string{"with agents", "former", "relays", "direct"}[w] }
+
+// chain is peers in a row, with a process before each or none.
 type chain struct {
-	peers  []*peer // the first is met first
-	agents []*agent
-	entry  string // where callers connect
+	peers  []*peer  // the first is met first
+	agents []*agent // or relays
+	entry  string   // where callers connect
 }
 
 // chain starts one of n hops.
-func (r *rig) chain(ctx context.Context, n int, agents bool) (*chain, error) {
+func (r *rig) chain(ctx context.Context, n int, w way) (*chain, error) {
 	c := &chain{peers: make([]*peer, n)}
 	for k := n - 1; k >= 0; k-- { // the last first: each must know the next
 		p, err := r.peer(c.entry)
@@ -209,14 +238,22 @@
 			return nil, err
 		}
 		c.peers[k], c.entry = p, p.addr()
-		if agents {
-			a, err := r.agent([]*peer{p}, limits{})
-			if err != nil {
-				c.close()
-				return nil, err
-			}
-			c.agents, c.entry = append(c.agents, a), a.addr
+		var a *agent
+		switch w {
+		case agents:
+			a, err = r.agent([]*peer{p}, limits{})
+		case former:
+			a, err = r.agent([]*peer{p}, limits{bin: r.former})
+		case relays:
+			a, err = r.relay(p)
+		default:
+			continue
+		}
+		if err != nil {
+			c.close()
+			return nil, err
 		}
+		c.agents, c.entry = append(c.agents, a), a.addr
 	}
 	for _, a := range c.agents {
 		if err := a.ready(ctx, readyMost); err != nil {
@@ -238,14 +275,14 @@
 	}
 }
 
-// processor is what the chain's agents have had of processors, together.
-func (c *chain) processor() (sum time.Duration, err error) {
+// work is what the chain's agents or relays have done, together.
+func (c *chain) work() (sum work, err error) {
 	for _, a := range c.agents {
-		d, err := processorTime(a.PID())
+		w, err := workOf(a.PID())
 		if err != nil {
-			return 0, err
+			return sum, err
 		}
-		sum += d
+		sum = sum.plus(w, 1)
 	}
 	return sum, nil
 }
--- a/internal/lab/labcli/chain.go
+++ b/internal/lab/labcli/chain.go
@@ -12,18 +12,25 @@
 	Path   chainPathCommand   `cmd:"" help:"Measure what agents add to a call's latency, and their processor time, at one rate."`
 	Ramp   chainRampCommand   `cmd:"" help:"Raise the rate until it no longer holds."`
 	Memory chainMemoryCommand `cmd:"" help:"Measure an agent's memory by calls that stand or wait and by idle connections."`
+	Relay  chainRelayCommand  `cmd:"" hidden:"" help:"A helper process of a measurement: passes calls on to one server, and decides nothing."`
 	Lists  chainListsCommand  `cmd:"" help:"Measure how many servers of a list an agent holds within its descriptors, and what becomes of calls."`
 }
 
 type chainPathCommand struct {
 	Agents []int         `help:"Lengths of the chains." default:"1,3,9,18"`
 	Rate   float64       `help:"Calls a second through each chain, which each of its agents takes." default:"64"`
-	Rounds int           `help:"Times that each chain is played with and without agents." default:"4"`
+	Former string        `help:"An earlier program, played in turn with this one." type:"existingfile"`
+	Rounds int           `help:"Times that each chain is played with agents, with bare relays and without." default:"4"`
 	Warm   time.Duration `help:"Of each play, not counted." default:"500ms"`
 	Span   time.Duration `help:"Of each play, counted." default:"6s"`
 	Seed   uint64        `help:"Draws the arrivals." default:"1"`
 }
 
+type chainRelayCommand struct {
+	Listen string `arg:""`
+	Server string `arg:""`
+}
+
 type chainRampCommand struct {
 	Agents []int         `help:"Lengths of the chains." default:"1,3,9,18"`
 	Base   float64       `help:"Rate that counts as unloaded." default:"64"`
@@ -58,7 +65,7 @@
 	switch part {
 	case "chain path":
 		p := c.Path
-		return chainlab.Path{Bin: bin, Dir: dir, Lengths: p.Agents, Rate: p.Rate, Rounds: p.Rounds, Warm: p.Warm, Span: p.Span, Seed: p.Seed}.Run(ctx, out)
+		return chainlab.Path{Bin: bin, Dir: dir, Former: p.Former, Lengths: p.Agents, Rate: p.Rate, Rounds: p.Rounds, Warm: p.Warm, Span: p.Span, Seed: p.Seed}.Run(ctx, out)
 	case "chain ramp":
 		r := c.Ramp
 		return chainlab.Ramp{Bin: bin, Dir: dir, Lengths: r.Agents, Base: r.Base, First: r.First, Factor: r.Factor, Steps: r.Steps,
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -19,6 +19,7 @@
 	"github.com/alecthomas/kong"
 
 	"woodrouter/internal/faultnet"
+	"woodrouter/internal/lab/chainlab"
 	"woodrouter/internal/lab/promiselab"
 	"woodrouter/internal/lab/zonelab"
 )
@@ -106,6 +107,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	if r := cli.Chain.Relay; r.Server != "" { // it needs no program and no directory, and is killed
+		fmt.Fprintln(errs, "woodlab:", chainlab.Relay(ctx, r.Listen, r.Server))
+		return 1
+	}
 	dir, err := os.MkdirTemp("", "woodlab")
 	if err != nil {
 		fmt.Fprintln(errs, "woodlab:", err)
