A setup server's connection is looked at only when a look may show something

Cause: trunk.listen set itself a timer each quarter of Stall (75 ms) for as long as a connection was up, 13 a second and server whether or not a set-up was out: with nothing out and nothing standing it looks at nothing. An idle agent with one server woke its threads 182 times a second (/proc, on the quiet machine), a bare relay 3 times. Change: watch sets the timer for the first of the same moments (multiples of a quarter of Stall since the first look) at which a condition may hold: the next while a set-up is out, Silence or Speak after the last word otherwise, none with nothing open; a set-up that is written sets it anew. Packages of servers, fronts, agent passed with -race.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -20,6 +20,9 @@
 	left    time.Time     // when it was retired
 	late    bool          // it has spoken since
 	stated  time.Time     // when its server last told the group's state on it
+	first   time.Time     // when it was looked at first
+	look    time.Time     // when it will be next; zero: no look is due
+	timer   *time.Timer   // of that
 }
 
 // stalled tells whether set-ups have waited on a connection for so long without a word on it.
@@ -67,6 +70,9 @@
 		l.retired = false
 		t.retired--
 	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
 	l.conn.Close()
 }
 
@@ -123,6 +129,7 @@
 	if t.link != l {
 		return
 	}
+	l.look = time.Time{}
 	silent := time.Since(l.heard)
 	switch {
 	case !l.spoke && silent >= t.cfg.Speak:
@@ -135,5 +142,42 @@
 		t.tried = time.Now()
 		t.dial()
 	}
-	time.AfterFunc(t.cfg.Stall/4, func() { t.post(func() { t.listen(l) }) })
+	t.watch(l)
+}
+
+// watch has the connection looked at when a look may next show something, which is soon while a set-up
+// is out on it. Nothing out, nothing standing: nothing to look for, until a set-up is written. An agent
+// has many servers, and looks at them all would be most of what it does between calls. Wherever one
+// is due, looks are a quarter of Stall apart, counted from the first.
+func (t *trunk) watch(l *link) {
+	now := time.Now()
+	if l.first.IsZero() {
+		l.first = now
+	}
+	wait := t.cfg.Silence
+	switch {
+	case l.out > 0:
+		wait = 0
+	case !l.spoke && len(t.open) > 0:
+		wait = min(t.cfg.Speak, wait)
+	case !l.spoke:
+		wait = t.cfg.Speak
+	case len(t.open) == 0:
+		return
+	}
+	step, since := max(t.cfg.Stall/4, 1), now.Sub(l.first)
+	at := max(l.heard.Add(wait).Sub(l.first), since)
+	if at = (at + step - 1) / step * step; at == since {
+		at += step
+	}
+	due := l.first.Add(at)
+	if !l.look.IsZero() && !l.look.After(due) {
+		return
+	}
+	l.look = due
+	if l.timer == nil {
+		l.timer = time.AfterFunc(at-since, func() { t.post(func() { t.listen(l) }) })
+		return
+	}
+	l.timer.Reset(at - since)
 }
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -227,6 +227,7 @@
 		if link.out++; link.out == 1 {
 			link.since = time.Now()
 		}
+		t.watch(link)
 	}
 	if err == nil {
 		t.sent.Add(1)
