One deadline a wait for callers, and no memory an item for a mailbox

Change: a caller's deadline is set where its connection is read, the same times counted from the same moments. A mailbox uses its places again; one that held over 32 gives them back when it is empty.

--- a/internal/front/desk/desk_test.go
+++ b/internal/front/desk/desk_test.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -66,3 +67,48 @@
 	d.Clear(time.Minute)
 	assert.ErrorIs(t, d.Offer(p, agent.Call{ID: "1"}, nil), errEnded)
 }
+
+// counting is a connection that has so many messages of one byte, each with the next or alone, and
+// counts the deadlines set.
+type counting struct {
+	net.Conn
+	reads [][]byte
+	set   int
+}
+
+func (c *counting) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+func (c *counting) SetReadDeadline(time.Time) error {
+	c.set++
+	return nil
+}
+func (c *counting) Read(b []byte) (int, error) {
+	if len(c.reads) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, c.reads[0])
+	c.reads = c.reads[1:]
+	return n, nil
+}
+
+// TestDeadlinesSet: one deadline for each wait, and none for what is there already.
+func TestDeadlinesSet(t *testing.T) {
+	for _, tc := range []struct {
+		reads []string
+		want  int // the last is for the connection's end
+	}{
+		{[]string{"a", "b", "c"}, 4}, // each is waited for
+		{[]string{"abc", "def"}, 3},
+	} {
+		c := &counting{}
+		for _, r := range tc.reads {
+			c.reads = append(c.reads, []byte(r))
+		}
+		p := newPeer(New(Config{}, none{}, nil, nil), c)
+		p.said.Store(true)
+		for p.Await() == nil {
+			p.In.ReadByte()
+			p.Said()
+		}
+		assert.Equal(t, tc.want, c.set, tc.reads)
+	}
+}
--- a/internal/front/desk/peer.go
+++ b/internal/front/desk/peer.go
@@ -47,6 +47,9 @@
 	idle  time.Duration
 	ready atomic.Bool // it can be sent releases
 
+	due   time.Time // the reader's: what it waits for must have come by then
+	timed bool      // that is set on the connection
+
 	linger atomic.Bool // it leaves without haste
 
 	open, calls int // set-ups without an answer, and all calls; guarded by the desk
@@ -72,10 +75,16 @@
 	return p
 }
 
-// arrivals reads a connection and notes that something came: whoever writes slowly is not idle.
+// arrivals reads a connection and notes that something came: whoever writes slowly is not idle. The
+// deadline is set on the connection only here, where something must be waited for: most messages are
+// there whole once they have begun.
 type arrivals struct{ p *Peer }
 
 func (a arrivals) Read(b []byte) (int, error) {
+	if !a.p.timed {
+		a.p.conn.SetReadDeadline(a.p.due)
+		a.p.timed = true
+	}
 	n, err := a.p.conn.Read(b)
 	if n > 0 {
 		a.p.touch()
@@ -120,7 +129,7 @@
 // FirstTime: who only holds it open is told apart from a caller between two calls.
 func (p *Peer) Await() error {
 	if !p.said.Load() {
-		p.conn.SetReadDeadline(p.born.Add(p.desk.FirstTime))
+		p.by(p.born.Add(p.desk.FirstTime))
 		_, err := p.In.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return errNothing
@@ -128,16 +137,19 @@
 		p.begun.Store(err == nil)
 		return err
 	}
-	p.conn.SetReadDeadline(time.Now().Add(p.idle))
+	p.by(time.Now().Add(p.idle))
 	_, err := p.In.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return ErrIdle
 	}
 	p.begun.Store(err == nil)
-	p.conn.SetReadDeadline(time.Now().Add(p.desk.MessageTime))
+	p.by(time.Now().Add(p.desk.MessageTime))
 	return err
 }
 
+// by has what is read from now on come by then.
+func (p *Peer) by(due time.Time) { p.due, p.timed = due, false }
+
 // Said notes that a message was read whole.
 func (p *Peer) Said() {
 	p.said.Store(true)
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -1,14 +1,21 @@
 // Package mailbox holds the queue from which an actor takes its work.
 package mailbox
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
+
+// keptMost is how many places an empty box keeps: there may be hundreds that once were full.
+const keptMost = 32
 
 // Box is a queue with many senders and one taker. Its limit binds what comes from
 // outside; what an actor must not lose passes over it, and is bounded by the calls open.
 type Box[T any] struct {
 	mu     sync.Mutex
 	moved  sync.Cond
-	items  []T
+	items  []T // those from next on wait
+	next   int
 	limit  int
 	closed bool
 }
@@ -21,7 +28,9 @@
 }
 
 // Offer adds an item unless the box is full or closed. It never waits.
-func (b *Box[T]) Offer(v T) bool { return b.put(v, func() bool { return len(b.items) < b.limit }) }
+func (b *Box[T]) Offer(v T) bool { return b.put(v, func() bool { return b.waiting() < b.limit }) }
+
+func (b *Box[T]) waiting() int { return len(b.items) - b.next }
 
 // Post adds an item over the limit too. It fails only when the box is closed.
 func (b *Box[T]) Post(v T) bool { return b.put(v, func() bool { return true }) }
@@ -29,7 +38,7 @@
 // Admit waits for room, which holds a peer's reader back, and fails when the box is closed.
 func (b *Box[T]) Admit(v T) bool {
 	return b.put(v, func() bool {
-		for len(b.items) >= b.limit && !b.closed {
+		for b.waiting() >= b.limit && !b.closed {
 			b.moved.Wait()
 		}
 		return true
@@ -42,6 +51,10 @@
 	if !room() || b.closed {
 		return false
 	}
+	if len(b.items) == cap(b.items) && b.next > len(b.items)/2 { // an actor that is never done
+		b.items = slices.Delete(b.items, 0, b.next)
+		b.next = 0
+	}
 	b.items = append(b.items, v)
 	b.moved.Broadcast()
 	return true
@@ -51,16 +64,20 @@
 func (b *Box[T]) Take() (v T, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.items) == 0 {
+	for b.waiting() == 0 {
 		if b.closed {
 			return v, false
 		}
 		b.moved.Wait()
 	}
-	v = b.items[0]
+	v = b.items[b.next]
 	var none T
-	b.items[0] = none
-	b.items = b.items[1:]
+	b.items[b.next] = none
+	if b.next++; b.waiting() == 0 { // the next item finds its place there
+		if b.items, b.next = b.items[:0], 0; cap(b.items) > keptMost {
+			b.items = nil
+		}
+	}
 	b.moved.Broadcast()
 	return v, true
 }
--- a/internal/mailbox/mailbox_test.go
+++ b/internal/mailbox/mailbox_test.go
@@ -46,3 +46,30 @@
 		assert.Equal(t, 2, n, "what is left is handed out")
 	})
 }
+
+// TestBoxPlaces: an actor that keeps up costs no memory an item, one that never quite does costs what
+// waits, and a box that was full keeps none of it.
+func TestBoxPlaces(t *testing.T) {
+	b := New[int](1 << 20)
+	for _, waiting := range []int{0, 5} {
+		for n := range waiting {
+			require.True(t, b.Post(n))
+		}
+		next := 0
+		assert.Zero(t, testing.AllocsPerRun(10_000, func() {
+			b.Post(waiting + next)
+			if got, _ := b.Take(); got != next {
+				t.Errorf("%d instead of %d", got, next)
+			}
+			next++
+		}), "%d wait", waiting)
+		assert.LessOrEqual(t, cap(b.items), keptMost)
+	}
+	for n := range 1000 {
+		b.Post(n)
+	}
+	for b.waiting() > 0 {
+		b.Take()
+	}
+	assert.LessOrEqual(t, cap(b.items), keptMost)
+}
