Lab of scale: the starts' waits run together, and deciders are dealt over all processes

Seen: of 730 agents by service 714 followed a view and the first revision was not everywhere after 48 s; at 270 all followed a view only after 30.2 s. Read: the lab waited for one part after another, and what has no time of its own (all know all, a view followed) counts from when it is looked at. At 270 the wait for zones lasted until its bound (23 s, one agent short), so the view was first looked at at 30.1 s: the figure is the lab's. The lab is to blame for both, not the program.

All that is waited for at one time is asked for in one order; agents are dealt in turn; who lacks something is named; the machine's and the measurement's own work stand in the notes. Tests: TestUntilTogether, TestEvenProcesses.

--- a/internal/lab/scalelab/control.go
+++ b/internal/lab/scalelab/control.go
@@ -162,7 +162,7 @@
 			c.last = n
 		}
 	}
-	s.Knew = append(s.Knew, r.waitFor(ctx, "start: the first revision, by its first stage (config)", "revision", r.wantRevision(c.last), began, eventMost))
+	s.Knew = append(s.Knew, r.waitOne(ctx, "start: the first revision, by its first stage (config)", "revision", r.wantRevision(c.last), began, eventMost))
 	return nil
 }
 
@@ -183,7 +183,7 @@
 	}
 	c.last = n
 	s.Notes = append(s.Notes, fmt.Sprintf("the change was committed after %.2f s", time.Since(began).Seconds()))
-	s.Knew = append(s.Knew, r.waitFor(ctx, "a revision put: in force, by a first stage with a dwell of 1 s (config)", "revision", r.wantRevision(n), began, eventMost))
+	s.Knew = append(s.Knew, r.waitOne(ctx, "a revision put: in force, by a first stage with a dwell of 1 s (config)", "revision", r.wantRevision(n), began, eventMost))
 	took := time.Since(began).Seconds()
 	after := c.look()
 	for _, m := range machines {
--- a/internal/lab/scalelab/helper.go
+++ b/internal/lab/scalelab/helper.go
@@ -21,18 +21,28 @@
 type Order struct {
 	Do    string        // start, look, until, announce
 	Agent int           // start: this one alone; -1: all but the spare
-	What  string        // until: members, spread, zones, follows, or a mark's name
-	Want  map[int]int64 // until: by group; groups not named are not waited for
-	Most  time.Duration
-	Value int64 // announce: the epoch
+	Until []Until       // until: looked at together, so that none is seen late for another's sake
+	Most  time.Duration // until: the bound
+	Value int64         // announce: the epoch
+}
+
+// Until is something that a process's agents are to come to.
+type Until struct {
+	What string        // members, spread, zones, follows, or a mark's name
+	Want map[int]int64 // by group; groups not named are not waited for
 }
 
 // Answer answers an order.
 type Answer struct {
-	Error   string        `json:",omitempty"`
-	Look    *Look         `json:",omitempty"`
-	Reached map[int]int64 // until: by agent, Unix µs; 0: not within Most
-	Saw     map[int]int64 // until: the latest figure
+	Error string `json:",omitempty"`
+	Look  *Look  `json:",omitempty"`
+	Until []Came `json:",omitempty"` // until: of each, in the order asked
+}
+
+// Came is what a process's agents came to.
+type Came struct {
+	Reached map[int]int64 // by agent, Unix µs; 0: not within the bound
+	Saw     map[int]int64 // the latest figure
 }
 
 // Look is what a helper process counts, all of it since its start.
@@ -137,31 +147,45 @@
 const untilEvery = 25 * time.Millisecond
 
 func (w *helper) until(o Order) Answer {
-	a := Answer{Reached: map[int]int64{}, Saw: map[int]int64{}}
-	every := untilEvery
-	if o.What == Zones {
-		every *= 8 // a list of all with their metadata each time
+	a := Answer{Until: make([]Came, len(o.Until))}
+	left := make([]int, len(o.Until))
+	for k := range a.Until {
+		a.Until[k] = Came{Reached: map[int]int64{}, Saw: map[int]int64{}}
 	}
-	for end := time.Now().Add(o.Most); ; time.Sleep(every) {
-		left := 0
-		for i, h := range w.agents {
-			want, asked := o.Want[h.Group]
-			if !asked || a.Reached[i] != 0 {
-				continue
+	end := time.Now().Add(o.Most)
+	for turn := 0; ; turn++ {
+		last, sum := time.Now().After(end), 0
+		for k, u := range o.Until {
+			// Zones are a list of all with their metadata each time: not at every turn.
+			if turn == 0 || left[k] > 0 && (u.What != Zones || turn%8 == 0 || last) {
+				left[k] = w.came(u, a.Until[k])
 			}
-			n, at := h.figure(o.What)
-			a.Saw[i], a.Reached[i] = n, 0
-			// Those alive are as many, neither more nor fewer; what rises may have risen further.
-			if n == want || n > want && !(o.What == Members || o.What == Zones || o.What == Spread) {
-				a.Reached[i] = at.UnixMicro()
-				continue
-			}
-			left++
+			sum += left[k]
 		}
-		if left == 0 || time.Now().After(end) {
+		if sum == 0 || last {
 			return a
 		}
+		time.Sleep(untilEvery)
+	}
+}
+
+// came looks at the agents that have not come to something yet, and tells how many have not still.
+func (w *helper) came(u Until, c Came) (left int) {
+	for i, h := range w.agents {
+		want, asked := u.Want[h.Group]
+		if !asked || c.Reached[i] != 0 {
+			continue
+		}
+		n, at := h.figure(u.What)
+		c.Saw[i], c.Reached[i] = n, 0
+		// Those alive are as many, neither more nor fewer; what rises may have risen further.
+		if n == want || n > want && u.What != Members && u.What != Zones && u.What != Spread {
+			c.Reached[i] = at.UnixMicro()
+			continue
+		}
+		left++
 	}
+	return left
 }
 
 // figure is what an agent has come to, and since when as far as that is known.
--- a/internal/lab/scalelab/plan.go
+++ b/internal/lab/scalelab/plan.go
@@ -170,7 +170,9 @@
 }
 
 // processes shares the agents out. Those of the first group on whom others lean have one of
-// their own, so that what they cost is known; so has one that is like all others.
+// their own, so that what they cost is known; so has one that is like all others. The rest are dealt
+// out in turn: the first of each group, its seeds and deciders, cost several times what others do,
+// and a process has one core.
 func (p Plan) processes(places []Place) []process {
 	alone := map[int]string{}
 	first := peers(places, 0)
@@ -199,9 +201,12 @@
 		}
 		out = append(out, process{alone[i], []int{i}})
 	}
-	for part := range slices.Chunk(many, p.PerProcess) {
-		out = append(out, process{"", part})
+	shared := make([]process, (len(many)+p.PerProcess-1)/p.PerProcess)
+	for i, a := range many {
+		at := &shared[i%len(shared)]
+		at.Agents = append(at.Agents, a)
 	}
+	out = append(out, shared...)
 	out[len(out)-1].Agents = append(slices.Clone(out[len(out)-1].Agents), p.Agents) // the spare waits there
 	return out
 }
--- a/internal/lab/scalelab/report.go
+++ b/internal/lab/scalelab/report.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -30,6 +31,7 @@
 	Of      int // agents that were to know
 	Reached int // that did within MostS
 	Share   float64
+	Lack    []string `json:",omitempty"` // some of the others, with what they came to
 	Seconds Distribution
 	MostS   float64
 	Err     string `json:",omitempty"`
@@ -38,7 +40,7 @@
 func (k Knew) String() string {
 	text := fmt.Sprintf("%s: %d of %d, p50 %.2f s, p99 %.2f s, last %.2f s", k.What, k.Reached, k.Of, k.Seconds.P50, k.Seconds.P99, k.Seconds.Max)
 	if k.Reached < k.Of {
-		text += fmt.Sprintf(" (given up after %.0f s; mean share known %.1f %%)", k.MostS, 100*k.Share)
+		text += fmt.Sprintf(" (given up after %.0f s; mean share known %.1f %%; %s)", k.MostS, 100*k.Share, strings.Join(k.Lack, ", "))
 	}
 	if k.Err != "" {
 		text += " (" + k.Err + ")"
@@ -190,6 +192,33 @@
 		Core: (m.CPU - was.CPU).Seconds() / span, Memory: float64(m.Memory)}
 }
 
+// busy is what the machine's cores and the measurement's own process have worked so far.
+type busy struct {
+	at       time.Time
+	all, own time.Duration
+}
+
+func busyNow() busy {
+	b := busy{at: time.Now(), own: lookAt(os.Getpid()).CPU}
+	stat, _ := os.ReadFile("/proc/stat")
+	first, _, _ := strings.Cut(string(stat), "\n")
+	for i, f := range strings.Fields(first) {
+		if i > 0 && i < 8 && i != 4 && i != 5 { // all but idle and waiting for a disk
+			n, _ := strconv.ParseInt(f, 10, 64)
+			b.all += time.Duration(n) * tick
+		}
+	}
+	return b
+}
+
+// since words what was worked since then: where nearly all cores are, times are the machine's.
+func (b busy) since() string {
+	now := busyNow()
+	took := now.at.Sub(b.at).Seconds()
+	return fmt.Sprintf("(%.1f s) the machine worked on %.1f of its %d cores, of that the measurement's own process (proxies, the list, setup servers) %.2f",
+		took, (now.all-b.all).Seconds()/took, runtime.NumCPU(), (now.own-b.own).Seconds()/took)
+}
+
 // The budgets of control for an agent.
 const (
 	BudgetCore   = 0.01
--- a/internal/lab/scalelab/run.go
+++ b/internal/lab/scalelab/run.go
@@ -38,6 +38,7 @@
 	procs   []*helperProc
 	control *controls
 	dead    map[int]bool
+	busy    busy // at the first agent's start
 }
 
 // helperProc is a helper process.
@@ -330,6 +331,7 @@
 	groups := r.groups()
 	r.say("%d agents in %d processes, parts %s, by %s", r.Agents, len(r.procs), strings.Join(r.Parts, "+"), r.By)
 	began := time.Now()
+	r.busy = busyNow()
 	// Those alone first: seeds and deciders are among them.
 	slices.SortStableFunc(r.procs, func(a, b *helperProc) int { return cmp.Compare(b.Role, a.Role) })
 	for _, h := range r.procs {
@@ -358,17 +360,20 @@
 	}
 	s.Started = time.Since(began).Seconds()
 	r.say("all started after %.1f s", s.Started)
+	var start []wait
 	for _, part := range []string{Members, Spread, Zones} {
 		if r.has(part) {
-			s.Knew = append(s.Knew, r.waitFor(ctx, "start: all know all ("+part+")", part, groups, began, max(r.JoinMost-time.Since(began), time.Second)))
+			start = append(start, wait{"start: all know all (" + part + ")", Until{part, groups}})
 		}
 	}
 	if r.has(Spread) {
-		s.Knew = append(s.Knew, r.waitFor(ctx, "start: all follow a view (spread)", "follows", ones(groups), began, max(r.JoinMost-time.Since(began), time.Second)))
+		start = append(start, wait{"start: all follow a view (spread)", Until{"follows", ones(groups)}})
 	}
 	if r.has(Discovery) {
-		s.Knew = append(s.Knew, r.waitFor(ctx, "start: the list is known (discovery)", "event", ones(groups), began, max(r.JoinMost-time.Since(began), time.Second)))
+		start = append(start, wait{"start: the list is known (discovery)", Until{"event", ones(groups)}})
 	}
+	s.Knew = append(s.Knew, r.waitFor(ctx, start, began, max(r.JoinMost-time.Since(began), time.Second))...)
+	s.Notes = append(s.Notes, "from the first start until then "+r.busy.since())
 	if r.has(Config) {
 		if err := r.control.first(ctx, r, s); err != nil {
 			return err
@@ -393,44 +398,80 @@
 	return out
 }
 
-// waitFor waits until all agents asked for have come to what is wanted, and words how long each took
-// since began.
-func (r *Run) waitFor(ctx context.Context, name, what string, want map[int]int64, began time.Time, most time.Duration) Knew {
-	k := Knew{What: name, MostS: most.Seconds()}
-	answers, err := r.all(ctx, Order{Do: "until", What: what, Want: want, Most: most})
-	if err != nil {
-		k.Err = err.Error()
+// wait is what the agents are waited for, and its name in the figures.
+type wait struct {
+	name string
+	Until
+}
+
+// waitFor waits until all agents asked for have come to all that is wanted, or most has passed, and
+// words how long each took since began.
+func (r *Run) waitFor(ctx context.Context, waits []wait, began time.Time, most time.Duration) (out []Knew) {
+	o := Order{Do: "until", Most: most}
+	for _, w := range waits {
+		o.Until = append(o.Until, w.Until)
+	}
+	answers, err := r.all(ctx, o)
+	for n, w := range waits {
+		var came []Came
+		for _, a := range answers {
+			if n < len(a.Until) {
+				came = append(came, a.Until[n])
+			}
+		}
+		k := r.knew(w, came, began)
+		if k.MostS = most.Seconds(); err != nil {
+			k.Err = err.Error()
+		}
+		r.say("%s", k)
+		out = append(out, k)
 	}
+	return out
+}
+
+func (r *Run) knew(w wait, came []Came, began time.Time) Knew {
+	k := Knew{What: w.name}
 	var took []float64
-	var share, sum float64
-	for _, a := range answers {
-		for i, at := range a.Reached {
+	var share float64
+	for _, c := range came {
+		for i, at := range c.Reached {
 			k.Of++
-			sum++
-			if w := want[r.places[i].Group]; w > 0 {
-				share += min(float64(a.Saw[i])/float64(w), 1)
+			want := w.Want[r.places[i].Group]
+			if want > 0 {
+				share += min(float64(c.Saw[i])/float64(want), 1)
 			}
 			if at > 0 {
 				took = append(took, max(time.UnixMicro(at).Sub(began).Seconds(), 0))
+				continue
 			}
+			k.Lack = append(k.Lack, fmt.Sprintf("%s: %d of %d", r.places[i].Name, c.Saw[i], want))
 		}
 	}
+	slices.Sort(k.Lack)
+	k.Lack = k.Lack[:min(len(k.Lack), mostLack)]
 	k.Reached = len(took)
-	if sum > 0 {
-		k.Share = share / sum
+	if k.Of > 0 {
+		k.Share = share / float64(k.Of)
 	}
 	k.Seconds = distribution(took)
-	r.say("%s", k)
 	return k
 }
 
+// mostLack bounds the agents that are named.
+const mostLack = 8
+
+// waitOne waits for one thing.
+func (r *Run) waitOne(ctx context.Context, name, what string, want map[int]int64, began time.Time, most time.Duration) Knew {
+	return r.waitFor(ctx, []wait{{name, Until{what, want}}}, began, most)[0]
+}
+
 // span takes the figures of a span in which nothing changes.
 func (r *Run) span(ctx context.Context, s *Size) error {
 	before, watches, machines, err := r.look(ctx)
 	if err != nil {
 		return err
 	}
-	began := time.Now()
+	began, busy := time.Now(), busyNow()
 	select {
 	case <-time.After(r.Span):
 	case <-ctx.Done():
@@ -445,6 +486,7 @@
 	for _, name := range slices.Sorted(maps.Keys(machinesAfter)) {
 		s.Machines = append(s.Machines, machinesAfter[name].since(machines[name], s.SpanS, name))
 	}
+	s.Notes = append(s.Notes, "in the span "+busy.since())
 	r.say("span of %.1f s taken", s.SpanS)
 	return nil
 }
@@ -461,13 +503,10 @@
 // events has things happen, and waits until all know of each.
 func (r *Run) events(ctx context.Context, s *Size, groups map[int]int64) error {
 	add := func(k Knew) { s.Knew = append(s.Knew, k) }
-	if len(r.Parts) > 1 && r.talk() {
-		s.Notes = append(s.Notes, "of one event the parts are waited for in turn: a later one's times are not below an earlier one's last")
-	}
 	if r.has(Discovery) {
 		began := time.Now()
 		r.list.Tell(false, []map[string]any{r.changed()})
-		add(r.waitFor(ctx, "a change of the list (discovery)", "event", twos(groups), began, eventMost))
+		add(r.waitOne(ctx, "a change of the list (discovery)", "event", twos(groups), began, eventMost))
 	}
 	if r.has(Config) {
 		if err := r.control.change(ctx, r, s); err != nil {
@@ -479,7 +518,7 @@
 		if _, err := r.procs[r.owner(0)].order(Order{Do: "announce", Agent: 0, Value: 9}); err != nil {
 			return err
 		}
-		add(r.waitFor(ctx, "an epoch announced (members)", "announced", map[int]int64{r.places[0].Group: 9}, began, eventMost))
+		add(r.waitOne(ctx, "an epoch announced (members)", "announced", map[int]int64{r.places[0].Group: 9}, began, eventMost))
 	}
 	if r.talk() {
 		began := time.Now()
@@ -488,11 +527,13 @@
 		}
 		g := r.places[r.Agents].Group
 		groups[g]++
+		var join, death []wait
 		for _, part := range []string{Members, Spread, Zones} {
 			if r.has(part) {
-				add(r.waitFor(ctx, "a join ("+part+")", part, map[int]int64{g: groups[g]}, began, eventMost))
+				join = append(join, wait{"a join (" + part + ")", Until{part, map[int]int64{g: groups[g]}}})
 			}
 		}
+		s.Knew = append(s.Knew, r.waitFor(ctx, join, began, eventMost)...)
 		i := r.procs[r.ordinary()].Agents[0]
 		began = time.Now()
 		r.kill(r.ordinary())
@@ -501,9 +542,10 @@
 		// Zones have a membership as members do, and looking at it costs more there.
 		for _, part := range []string{Spread, Members} {
 			if r.has(part) && r.DeathMost > 0 {
-				add(r.waitFor(ctx, "a death ("+part+")", part, map[int]int64{g: groups[g]}, began, r.DeathMost))
+				death = append(death, wait{"a death (" + part + ")", Until{part, map[int]int64{g: groups[g]}}})
 			}
 		}
+		s.Knew = append(s.Knew, r.waitFor(ctx, death, began, r.DeathMost)...)
 	}
 	if r.has(Zones) {
 		return r.zoneLost(ctx, s, groups)
@@ -514,7 +556,15 @@
 // zoneLost has the setup servers of a zone die, and waits until all agents have the epoch that
 // moves its calls.
 func (r *Run) zoneLost(ctx context.Context, s *Size, groups map[int]int64) error {
-	before, err := r.all(ctx, Order{Do: "until", What: "epoch", Want: ones(groups), Most: 0})
+	now := func(what string) ([]Came, error) {
+		answers, err := r.all(ctx, Order{Do: "until", Until: []Until{{what, ones(groups)}}})
+		var out []Came
+		for _, a := range answers {
+			out = append(out, a.Until...)
+		}
+		return out, err
+	}
+	before, err := now("epoch")
 	if err != nil {
 		return err
 	}
@@ -529,12 +579,12 @@
 	for _, ln := range r.servers[zoneNames[0]] {
 		ln.Close()
 	}
-	k := r.waitFor(ctx, "a zone's servers lost: the next epoch (zones)", "epoch", want, began, eventMost)
+	k := r.waitOne(ctx, "a zone's servers lost: the next epoch (zones)", "epoch", want, began, eventMost)
 	s.Knew = append(s.Knew, k)
 	if k.Reached == 0 {
 		return nil
 	}
-	decided, err := r.all(ctx, Order{Do: "until", What: "decided", Want: ones(groups), Most: 0})
+	decided, err := now("decided")
 	if err != nil {
 		return err
 	}
--- a/internal/lab/scalelab/scale_test.go
+++ b/internal/lab/scalelab/scale_test.go
@@ -244,3 +244,56 @@
 		}
 	}
 }
+
+// TestEvenProcesses: the first agents of all groups, seeds and deciders, are dealt over the processes
+// evenly, and so are all agents.
+func TestEvenProcesses(t *testing.T) {
+	p := Plan{Agents: 730, Services: 27, Parts: []string{Spread, Zones}, By: ByService, PerProcess: 50}
+	places := p.places()
+	leaned := map[int]bool{}
+	for g := range p.Services {
+		for _, i := range peers(places, g)[:deciders] {
+			leaned[i] = true
+		}
+	}
+	var agents, first []int
+	for _, x := range p.processes(places) {
+		if x.Role != "" {
+			continue
+		}
+		n := 0
+		for _, i := range x.Agents {
+			if leaned[i] {
+				n++
+			}
+		}
+		agents, first = append(agents, len(x.Agents)), append(first, n)
+	}
+	require.LessOrEqual(t, slices.Max(agents)-slices.Min(agents), 2, agents) // the spare is one more
+	require.LessOrEqual(t, slices.Max(first)-slices.Min(first), 2, first)
+	require.LessOrEqual(t, slices.Max(agents), p.PerProcess+1)
+}
+
+// TestUntilTogether: what is waited for together is looked at together: what never comes holds up
+// the sight of nothing else, and who lacks it is named.
+func TestUntilTogether(t *testing.T) {
+	places := []Place{{Name: "a0"}, {Name: "a1"}}
+	w := &helper{agents: map[int]*hollow{}}
+	for i := range places {
+		w.agents[i] = newHollow(&Deal{Places: places}, i, slog.New(slog.DiscardHandler))
+		w.agents[i].follows.Store(true)
+	}
+	w.agents[0].rise("revision", 7)
+	ones := map[int]int64{0: 1}
+	began := time.Now()
+	a := w.until(Order{Until: []Until{{"revision", map[int]int64{0: 7}}, {"follows", ones}}, Most: 10 * untilEvery})
+	require.Len(t, a.Until, 2)
+	r := Run{places: places}
+	k := r.knew(wait{"revision", Until{"revision", map[int]int64{0: 7}}}, a.Until[:1], began)
+	require.Equal(t, 1, k.Reached)
+	require.Equal(t, []string{"a1: 0 of 7"}, k.Lack)
+	require.Contains(t, k.String(), "a1: 0 of 7")
+	k = r.knew(wait{"follows", Until{"follows", ones}}, a.Until[1:], began)
+	require.Equal(t, 2, k.Reached)
+	require.Less(t, k.Seconds.Max, (10 * untilEvery).Seconds())
+}
