Lab of scale: an ordinary agent is found where the last one is a steward

Seen: the run of all parts at 730 by service ended with an index out of range at the death: agent 729 is the steward of its service there, so no process had the ordinary role. The lab's fault. The last agent without a role has it now. TestProcesses covers 730 agents too, by fleet and service.

--- a/internal/lab/scalelab/plan.go
+++ b/internal/lab/scalelab/plan.go
@@ -189,8 +189,11 @@
 			alone[i] = decider
 		}
 	}
-	if last := p.Agents - 1; alone[last] == "" {
-		alone[last] = ordinary
+	for last := p.Agents - 1; last >= 0; last-- {
+		if alone[last] == "" {
+			alone[last] = ordinary
+			break
+		}
 	}
 	out := []process{{Role: empty}}
 	var many []int
--- a/internal/lab/scalelab/scale_test.go
+++ b/internal/lab/scalelab/scale_test.go
@@ -220,9 +220,9 @@
 
 // TestProcesses: every agent is in one process, and whoever others lean on is alone in its own.
 func TestProcesses(t *testing.T) {
-	for _, by := range []string{ByFleet, ByService} {
+	for _, p := range []Plan{{Agents: 200, By: ByFleet}, {Agents: 200, By: ByService}, {Agents: 730, By: ByFleet}, {Agents: 730, By: ByService}} {
 		for _, skew := range []bool{false, true} {
-			p := Plan{Agents: 200, Services: 27, Parts: []string{Spread, Zones}, By: by, Skew: skew, PerProcess: 50}
+			p.Services, p.Parts, p.Skew, p.PerProcess = 27, []string{Spread, Zones}, skew, 50
 			places := p.places()
 			seen, roles := map[int]int{}, map[string]int{}
 			for _, x := range p.processes(places) {
@@ -231,7 +231,7 @@
 					seen[i]++
 				}
 			}
-			require.Len(t, seen, 201)
+			require.Len(t, seen, p.Agents+1)
 			for i, n := range seen {
 				require.Equal(t, 1, n, i)
 			}
