The watcher's connection to a control machine is a package of its own

Cause: agents are to talk to control machines about spreading load too, by the same protocol with one question at a time and a bounded answer.

--- a/internal/fleet/watcher/say.go
+++ b/internal/fleet/watcher/say.go
@@ -14,7 +14,7 @@
 
 // Traffic is the bytes on the wire so far.
 func (w *Watcher) Traffic() (sent, received int64) {
-	return w.traffic.sent.Load(), w.traffic.received.Load()
+	return w.traffic.Sent.Load(), w.traffic.Received.Load()
 }
 
 // Say words how things stand, for the console.
--- a/internal/fleet/watcher/watcher.go
+++ b/internal/fleet/watcher/watcher.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"woodrouter/internal/rpcline"
 	"woodrouter/rollout"
 )
 
@@ -52,6 +53,10 @@
 	saveAgain   = 3 * time.Second        // after a save that failed, and up to as much again
 )
 
+// mostAnswer bounds what a machine may send for one watch: an agent's documents of a few kinds,
+// one of each scope, at their largest.
+const mostAnswer = 6 << 20
+
 // leastWatch is the shortest patience asked with.
 const leastWatch = 50 * time.Millisecond
 
@@ -81,7 +86,7 @@
 	connected bool
 
 	view    atomic.Pointer[view]
-	traffic traffic
+	traffic rpcline.Traffic
 	counts  struct{ watches, moves, forged, behind, refused atomic.Int64 }
 }
 
@@ -175,20 +180,20 @@
 
 // follow watches one machine until there is a reason to leave it.
 func (w *Watcher) follow(ctx context.Context) error {
-	l, err := dial(ctx, w.cfg.Source, w.order[w.at].Client, &w.traffic)
+	l, err := rpcline.Dial(ctx, w.cfg.Source, w.order[w.at].Client, mostAnswer, &w.traffic)
 	if err != nil {
 		return err
 	}
-	defer l.conn.Close()
-	stop := context.AfterFunc(ctx, func() { l.conn.Close() })
+	defer l.Close()
+	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	w.homeAt = time.Now().Add(stayAway + upTo(stayAway))
 	for patience, first := helloFor, true; ; first = false {
 		began := time.Now()
 		w.counts.watches.Add(1)
-		r, err := l.watch(w.args(patience), patience+w.spans.grace)
-		if err != nil {
-			if errors.Is(err, errSize) || errors.Is(err, errSequence) {
+		var r rollout.WatchReply
+		if err := l.Ask("Rollout.Watch", w.args(patience), &r, patience+w.spans.grace); err != nil {
+			if errors.Is(err, rpcline.ErrSize) || errors.Is(err, rpcline.ErrSequence) {
 				w.counts.forged.Add(1)
 				w.log.Error("rollout: answer not taken; its watch ends", "machine", w.order[w.at].ID, "error", err)
 			}
--- a/internal/fleet/watcher/watcher_test.go
+++ b/internal/fleet/watcher/watcher_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"woodrouter/internal/rpcline"
 	"woodrouter/rollout"
 )
 
@@ -421,7 +422,7 @@
 		}
 		assert.LessOrEqual(t, most, limit, w.tried)
 	}
-	assert.Less(t, 3*(dialMost+pauseNext)+dialMost+pauseMost+helloFor, 9*time.Second)
+	assert.Less(t, 3*(rpcline.DialMost+pauseNext)+rpcline.DialMost+pauseMost+helloFor, 9*time.Second)
 }
 
 // TestNext: after each answer the agent watches on with its patience, or a shorter one, or leaves.
