spread: the remote steward's tests kill three more mutations

A loan by a former life's view of the same number, a cold server's duty, rights on their way from one steward to the next, and a silent sender whose loan is left were not told apart by the tests.

--- a/spread/remote_test.go
+++ b/spread/remote_test.go
@@ -144,6 +144,9 @@
 	assert.True(t, s.Follows(period))
 	assert.EqualValues(t, 5, s.servers["s"].share, "what the life before told holds")
 	assert.True(t, s.Summary(period, "w").Lends, "rights go to the new one meanwhile")
+	next := s.Summary(2*period, "w2")
+	s.Hear(2*period, View{From: Stamp{"w2", 1, 1}, Echo: next.From})
+	assert.False(t, s.Summary(2*period, "w2").Lends, "and to another steward when they are back from it")
 	hear(4*period, 3, 0)
 	assert.False(t, s.Follows(4*period))
 	assert.Zero(t, s.servers["s"].share)
@@ -154,11 +157,11 @@
 // a time in which the steward did not hear; who has sent it one since the summary is not asked again.
 func TestDuty(t *testing.T) {
 	w := NewRemoteSteward(Config{Name: "w", Life: 1})
-	now := Time(0)
+	now, count := Time(0), Count{Server: "s", Seen: Seen{Util: -1, Wait: -1}}
 	round := func() (duties int) {
 		now += period
 		for a := range 20 {
-			for _, d := range tell(w, now+Time(a), fmt.Sprint("a", a), 20, Count{Server: "s", Seen: Seen{Util: -1, Wait: -1}}).Dues {
+			for _, d := range tell(w, now+Time(a), fmt.Sprint("a", a), 20, count).Dues {
 				if d.Duty {
 					duties++
 				}
@@ -175,17 +178,20 @@
 	assert.Zero(t, round())
 	w.servers["s"].rate = 9
 	assert.Zero(t, round())
-	w.servers["s"].coldRate, w.coldWords = 3, 1
-	now += 2 * time.Second
+	count.Cold = 3
+	now += 2 * period
 	assert.Zero(t, round(), "a cold one is called to by rights alone")
-	w.servers["s"].coldRate = 0
+	count.Cold = 0
+	round()
+	assert.NotZero(t, round(), "once all of them have called it warm")
 	for range 4 {
 		now += period
 		for a := range 20 {
-			v := tell(w, now+Time(a), fmt.Sprint("a", a), 20, Count{Server: "s"}, Count{Server: "new", Down: now < 4*time.Second || a > 0})
+			v := tell(w, now+Time(a), fmt.Sprint("a", a), 20, Count{Server: "s"}, Count{Server: "new", Down: a > 0})
 			assert.Len(t, v.Dues, 1)
 		}
 	}
+	w.servers["new"].rate = 9
 	for a := range 40 { // now on the lists of all, after two seconds on one
 		now += period / 20
 		for _, d := range tell(w, now, fmt.Sprint("a", a%20), 20, Count{Server: "s"}, Count{Server: "new"}).Dues {
@@ -257,11 +263,29 @@
 	assert.Equal(t, 1, w.Senders())
 	assert.Equal(t, Standing{Senders: 1, Named: 1, Lent: 1, Unsure: false}, w.Standing(ms))
 	require.Zero(t, NewRemoteSteward(Config{}).Standing(0))
-	assert.False(t, w.Idle(forgetAfter), "a right is lent for four minutes")
+	assert.False(t, w.Idle(mostPeriod), "a right is lent for four minutes")
 	assert.True(t, w.Idle(4*mostPeriod+forgetAfter))
 	_, ok := w.Hear(2*ms, Summary{From: Stamp{"a", 2, 1}, Senders: 1})
 	require.True(t, ok)
 	assert.Zero(t, w.Standing(2*ms).Lent, "a new life of the sender uses its right itself")
+
+	// A sender whose period was long is silent soon once it is short, with its right lent for long: it has no
+	// word of lists any more.
+	w = NewRemoteSteward(Config{Name: "w", Life: 1})
+	v := tell(w, 0, "a", 2)
+	for seq, long := range []time.Duration{mostPeriod, 0} {
+		_, ok = w.Hear(ms, Summary{From: Stamp{"a", 1, uint64(2 + seq)}, Echo: v.From, Lends: true, Senders: 2, Period: long})
+		require.True(t, ok)
+	}
+	assert.Len(t, tell(w, 3*time.Second, "b", 2, Count{Server: "s"}).Dues, 1)
+	assert.Equal(t, Standing{Senders: 1, Named: 2, Lent: 1, Servers: 1, Demand: 1, Unsure: true}, w.Standing(3*time.Second))
+
+	w = NewRemoteSteward(Config{Name: "w", Life: 2})
+	tell(w, 3*ms, "b", 2)
+	tell(w, 3*ms, "c", 2)
+	_, ok = w.Hear(4*ms, s.Summary(4*ms, "w"))
+	require.True(t, ok)
+	assert.Zero(t, w.Standing(4*ms).Lent, "what was lent by a view of the life before, whatever its number")
 }
 
 // TestHistory: what a sender sent before its first word to a steward's server came over a time not known:
