Control's tests: a machine tells what it knows itself; ports stay free while one is away

By reading, not seen to fail: TestOrders looked at machine c1 for a change of members that the leader had just confirmed. The console tells what its own machine knows, and c1 may be the follower that was not needed for the majority. The test now waits until c1 lists the change, and requires that it lists machines at all. TestWithControl took free ports of 127.0.0.1 and took them again after the machine's restart; another's connection may have them by then. They are on a loopback address of its own.

--- a/internal/fleet/control/fault_test.go
+++ b/internal/fleet/control/fault_test.go
@@ -288,9 +288,15 @@
 	require.Contains(t, g.asked("c4", fmt.Sprintf("CONFIG REMOVE routes@all %d ann", third)), "SUCCESS")
 	a.has("routes@all", "")
 	require.Contains(t, g.asked("c1", "CONFIG LEAVE c4"), "SUCCESS")
-	require.NotContains(t, g.asked("c1", "CONFIG"), "c4=")
+	lists := func(member string, want bool) func() bool { // c1 tells what it knows itself, and need not lead
+		return func() bool {
+			_, members, ok := strings.Cut(g.asked("c1", "CONFIG"), "machines: ")
+			return ok && strings.Contains(members, member) == want
+		}
+	}
+	require.Eventually(t, lists("c4=", false), wait, 10*time.Millisecond)
 	require.Contains(t, g.asked("c1", "CONFIG JOIN c4 "+g.configs["c4"].Raft+" novote"), "SUCCESS")
-	require.Contains(t, g.asked("c1", "CONFIG"), "c4="+g.configs["c4"].Raft+" (no vote)")
+	require.Eventually(t, lists("c4="+g.configs["c4"].Raft+" (no vote)", true), wait, 10*time.Millisecond)
 }
 
 // TestLoadConfig: a control machine's file is known by its section, and refused by field.
--- a/internal/fleet/watcher/joint_test.go
+++ b/internal/fleet/watcher/joint_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"woodrouter/internal/faultnet"
 	"woodrouter/internal/fleet/control"
 	"woodrouter/internal/fleet/quorum"
 	"woodrouter/rollout"
@@ -20,16 +20,12 @@
 // a loader refuses is halted, and the former text comes back under a number of its own; agents
 // serve on while the machine is away, and have its next change within 9 s of its return.
 func TestWithControl(t *testing.T) {
-	free := func() string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer ln.Close()
-		return ln.Addr().String()
-	}
-	raft, client := free(), free()
+	host, err := faultnet.NewHost() // its ports stay free while the machine is away
+	require.NoError(t, err)
+	raft, client := host+":7001", host+":7002"
 	cfg := control.Config{Config: quorum.Config{ID: "c1", Raft: raft, Client: client, Data: filepath.Join(t.TempDir(), "c1"),
 		Bootstrap: []quorum.Peer{{ID: "c1", Raft: raft}}, Timing: quorum.TimingConfig{Heartbeat: "150ms", Election: "150ms", Commit: "10ms", Lease: "100ms"}},
-		Rollout: control.RolloutConfig{Console: free(), Peers: map[string]string{"c1": client}, Dwell: "100ms", Patience: "1s"}}
+		Rollout: control.RolloutConfig{Console: host + ":7003", Peers: map[string]string{"c1": client}, Dwell: "100ms", Patience: "1s"}}
 	open := func() *control.Node {
 		n, err := control.Open(cfg, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
