--- a/internal/lab/emulator/callers.go
+++ b/internal/lab/emulator/callers.go
@@ -438,11 +438,12 @@
 		return
 	}
 	t.over, t.answered = true, true
+	asked := t.at
 	if t.timer != nil {
 		t.timer.Stop()
 	}
 	delete(l.calls, t.id)
-	excused := c.world.Check.Starved() || l.troubled || !l.disturbed.IsZero() && l.disturbed.After(t.at.Add(-time.Second))
+	excused := c.world.Check.Starved() || l.troubled || !l.disturbed.IsZero() && l.disturbed.After(asked.Add(-time.Second))
 	conn := l.conn
 	l.mu.Unlock()
 	if how == "unheard" && conn != nil { // the caller leaves
@@ -467,7 +468,7 @@
 	}
 	c.mu.Unlock()
 	if how == "unheard" && !excused {
-		c.world.Check.broke("no answer", "%v at agent %d, asked %v ago", t.id, l.agent, time.Since(t.at).Round(time.Millisecond))
+		c.world.Check.broke("no answer", "%v at agent %d, asked %v ago", t.id, l.agent, time.Since(asked).Round(time.Millisecond))
 	}
 	// A set-up may be on its way yet, held back by a link or at an agent that stands still.
 	time.AfterFunc(forgetAfter, func() { c.world.Check.forget(t.id) })
