--- a/internal/servers/trunk/looks_test.go
+++ b/internal/servers/trunk/looks_test.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// TestLooks: what an idle agent is woken for, with figures of a deployment: an aim of 1.5 s.
-func TestLooks(t *testing.T) {
+// TestIdleLooks: what an idle agent is woken for, with figures of a deployment: an aim of 1.5 s.
+func TestIdleLooks(t *testing.T) {
 	for name, tc := range map[string]struct {
 		out, stand  int
 		least, most int // in a minute, states coming once a second
