Agents spread their load by way of the control machines (mode control), off by default

Control machines now serve Spread.Tell beside Rollout, on the same server, codec and bounds (internal/fleet/stewards: one steward a service, a life of its own each, forgotten when idle; a connection speaks for one agent of one service). internal/fleet/spreader talks by gossip or to the machines behind one interface: one question out at a machine, the latest summary alone waits. Connections at a machine: 4,200 for 2,200, as an agent may have two. Changed tests: TestJunk and TestChange of spreader name the gossip part's fields; nothing eased. Also: the daemon's steward had 0 for the number of senders (policy sets it on a copy); it has it now.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -105,7 +105,9 @@
 		if d.own.spread, err = spreader.LoadConfig(cfg.Spread); err != nil {
 			return nil, fmt.Errorf("spread: %w", err)
 		}
+		d.own.spread.Source = cfg.source
 		set.Spread = d.own.spread.Spread(cfg.Name, time.Now())
+		set.Spread.Rank, set.Spread.Senders = set.Rank, set.Senders // as the module has them: a steward counts what is lent by them
 	}
 	d.core, err = agent.New(agent.Config{Keeper: kept, Sights: cfg.Failover != "", Settings: set, Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -71,10 +71,12 @@
 		d.zoneFigures(line)
 	}
 	if d.spreader != nil {
-		sent, bytes, bad := d.spreader.Traffic()
-		line("c", sent, "spread_sent")
-		line("c", bytes, "spread_bytes")
-		line("c", bad, "spread_bad")
+		t := d.spreader.Traffic()
+		line("c", t.Sent, "spread_sent")
+		line("c", t.Bytes, "spread_bytes")
+		line("c", t.Received, "spread_received")
+		line("c", t.Unheard, "spread_unheard")
+		line("c", t.Bad, "spread_bad")
 	}
 	if d.distributed != nil {
 		d.distributed.watcher.Figures(line)
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -177,8 +177,8 @@
 	})
 }
 
-// reloadSpread reads the own file of spreading load again: the period holds at once, the
-// membership from the next start.
+// reloadSpread reads the own file of spreading load again: the period holds at once, the rest
+// from the next start.
 func (d *Daemon) reloadSpread() error {
 	if d.spreader == nil {
 		return nil
@@ -187,10 +187,12 @@
 	if err != nil {
 		return fmt.Errorf("spread: %w", err)
 	}
-	if was := d.own.spread; !reflect.DeepEqual(next.Members, was.Members) {
-		d.log.Warn("spread: members hold from the next start")
-		next.Members = was.Members
+	if fixed := d.own.spread.Fixed(next); len(fixed) > 0 {
+		d.log.Warn("spread: all but the period holds from the next start", "changed", fixed)
 	}
+	period := next.Period
+	next = d.own.spread
+	next.Period = period
 	return d.takeOwn(kindSpread, d.cfg.Spread, func() { d.own.spread = next }, func() error {
 		d.log.Info("spread file taken", "file", d.cfg.Spread)
 		return d.spreader.Change(next)
--- a/internal/fleet/control/conn.go
+++ b/internal/fleet/control/conn.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"woodrouter/internal/fleet/stewards"
 	"woodrouter/internal/gobframe"
 )
 
@@ -20,9 +21,9 @@
 // bounds hold for watchers as for junk.
 const (
 	mostMessage  = 512 << 10 // bytes of one gob message: a document with room, or a report's refusals
-	mostTypes    = 64        // definitions of types on a connection; a caller of this service has about 15
+	mostTypes    = 64        // definitions of types on a connection; a caller of one service has about 15
 	mostRequests = 8         // unanswered requests on a connection; more wait unread
-	mostConns    = 2200      // connections; further ones are ended
+	mostConns    = 4200      // connections, two of each of 1,460 agents and room; further ones are ended
 	requestTime  = 5 * time.Second
 	answerTime   = 5 * time.Second  // to take an answer
 	idleTime     = 30 * time.Second // between requests
@@ -54,7 +55,7 @@
 		return err
 	}
 	srv := rpc.NewServer()
-	if err := srv.RegisterName("Rollout", &Service{n}); err != nil {
+	if err := errors.Join(srv.RegisterName("Rollout", &Service{n}), srv.RegisterName("Spread", &Spread{n})); err != nil {
 		return err
 	}
 	ln, err := net.Listen("tcp", n.cfg.Client)
@@ -150,6 +151,7 @@
 	gone   chan struct{} // closed when nothing more can be read
 	ended  sync.Once
 	asked  bool        // a whole request has come
+	speaks speaker     // whose summaries of load come here
 	behind atomic.Bool // it was told in short that this machine knows less than it does
 	told   atomic.Bool // the last watch answered here heard that this machine lags
 }
@@ -210,6 +212,9 @@
 		body = &w.WatchArgs
 	}
 	err := c.decode(body)
+	if tell, ok := body.(*stewards.TellArgs); ok && err == nil {
+		err = c.bind(tell)
+	}
 	c.asked = err == nil
 	if err != nil && c.in.err == nil {
 		c.in.err = fmt.Errorf("%w: %w", errJunk, err) // answered, and nothing after it is read
--- a/internal/fleet/control/node.go
+++ b/internal/fleet/control/node.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/raft"
 
 	"woodrouter/internal/fleet/quorum"
+	"woodrouter/internal/fleet/stewards"
 	"woodrouter/rollout"
 )
 
@@ -26,6 +27,7 @@
 		*rollout.Table
 	}
 	watchers  atomic.Int64
+	stewards  *stewards.Stewards
 	answering chan struct{}   // a place for each look at the state for a watcher
 	ctx       context.Context // done when the machine ends
 	cancel    context.CancelFunc
@@ -113,7 +115,7 @@
 		return nil, err
 	}
 	n := &Node{cfg: cfg, settings: settings, log: log, fsm: newMachine(log),
-		answering: make(chan struct{}, mostAnswering)}
+		answering: make(chan struct{}, mostAnswering), stewards: stewards.New(cfg.ID, time.Now().UnixNano(), log)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.table.Table = rollout.NewTable()
 	if n.Member, err = quorum.Open(cfg.Config, n.fsm, log); err != nil {
@@ -122,6 +124,7 @@
 	}
 	n.ended.Go(n.watchLag)
 	n.ended.Go(n.steer)
+	n.ended.Go(n.sweep)
 	for id := range cfg.Rollout.Peers {
 		if id != cfg.ID {
 			n.ended.Go(func() { n.tell(id) })
--- a/internal/fleet/control/orders.go
+++ b/internal/fleet/control/orders.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// sayAll words all documents, a line each.
+// sayAll words all documents, and the services whose load this machine is steward of, a line each.
 func (n *Node) sayAll() string {
 	o, err := n.overview("")
 	if err != nil {
@@ -133,7 +133,7 @@
 	for _, v := range o.Names {
 		fmt.Fprintf(&b, "%v %s\n", v.Latest.Name, sayRevision(v))
 	}
-	return b.String() + console.End
+	return b.String() + n.stewards.Say() + console.End
 }
 
 func (n *Node) head(b *strings.Builder, o OverviewReply) {
--- a/internal/fleet/spreader/spreader_test.go
+++ b/internal/fleet/spreader/spreader_test.go
@@ -22,12 +22,20 @@
 // TestConfig: a field that can't be used is named, and nothing is taken.
 func TestConfig(t *testing.T) {
 	const members = "members: {bind: 127.0.0.1:7801, seeds: ['127.0.0.1:7802']}\n"
+	const control = "service: a\nmachines: [{id: c1, client: '127.0.0.1:1', region: r1, zone: z1}]\n"
 	for text, want := range map[string]string{
 		"mode: common\n" + members:                                               "",
 		"mode: common\nperiod: 250ms\n" + members:                                "",
 		"mode: alone\n" + members:                                                "field mode",
 		"mode: common\n":                                                         "field members: missing",
 		"mode: common\nperiod: 1ms\n" + members:                                  "field period",
+		"mode: common\nservice: a\n" + members:                                   "field service",
+		"mode: common\nmachines: []\n" + members:                                 "field machines",
+		"mode: control\n" + control:                                              "",
+		"mode: control\nservice: a\n":                                            "field machines: empty",
+		"mode: control\nmachines: [{id: c1, client: '127.0.0.1:1'}]\n":           "field service: empty",
+		"mode: control\nservice: a\nmachines: [{id: c1, client: x}]\n":           "field machines[0].client",
+		"mode: control\n" + control + members:                                    "field members: mode common's alone",
 		"mode: common\nmembers: {bind: here:7801}\n":                             "members: field bind",
 		"mode: common\nmembers: {bind: 127.0.0.1:1, advertise: nowhere}\n":       "members: field advertise",
 		"mode: common\nmode: common\n" + members:                                 "2:1",
@@ -56,21 +64,22 @@
 	cfg := spread.Config{Name: "a", Life: 1, Senders: 2}
 	s, err := Open(Config{Mode: "common", Members: &members.Config{Bind: "127.0.0.1:0"}}, cfg, core{spread.New(cfg)}, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
-	defer s.list.Shut()
+	g := s.way.(*gossip)
+	defer g.list.Shut()
 	good, err := json.Marshal(note{Summary: &spread.Summary{From: spread.Stamp{Name: "b", Life: 1, Seq: 1}, Demand: 3}})
 	require.NoError(t, err)
-	s.take("b", good)
-	s.take("b", good) // replayed
-	assert.EqualValues(t, 1, s.said.answered)
+	g.take("b", good)
+	g.take("b", good) // replayed
+	assert.EqualValues(t, 1, g.answered)
 	for _, bad := range []string{"", "{", "{}", "null", `{"s":{"f":{"n":"","l":1,"q":1}}}`, `{"s":{"f":{"n":"b","l":1,"q":0}}}`,
 		`{"s":{"f":{"n":"b","l":1,"q":2},"d":-1}}`, `{"s":{"f":{"n":"b","l":1,"q":2},"c":[{"s":"x","n":1,"d":2}]}}`,
 		`{"s":{"f":{"n":"b","l":1,"q":2},"c":[{"s":"x","t":1e99}]}}`, `{"v":{"f":{"n":"w","l":1,"q":1},"v":[{"s":"x","g":-4}]}}`,
 		`{"v":{"f":{"n":"w","l":1,"q":1},"v":[{"s":"` + strings.Repeat("x", 300) + `"}]}}`, `{"s":"` + strings.Repeat("x", mostNote) + `"}`} {
-		before := s.said.bad
-		s.take("b", []byte(bad))
-		assert.Equal(t, before+1, s.said.bad, "%.80s", bad)
+		before := g.bad
+		g.take("b", []byte(bad))
+		assert.Equal(t, before+1, g.bad, "%.80s", bad)
 	}
-	assert.EqualValues(t, 1, s.said.answered)
+	assert.EqualValues(t, 1, g.answered)
 }
 
 // told is a core that hands over nothing, and notes when it is asked to.
@@ -125,7 +134,7 @@
 	c := core{spread.New(cfg)}
 	s, err := Open(own, cfg, c, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
-	defer s.list.Shut()
+	defer s.way.(*gossip).list.Shut()
 	for text, want := range map[string]string{
 		"period: 200ms\n":               "",
 		"mode: common\nperiod: 200ms\n": "",
@@ -142,10 +151,36 @@
 		require.NoError(t, err, text)
 		require.NoError(t, s.Change(next))
 		assert.Equal(t, 200*time.Millisecond, c.state.Summary(time.Second, "a").Period)
-		v, _ := s.steward.Hear(time.Second, c.state.Summary(time.Second, "a"))
+		v, _ := s.way.(*gossip).steward.Hear(time.Second, c.state.Summary(time.Second, "a"))
 		assert.Equal(t, 200*time.Millisecond, v.Period)
 		assert.EqualValues(t, 200*time.Millisecond, s.period.Load())
 	}
 	require.NoError(t, s.Change(own))
 	assert.Equal(t, spread.DefaultPeriod, c.state.Summary(time.Second, "a").Period, "the own file again")
 }
+
+// TestFixed: a file or document that changes more than the period is refused, or left to the next
+// start, with the fields named.
+func TestFixed(t *testing.T) {
+	own, err := LoadConfig("../../../deploy/spread-control.yaml")
+	require.NoError(t, err)
+	for text, want := range map[string]string{
+		"period: 200ms\n":                               "",
+		"mode: control\nperiod: 1s\n":                   "",
+		"mode: common\n":                                "field mode",
+		"service: other\n":                              "field service",
+		"machines: [{id: c9, client: '127.0.0.1:1'}]\n": "field machines",
+		"members: {bind: '1.1.1.1:1'}\n":                "field members",
+	} {
+		next, err := own.Distributed("spread", []byte(text))
+		if want == "" {
+			require.NoError(t, err, text)
+			assert.Empty(t, own.Fixed(next))
+			continue
+		}
+		assert.ErrorContains(t, err, want, text)
+	}
+	other := own
+	other.Service, other.Machines, other.Period = "other", own.Machines[1:], "1s"
+	assert.Equal(t, []string{"service", "machines"}, own.Fixed(other))
+}
--- a/internal/fleet/watcher/config.go
+++ b/internal/fleet/watcher/config.go
@@ -61,20 +61,7 @@
 // check reads the times and names each field that can't be used, but for data.
 func (c Config) check() (spans, error) {
 	s := spans{2 * time.Second, 750 * time.Millisecond}
-	var refused []error
-	if len(c.Machines) == 0 {
-		refused = append(refused, errors.New("field machines: empty"))
-	}
-	seen := map[string]bool{}
-	for i, m := range c.Machines {
-		if m.ID == "" || seen[m.ID] {
-			refused = append(refused, fmt.Errorf("field machines[%d].id: %q is empty or there twice", i, m.ID))
-		}
-		seen[m.ID] = true
-		if _, _, err := net.SplitHostPort(m.Client); err != nil {
-			refused = append(refused, fmt.Errorf("field machines[%d].client: %w", i, err))
-		}
-	}
+	refused := ProveMachines(c.Machines)
 	for _, f := range []struct {
 		name, text  string
 		least, most time.Duration
@@ -93,6 +80,24 @@
 	return s, errors.Join(refused...)
 }
 
+// ProveMachines names each field of a list of control machines that can't be used.
+func ProveMachines(machines []Machine) (refused []error) {
+	if len(machines) == 0 {
+		refused = append(refused, errors.New("field machines: empty"))
+	}
+	seen := map[string]bool{}
+	for i, m := range machines {
+		if m.ID == "" || seen[m.ID] {
+			refused = append(refused, fmt.Errorf("field machines[%d].id: %q is empty or there twice", i, m.ID))
+		}
+		seen[m.ID] = true
+		if _, _, err := net.SplitHostPort(m.Client); err != nil {
+			refused = append(refused, fmt.Errorf("field machines[%d].client: %w", i, err))
+		}
+	}
+	return refused
+}
+
 // rank is the machines in an agent's order: those of its region before the others, and among
 // those by rendezvous hashing (Thaler and Ravishankar 1998), so that agents spread evenly over
 // the machines, and the agents of one that is lost spread evenly over the rest.
--- a/internal/lab/rolloutlab/world.go
+++ b/internal/lab/rolloutlab/world.go
@@ -36,6 +36,7 @@
 	Real     int // agents that are processes with callers
 	Seed     uint64
 	Delay    time.Duration // between the regions, each way
+	Spread   time.Duration // period by which the real agents spread their load by way of the machines; 0: they don't
 }
 
 // The fleet's shape: five zones in two regions, 27 services; three control machines that vote and
@@ -286,7 +287,14 @@
 		return nil, err
 	}
 	path := filepath.Join(c.Dir, a.Name+"-rollout.yaml")
-	return []string{"WOODROUTER_ROLLOUT=" + path}, os.WriteFile(path, text, 0o600)
+	if err := os.WriteFile(path, text, 0o600); err != nil || w.Spread == 0 {
+		return []string{"WOODROUTER_ROLLOUT=" + path}, err
+	}
+	if text, err = yaml.Marshal(map[string]any{"mode": "control", "service": a.Service, "period": w.Spread.String(), "machines": w.machinesFor(a.Zone)}); err != nil {
+		return nil, err
+	}
+	spread := filepath.Join(c.Dir, a.Name+"-spread.yaml")
+	return []string{"WOODROUTER_ROLLOUT=" + path, "WOODROUTER_SPREAD=" + spread}, os.WriteFile(spread, text, 0o600)
 }
 
 // region tells whose side a zone's agents or a machine are on.
--- a/internal/lab/scalelab/helper.go
+++ b/internal/lab/scalelab/helper.go
@@ -217,7 +217,8 @@
 		c.Alive = int64(h.list.Size())
 	}
 	if h.spread != nil {
-		c.Datagrams[Spread], c.Bytes[Spread], _ = h.spread.Traffic()
+		t := h.spread.Traffic()
+		c.Datagrams[Spread], c.Bytes[Spread] = t.Sent, t.Bytes
 	}
 	if h.placer != nil {
 		c.Datagrams[Zones], c.Bytes[Zones], _ = h.placer.Gossip()
