Spread: among equals, servers that have a connection go first

Change: State.Placed tells who has a connection; Order puts the others below, in their turns. policy.go stays as it is. Nobody calls it yet, and nothing is drawn for it.

--- a/spread/spread.go
+++ b/spread/spread.go
@@ -73,6 +73,7 @@
 	coldAt            Time // its budget was last asked for; it is while a server is cold
 	chilled           bool
 	up                bool
+	away              bool // it has no connection, nor the right to one
 	due               Due
 }
 
@@ -217,6 +218,9 @@
 		v.asked = true
 		s.asked = append(s.asked, v)
 	}
+	if v.away {
+		return awayOrder - v.turn/v.weight()
+	}
 	if s.Follows(now) && s.onDuty(now, id, v) {
 		return math.Inf(1)
 	}
@@ -226,6 +230,19 @@
 	return -v.turn / v.weight()
 }
 
+// awayOrder is below the place of every server that has a connection.
+const awayOrder = -1e9
+
+// Placed tells of servers that have lost the right to a connection, or come by it: among equals those
+// that have it go first.
+func (s *State) Placed(ids []string, placed bool) {
+	for _, id := range ids {
+		if v := s.servers[id]; v != nil {
+			v.away = !placed
+		}
+	}
+}
+
 // Look drops a view that is too old to follow.
 func (s *State) Look(now Time) {
 	if s.view != nil && !s.Follows(now) {
