Trunk: first connections keep to a part, too; others are dialled for calls

Cause: MaxConns bounds connections opened beside a first one (trunk.dial looked at it with a connection up only); the first to each server had no bound at all, so a long list took what callers need.

Change: Config.Part bounds all connections. A table of places (package subset), which actors look at past their mailboxes, says who may have one. A set-up without a place ends at once as not sent; a place that is taken has its connection ended before the next is dialled; a set-up or a release looks at its place at the last moment; a probe of a server without a place is not sent, not unreachable; releases of unknown calls wait for a server's next connection. Part 0 and a list that fits: the same dials and draws.

Seen to fail: without the look at a set-up (TestTakenMeanwhile), at a release (TestReleaseOfTaken), the wait of a dial (TestPlaceNotYielded, it hung), stand-ins and Serves (TestStandIn), the kept releases (TestUnknownToAll), the probe's result and the bound (TestSubset), and with servers asked to connect twice (TestFits).

--- a/internal/servers/trunk/hear.go
+++ b/internal/servers/trunk/hear.go
@@ -164,9 +164,12 @@
 
 // probe asks for a report with a test of its own call id.
 func (t *trunk) probe() {
-	if t.link == nil || t.server.State != policy.Up {
-		t.core.Reported(policy.Probed{Server: t.server.ID, Result: policy.Unreachable, Asked: true,
-			Report: policy.NoReport()})
+	if kept := t.keeps(); t.link == nil || t.server.State != policy.Up || !kept {
+		result := policy.Unreachable
+		if !kept { // that it has no connection tells nothing of it
+			result = policy.NotSent
+		}
+		t.core.Reported(policy.Probed{Server: t.server.ID, Result: result, Asked: true, Report: policy.NoReport()})
 		t.connectAgain()
 		return
 	}
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -42,11 +42,17 @@
 	Probes         bool          // servers may be probed
 	Mailbox        int           // most messages of a server that wait
 	MaxConns       int           // past so many connections to all servers none is opened beside another; 0: no bound
+	Part           int           // most connections to all servers, whatever they are for; 0: no bound
+	Name           string        // of the agent: with it a subset of the servers is found where Part does not hold all
 	Source         net.Addr      // servers are called from this address; nil: the system's choice
 	Log            *slog.Logger
-	doubts         *Doubts // of all the pool's servers
+	doubts         *Doubts                             // of all the pool's servers
+	draw           func(d time.Duration) time.Duration // a time of up to d
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
 	Wrote          func(class, zone string) // hears of each set-up written whole, and its server's zone; nil: nobody
+	// Placed hears which servers have lost their place for a connection, or come by one, where Part does
+	// not hold all; nil: nobody. It may not wait.
+	Placed func(ids []string, placed bool)
 }
 
 func (c *Config) complete() {
@@ -83,6 +89,9 @@
 	if c.doubts == nil {
 		c.doubts = newDoubts()
 	}
+	if c.draw == nil {
+		c.draw = jitter
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			d := net.Dialer{LocalAddr: c.Source}
@@ -99,6 +108,7 @@
 	group  sync.WaitGroup
 	sent   atomic.Int64
 	conns  atomic.Int64
+	places *places
 }
 
 // Sent counts the set-ups that were written whole. It may be read at any time.
@@ -107,27 +117,44 @@
 // NewPool returns a pool without servers that reports to core.
 func NewPool(cfg Config, core Core) *Pool {
 	cfg.complete()
-	return &Pool{cfg: cfg, core: core, trunks: map[string]*trunk{}}
+	return &Pool{cfg: cfg, core: core, trunks: map[string]*trunk{}, places: newPlaces(cfg)}
 }
 
+// Serves tells whether calls can be served as far as connections go: where not every server may have
+// one, some server has. It may be asked at any time.
+func (p *Pool) Serves() bool { return p.places.serves.Load() }
+
 // Servers starts an actor for each new server and tells the others what has changed.
 func (p *Pool) Servers(list []agent.Server, whole bool) {
 	named := map[string]bool{}
 	for _, s := range list {
 		named[s.ID] = true
 		t := p.trunks[s.ID]
-		if t == nil {
-			if s.State == policy.Gone {
-				continue
-			}
-			t = newTrunk(p.cfg, p.core, s, &p.sent, &p.conns)
+		if t == nil && s.State != policy.Gone {
+			t = newTrunk(p.cfg, p.core, s, &p.sent, &p.conns, p.places)
 			p.trunks[s.ID] = t
 			p.group.Go(t.run)
 		}
+		if t != nil {
+			p.places.listed(t, s.ID, s.State == policy.Up)
+		}
+	}
+	for id, t := range p.trunks {
+		if whole && !named[id] {
+			p.places.listed(t, id, false)
+		}
+	}
+	p.places.settle(named) // before the actors hear: who connects must find its place
+	for _, s := range list {
+		t := p.trunks[s.ID]
+		if t == nil {
+			continue
+		}
 		t.withdrawn = s.State == policy.Gone
 		t.barred.Store(s.State != policy.Up)
 		t.post(func() { t.listed(s) })
 	}
+	forgot := false
 	for id, t := range p.trunks {
 		if whole && !named[id] {
 			t.withdrawn = true
@@ -138,8 +165,13 @@
 		if t.withdrawn && t.finished.Load() {
 			t.box.Close()
 			delete(p.trunks, id)
+			p.places.forget(t, id)
+			forgot = true
 		}
 	}
+	if forgot {
+		p.places.settle(named)
+	}
 }
 
 // SetUp hands an attempt to its server's actor.
@@ -157,8 +189,11 @@
 	}
 }
 
-// ReleaseUnknown has every server that is connected end the call; those that do not hold
-// it have nothing to do.
+// unknownMost bounds the releases of unknown calls that wait for a server's next connection.
+const unknownMost = 64
+
+// ReleaseUnknown has every server that is connected end the call, and those without a place once they
+// have a connection; those that do not hold it have nothing to do.
 func (p *Pool) ReleaseUnknown(id string) {
 	n, err := isup.ParseCallID(id)
 	if err != nil {
@@ -166,8 +201,11 @@
 	}
 	for _, t := range p.trunks {
 		t.post(func() {
-			if t.link != nil {
+			switch {
+			case t.link != nil:
 				t.release(t.link, n)
+			case t.places.apart(t) && len(t.unknown) < unknownMost:
+				t.unknown = append(t.unknown, n)
 			}
 		})
 	}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -21,6 +21,7 @@
 	"woodrouter/internal/recent"
 	"woodrouter/isup"
 	"woodrouter/policy"
+	"woodrouter/subset"
 )
 
 // Ends of attempts that the agent itself brings about or infers.
@@ -55,6 +56,7 @@
 	core     Core
 	log      *slog.Logger
 	box      *mailbox.Box[func()]
+	name     string // of the server
 	server   agent.Server
 	link     *link // takes new set-ups; nil: no connection is up
 	dialing  bool
@@ -65,6 +67,7 @@
 	open     map[isup.CallID]*attempt
 	over     recent.Set[isup.CallID] // attempts that ended without a word of the server
 	unsaid   []isup.CallID           // releases for the next connection
+	unknown  []isup.CallID           // releases that may be this server's, for whenever there is one
 	heard    time.Time               // latest message on any connection
 	delay    time.Duration           // of answers lately
 	queued   time.Duration           // the processor's wait that the server stated last
@@ -74,16 +77,24 @@
 	failures int           // dials in a row that brought no connection
 	sent     *atomic.Int64 // the pool's count of set-ups written whole
 	conns    *atomic.Int64 // and of connections, those on their way included
+	places   *places
+	told     usage           // what the places know of this one
+	touched  bool            // they are to hear, whatever has changed
+	freed    <-chan struct{} // closed once the connection has ended whose place was taken
+	resting  bool            // a connection that found no place is tried again later
 	stopped  bool
 	finished atomic.Bool // gone, with nothing open: the pool may forget it
 	barred   atomic.Bool // the pool's latest news: it drains or is gone, whatever waits in the mailbox
 	buf      []byte
 
 	withdrawn bool // the pool's: it is gone by the latest news
+
+	reading         <-chan struct{} // the places': closed once the latest connection has ended
+	counted, failed bool            // the places': it has a connection; its latest did not come up
 }
 
-func newTrunk(cfg Config, core Core, s agent.Server, sent, conns *atomic.Int64) *trunk {
-	return &trunk{conns: conns, cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), server: s, sent: sent,
+func newTrunk(cfg Config, core Core, s agent.Server, sent, conns *atomic.Int64, places *places) *trunk {
+	return &trunk{conns: conns, places: places, cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), name: s.ID, server: s, sent: sent,
 		box: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{},
 		probes: map[isup.CallID]time.Time{}, heard: time.Now()}
 }
@@ -97,6 +108,7 @@
 			return
 		}
 		t.guard(f)
+		t.account()
 	}
 }
 
@@ -171,7 +183,12 @@
 }
 
 func (t *trunk) setUp(a agent.Attempt) {
-	if t.link == nil && t.server.State == policy.Up && !t.stopped {
+	open := t.server.State == policy.Up && !t.stopped
+	if open && !t.placed(subset.Call) { // told at once: another server may have one
+		t.core.Ended(a.ID, a.N, failure(t.server.ID, agent.Unwritten, policy.NotSent, errPlace), policy.NoReport())
+		return
+	}
+	if t.link == nil && open {
 		t.waiting = append(t.waiting, a)
 		// Each wait has its own limit: the dial under way may be older than this set-up.
 		time.AfterFunc(t.cfg.ConnectTimeout, func() { t.post(func() { t.tired(a.ID, a.N) }) })
@@ -245,7 +262,7 @@
 	if err != nil {
 		return -1, err
 	}
-	t.buf = b
+	t.buf, t.touched = b, true
 	l.conn.SetWriteDeadline(time.Now().Add(t.cfg.WriteTimeout))
 	return l.conn.Write(b)
 }
@@ -275,7 +292,7 @@
 // release writes a release, or keeps it for the next connection: no connection owns a
 // call that stands.
 func (t *trunk) release(on *link, id isup.CallID) {
-	if on == nil {
+	if on == nil || !t.keeps() {
 		t.unsaid = append(t.unsaid, id)
 		t.connect()
 		return
@@ -290,7 +307,7 @@
 // a restart, at one moment: each process draws when it dials. A set-up does not wait for that.
 func (t *trunk) connectSoon() {
 	if t.link == nil && !t.dialing && t.failures == 0 {
-		time.AfterFunc(jitter(t.cfg.Jitter), func() { t.post(t.connectAgain) })
+		time.AfterFunc(t.cfg.draw(t.cfg.Jitter), func() { t.post(t.connectAgain) })
 	}
 }
 
@@ -308,17 +325,22 @@
 	if t.dialing || t.stopped || t.server.State == policy.Gone {
 		return
 	}
-	if n := t.conns.Add(1); t.link != nil && t.cfg.MaxConns > 0 && n > int64(t.cfg.MaxConns) {
-		t.conns.Add(-1) // a second connection is a luxury where descriptors are short
+	if !t.room() {
 		return
 	}
 	t.dialing = true
+	freed := t.freed
+	t.freed = nil
 	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.ConnectTimeout)
 	t.cancel = cancel
 	address := t.server.Address
 	go func() {
 		defer cancel()
-		conn, err := t.cfg.Dial(ctx, address)
+		var conn net.Conn
+		err := vacated(ctx.Done(), freed)
+		if err == nil {
+			conn, err = t.cfg.Dial(ctx, address)
+		}
 		if conn != nil {
 			conn = &counted{Conn: conn, of: t.conns}
 		} else {
@@ -332,6 +354,10 @@
 
 func (t *trunk) dialled(address string, conn net.Conn, err error) {
 	t.dialing = false
+	if errors.Is(err, errPlace) {
+		t.crowded()
+		return
+	}
 	if err == nil && (t.stopped || t.server.State == policy.Gone || address != t.server.Address) {
 		conn.Close()
 		err = errState
@@ -352,6 +378,7 @@
 		}
 	}
 	t.link = l
+	t.places.opened(t, l)
 	go t.read(l)
 	if t.retired > 0 && t.cfg.Probes {
 		t.probe()
@@ -359,6 +386,7 @@
 	t.listen(l)
 	unsaid, waiting := t.unsaid, t.waiting
 	t.unsaid, t.waiting = nil, nil
+	unsaid, t.unknown = append(unsaid, t.unknown...), nil
 	for _, id := range unsaid {
 		t.release(t.link, id)
 	}
@@ -391,7 +419,7 @@
 	case time.Since(t.heard) > t.cfg.Silence:
 		t.died()
 	}
-	time.AfterFunc(t.cfg.Redial/2+jitter(t.cfg.Redial), func() { t.post(t.connectAgain) })
+	time.AfterFunc(t.cfg.Redial/2+t.cfg.draw(t.cfg.Redial), func() { t.post(t.connectAgain) })
 }
 
 // died ends the calls of a process that is taken for dead, unless it was reached meanwhile.
@@ -485,7 +513,11 @@
 	t.discard(l)
 	if t.link == l {
 		t.link = nil
-		t.log.Info("connection to setup server ended", "error", err)
+		level := slog.LevelInfo
+		if errors.Is(err, errPlace) { // as often as calls are dialled for
+			level = slog.LevelDebug
+		}
+		t.log.Log(context.Background(), level, "connection to setup server ended", "error", err)
 	}
 	for id, a := range t.open {
 		if a.link == l && !a.stands {
