Callers' descriptors go before the list's; connections by subset where it does not fit

Cause: the parts of the descriptors (callers a half, a quarter bounding second connections) were no sum: first connections to setup servers were in none of them, took all 256 with 300 servers, and the agent said that it was ready.

Change: daemon.partsOf has all parts in one place: callers and those on their way out, the call API, a sixteenth for all else, and what is left for setup servers, which the trunk keeps to. The module's order hears who has a connection. Ready also means, where the list does not fit, that a server is connected. woodlab chain lists asks for first choices without a connection as well, and leaves such calls standing.

TestLists' looser look at the long list (every call accounted for, whatever came of it) is replaced by one at its answers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,8 @@
 	"woodrouter/internal/servers/bulletin"
 	"woodrouter/internal/servers/trunk"
 	"woodrouter/internal/settings"
+	"woodrouter/policy"
+	"woodrouter/spread"
 )
 
 // A stop: callers keep coming for stopServing after it is asked for. The platform kills what
@@ -52,19 +54,10 @@
 // answers.
 const callShare = 8
 
-// What the descriptors of the machine are for: one in so many. Callers hold a third at most, by the
-// deployment page, and idle ones any number: the rest is the reserve from which connections to
-// setup servers and discovery come up while callers fill their part. Connections on their way out
-// add an eighth to a part of callers'; the call API, where it is on, has a quarter.
-const (
-	callerConns      = 2
-	callerConnsOfTwo = 3
-	serverConns      = 4
-)
-
 // Daemon is a call agent with its parts.
 type Daemon struct {
 	cfg         Config
+	parts       parts // of the descriptors
 	log         *slog.Logger
 	core        *agent.Agent
 	pool        *trunk.Pool
@@ -84,12 +77,14 @@
 	stayAway    time.Duration // told by the agent itself where it can't take a call
 }
 
-// ready tells whether callers may come.
-func (d *Daemon) ready() bool { return d.serving.Load() && !d.stopping.Load() && !d.drained.Load() }
+// ready tells whether callers may come. Where not every setup server may have a connection, one must.
+func (d *Daemon) ready() bool {
+	return d.serving.Load() && !d.stopping.Load() && !d.drained.Load() && d.pool.Serves()
+}
 
 // New puts a call agent together. Its list holds what the configuration knows.
 func New(cfg Config, log *slog.Logger) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, log: log}
+	d := &Daemon{cfg: cfg, log: log, parts: partsOf(cfg.Limits.Sockets, cfg.State != "")}
 	var err error
 	var kept agent.Keeper
 	if cfg.Promises != "" {
@@ -128,14 +123,13 @@
 		}
 	}
 	d.pool = trunk.NewPool(trunk.Config{Wrote: d.wrote(), ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
-		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Source: cfg.source, MaxConns: cfg.Limits.Sockets / serverConns, Log: log}, d.core)
+		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Source: cfg.source, MaxConns: d.parts.beside, Part: d.parts.servers,
+		Name: cfg.Name, Placed: func(ids []string, placed bool) {
+			d.core.Spread(func(_ policy.Time, s *spread.State) { s.Placed(ids, placed) })
+		}, Log: log}, d.core)
 	d.core.Attach(d.pool)
-	peers := cfg.Limits.Sockets / callerConns
-	if cfg.State != "" {
-		peers = cfg.Limits.Sockets / callerConnsOfTwo
-	}
 	d.stayAway = min(busyAway, set.Limits.CoolDown)
-	d.front = isupfront.New(desk.Config{MaxPeers: peers, StayAway: d.stayAway, Log: log}, d.core, d.ready)
+	d.front = isupfront.New(desk.Config{MaxPeers: d.parts.callers, StayAway: d.stayAway, Log: log}, d.core, d.ready)
 	d.second = second{d: d, front: callapi.New(desk.Config{StayAway: d.stayAway, Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, Patience: listPatience, Grace: listGrace,
 		Retry: listRetry, Source: cfg.source}
--- a/internal/daemon/second.go
+++ b/internal/daemon/second.go
@@ -57,7 +57,7 @@
 	}
 	if on {
 		s.front.Configure(endpoint(next), next.MaxMessage)
-		s.front.Limit(min(next.MaxConnections, s.d.cfg.Limits.Sockets/4), time.Duration(next.IdleS)*time.Second)
+		s.front.Limit(min(next.MaxConnections, s.d.parts.api), time.Duration(next.IdleS)*time.Second)
 	}
 	if moves && s.ln != nil {
 		s.ln.Close()
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -121,15 +121,15 @@
 	}
 }
 
-// leavingMost is how many connections, one in so many of the most, may be on their way out beside
+// LeavingMost is how many connections, one in so many of the most, may be on their way out beside
 // those that are served. Each costs a descriptor until it is closed.
-const leavingMost = 8
+const LeavingMost = 8
 
 func (d *Desk) welcome(conn net.Conn) {
 	p := newPeer(d, conn)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for !d.closed && d.open-len(d.peers) > d.MaxPeers/leavingMost { // they go in a moment, or in WriteTimeout
+	for !d.closed && d.open-len(d.peers) > d.MaxPeers/LeavingMost { // they go in a moment, or in WriteTimeout
 		d.shutOne.Wait()
 	}
 	if d.closed || len(d.peers) >= d.MaxPeers && !d.makeRoom() {
--- a/internal/lab/chainlab/chain_test.go
+++ b/internal/lab/chainlab/chain_test.go
@@ -65,8 +65,9 @@
 }
 
 // TestLists: an agent that the system holds to 64 descriptors keeps a connection to each of 8
-// servers and answers a third of the limit of callers, twice; of 100 servers it holds no more than
-// it has descriptors, and lives.
+// servers and answers a third of the limit of callers, twice; of 100 servers it connects to a subset,
+// is ready, and answers as many callers. A call whose first choice has no connection is answered there,
+// and where calls hold all places by another server: none is refused.
 func TestLists(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -87,13 +88,20 @@
 	assert.Equal(t, 21, few.callers)
 	assert.Equal(t, outcomes{answered: 21}, few.first)
 	assert.Equal(t, outcomes{answered: 21}, few.second)
-	m.Settle, m.Patience = time.Second, 500*time.Millisecond // it can't have them all
+	assert.Zero(t, few.demand.asked, "each has a connection")
+	m.Settle = time.Second // it can't have them all
 	many, err := m.play(ctx, r, servers, 64)
 	require.NoError(t, err)
-	assert.LessOrEqual(t, many.held, 64)
-	assert.LessOrEqual(t, many.descriptors, 64)
-	o := many.first
-	assert.Equal(t, 21, o.answered+o.refused+o.ended+o.unheard, "every call is accounted for")
+	assert.LessOrEqual(t, max(many.held, many.heldAfter), 14, "its part of the descriptors")
+	assert.LessOrEqual(t, max(many.descriptors, many.used), 64)
+	assert.NotZero(t, many.ready)
+	assert.Equal(t, outcomes{answered: 21}, many.first)
+	assert.Equal(t, outcomes{answered: 21}, many.second)
+	assert.NotZero(t, many.demand.there)
+	assert.LessOrEqual(t, many.demand.elsewhere, many.demand.asked-many.demand.there)
+	assert.Equal(t, []int{16, 0}, []int{many.stood.asked, many.stood.refused})
+	assert.NotZero(t, many.stood.elsewhere, "there are fourteen places, and calls stand at them")
+	assert.Equal(t, " 0 0 0 0 0", many.log, "none was out of descriptors, none turned away")
 	t.Logf("%+v\n%+v", few, many)
 }
 
--- a/internal/lab/chainlab/lists.go
+++ b/internal/lab/chainlab/lists.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,7 +17,9 @@
 )
 
 // Lists measures how an agent gets on with long lists of setup servers and few descriptors: it
-// keeps a connection to each server that is up, and callers may have a third of the limit.
+// keeps a connection to each server that is up, or to a subset where the list does not fit in its
+// part of the descriptors, and callers may have a third of the limit. Where it keeps a subset, calls
+// whose first choice has no connection tell what a dial on demand adds to them.
 type Lists struct {
 	Bin, Dir string
 	Servers  []int
@@ -40,8 +43,21 @@
 	first, second            outcomes // each caller's first call, and its next 1 s later
 	rss                      int64
 	log                      string
+	demand                   demand
+	stood                    demand // calls that were not released, at more servers than the agent has places for
 }
 
+// demand is what calls whose first choice had no connection showed, and the next call to each of those
+// servers, which had one then.
+type demand struct {
+	asked, there, elsewhere int // answered by the server asked for, by another
+	refused                 int // or not at all
+	dialled, connected      []time.Duration
+}
+
+// demandMost is how many servers without a connection are asked for.
+const demandMost = 20
+
 // outcomes counts what callers were told.
 type outcomes struct{ answered, refused, ended, unheard int }
 
@@ -86,6 +102,13 @@
 			}
 			fmt.Fprintf(out, "  %7d %7d | %6s %5d %5d %6.3f %5d | %7d %5d %5d %-17s %-17s | %6.1f |%s\n", sockets, n, ready, c.held, c.descriptors, c.processor, c.polls,
 				c.callers, c.heldAfter, c.used, c.first, c.second, float64(c.rss)/(1<<20), c.log)
+			if d := c.demand; d.asked > 0 {
+				fmt.Fprintf(out, "  %7s %7s   first choice without a connection: %d asked for, %d answered there, %d elsewhere; answer after %s, the next call to the same after %s (p50, longest)\n",
+					"", "", d.asked, d.there, d.elsewhere, spanOf(d.dialled), spanOf(d.connected))
+				s := c.stood
+				fmt.Fprintf(out, "  %7s %7s   the same, all left standing: %d asked for, %d answered there, %d elsewhere, %d not; answer there after %s, elsewhere after %s\n",
+					"", "", s.asked, s.there, s.elsewhere, s.refused, spanOf(s.dialled), spanOf(s.connected))
+			}
 			if c.held == n {
 				base = c.descriptors - c.held
 				x, y = append(x, float64(n)), append(y, float64(c.rss))
@@ -147,6 +170,9 @@
 	if c.descriptors, err = descriptors(a.PID()); err != nil {
 		return c, err
 	}
+	if c.demand, err = m.onDemand(ctx, a.addr, servers); err != nil {
+		return c, err
+	}
 	c.callers = sockets / callerPart
 	var each sync.WaitGroup
 	var mu sync.Mutex
@@ -177,6 +203,9 @@
 	time.Sleep(time.Second)
 	close(again)
 	seconds.Wait()
+	if c.demand.asked > 0 {
+		c.stood = m.standing(ctx, a.addr, servers, sockets/standingPart)
+	}
 	close(leave)
 	each.Wait()
 	for _, line := range []string{"setup server not reached", "accept failed", "caller turned away", "ended for a new one", "bulletin"} {
@@ -185,13 +214,103 @@
 	return c, err
 }
 
+// spanOf words the median and the longest of some times.
+func spanOf(all []time.Duration) string {
+	if len(all) == 0 {
+		return "-"
+	}
+	slices.Sort(all)
+	return fmt.Sprintf("%v, %v", all[len(all)/2].Round(time.Microsecond), all[len(all)-1].Round(time.Microsecond))
+}
+
+// onDemand places two calls, one after the other, to each of some servers to which the agent has no
+// connection. Each is released once it is answered. The agent may take the places of the
+// connections made here again after that.
+func (m Lists) onDemand(ctx context.Context, addr string, servers []*peer) (d demand, err error) {
+	k := &single{addr: addr, patience: m.Patience}
+	defer k.close()
+	for i, p := range servers {
+		if d.asked == demandMost || ctx.Err() != nil {
+			break
+		}
+		if p.open.Load() > 0 {
+			continue
+		}
+		d.asked++
+		k.figures = fmt.Sprintf("dest:%d;%s", i, figures)
+		for range 2 {
+			before, began := p.setUps.Load(), time.Now()
+			id, what := k.ask()
+			took := time.Since(began)
+			if what != isup.Answer {
+				return d, fmt.Errorf("call to server %d without a connection: not answered (%d)", i, what)
+			}
+			there := p.setUps.Load() > before
+			switch {
+			case len(d.dialled) == len(d.connected) && there:
+				d.there++
+				d.dialled = append(d.dialled, took)
+			case there:
+				d.connected = append(d.connected, took)
+			default:
+				d.elsewhere++
+			}
+			if err := k.release(id); err != nil {
+				return d, err
+			}
+			if !there {
+				break
+			}
+		}
+	}
+	if d.asked > 0 {
+		time.Sleep(2 * time.Second) // their places may be taken again, and they are idle
+	}
+	return d, ctx.Err()
+}
+
+// standingPart is the part of the descriptors, one in so many, that is the number of calls left standing.
+const standingPart = 4
+
+// standing places a call to each of some servers to which the agent has no connection, and leaves it
+// standing. connected are the answers of other servers than were asked for.
+func (m Lists) standing(ctx context.Context, addr string, servers []*peer, most int) (d demand) {
+	k := &single{addr: addr, patience: m.Patience}
+	defer k.close()
+	for i, p := range servers {
+		if d.asked == most || ctx.Err() != nil {
+			break
+		}
+		if p.open.Load() > 0 {
+			continue
+		}
+		d.asked++
+		k.figures = fmt.Sprintf("dest:%d;%s", i, figures)
+		before, began := p.setUps.Load(), time.Now()
+		_, what := k.ask()
+		took := time.Since(began)
+		switch {
+		case what != isup.Answer:
+			d.refused++
+		case p.setUps.Load() > before:
+			d.there++
+			d.dialled = append(d.dialled, took)
+		default:
+			d.elsewhere++
+			d.connected = append(d.connected, took)
+		}
+	}
+	return d
+}
+
 // single is a caller with a connection and one call at a time.
 type single struct {
 	addr     string
 	patience time.Duration
 	conn     net.Conn
 	in       *bufio.Reader
-	dead     bool // nothing can come any more
+	dead     bool   // nothing can come any more
+	figures  string // of its set-ups; "": no first choice
 }
 
 func (k *single) close() {
@@ -202,7 +321,7 @@
 
 // call places a call and counts what came of it.
 func (k *single) call(mu *sync.Mutex, to *outcomes) {
-	what := k.ask()
+	_, what := k.ask()
 	mu.Lock()
 	defer mu.Unlock()
 	switch what {
@@ -217,38 +336,47 @@
 	}
 }
 
-// ask returns the type of what ended the call's set-up; 0: nothing did in time, 255: its
+// release ends a call that stands.
+func (k *single) release(id isup.CallID) error {
+	return (&wire{Conn: k.conn}).say(isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal))
+}
+
+// ask places a call and returns the type of what ended its set-up; 0: nothing did in time, 255: its
 // connection ended, or none was to be had.
-func (k *single) ask() isup.Type {
+func (k *single) ask() (id isup.CallID, what isup.Type) {
 	const ended = 255
 	if k.dead {
-		return ended
+		return 0, ended
 	}
 	if k.conn == nil {
 		conn, err := net.DialTimeout("tcp", k.addr, k.patience)
 		if err != nil {
 			k.dead = true
-			return ended
+			return 0, ended
 		}
 		k.conn, k.in = conn, bufio.NewReader(conn)
 	}
-	id := isup.CallID(ids.Add(1))
+	id = isup.CallID(ids.Add(1))
 	k.conn.SetDeadline(time.Now().Add(k.patience))
 	w := &wire{Conn: k.conn}
-	if err := w.say(setUpMessage(id, class, left, id.String(), "offer")); err != nil {
+	m := setUpMessage(id, class, left, id.String(), "offer")
+	if k.figures != "" {
+		m.Values[3].Data = []byte(k.figures)
+	}
+	if err := w.say(m); err != nil {
 		k.dead = true
-		return ended
+		return id, ended
 	}
 	for {
 		m, err := isup.Read(k.in)
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			return 0
+			return id, 0
 		case err != nil:
 			k.dead = true
-			return ended
+			return id, ended
 		case m.Call == id && (m.Type == isup.Answer || m.Type == isup.Release):
-			return m.Type
+			return id, m.Type
 		}
 	}
 }
