--- a/spread/spread.go
+++ b/spread/spread.go
@@ -80,6 +80,7 @@
 	coldAt            Time // its budget was last asked for; it is while a server is cold
 	chilled           bool
 	up                bool
+	away              bool // it has no connection, nor the right to one
 	due               Due
 	sentAt            Time // the latest set-up of this sender; below 0: none yet
 }
@@ -229,6 +230,9 @@
 		v.asked = true
 		s.asked = append(s.asked, v)
 	}
+	if v.away {
+		return awayOrder - v.turn/v.weight()
+	}
 	if s.Follows(now) && s.onDuty(now, id, v) {
 		return math.Inf(1)
 	}
@@ -238,6 +242,19 @@
 	return -v.turn / v.weight()
 }
 
+// awayOrder is below the place of every server that has a connection.
+const awayOrder = -1e9
+
+// Placed tells of servers that have lost the right to a connection, or come by it: among equals those
+// that have it go first.
+func (s *State) Placed(ids []string, placed bool) {
+	for _, id := range ids {
+		if v := s.servers[id]; v != nil {
+			v.away = !placed
+		}
+	}
+}
+
 // Look drops a view that is too old to follow.
 func (s *State) Look(now Time) {
 	if s.view != nil && now-s.heardAt >= viewPeriods*s.cfg.period() {
