--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,8 @@
 	"woodrouter/internal/servers/bulletin"
 	"woodrouter/internal/servers/trunk"
 	"woodrouter/internal/settings"
+	"woodrouter/policy"
+	"woodrouter/spread"
 )
 
 // A stop: callers keep coming for stopServing after it is asked for. The platform kills what
@@ -106,8 +108,7 @@
 			return nil, fmt.Errorf("spread: %w", err)
 		}
 		d.own.spread.Source = cfg.source
-		set.Spread = d.own.spread.Spread(cfg.Name, time.Now())
-		set.Spread.Rank, set.Spread.Senders = set.Rank, set.Senders // as the module has them: a steward counts what is lent by them
+		set.Spread = spreadConfig(d.own.spread, cfg.Name, set)
 	}
 	d.core, err = agent.New(agent.Config{Keeper: kept, Sights: cfg.Failover != "", Settings: set, Seed: cfg.seed,
 		Slack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxBytes: cfg.Limits.MemoryMB << 20 / callShare,
@@ -161,6 +162,14 @@
 	return d, nil
 }
 
+// spreadConfig is what the module and the spreader are both told of spreading load: a steward counts
+// what is lent by the number of senders that the module has.
+func spreadConfig(file spreader.Config, name string, set policy.Settings) spread.Config {
+	c := file.Spread(name, time.Now())
+	c.Rank, c.Senders = set.Rank, set.Senders
+	return c
+}
+
 // Limit fits the Go runtime to the machine's bounds.
 func Limit(l Limits) {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
--- a/internal/daemon/rollout_test.go
+++ b/internal/daemon/rollout_test.go
@@ -13,8 +13,10 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"woodrouter/internal/fleet/spreader"
 	"woodrouter/internal/standin"
 	"woodrouter/isup"
+	"woodrouter/policy"
 	"woodrouter/rollout"
 )
 
@@ -153,3 +155,13 @@
 	_, err := New(cfg, slog.New(slog.DiscardHandler))
 	assert.ErrorContains(t, err, "rollout.yaml: field machines[0].client")
 }
+
+// TestSpreadConfig: the steward at an agent knows the senders that the module knows, else it would
+// grant rights to a cold server as if all were lent.
+func TestSpreadConfig(t *testing.T) {
+	file, err := spreader.LoadConfig("../../deploy/spread-control.yaml")
+	require.NoError(t, err)
+	c := spreadConfig(file, "a7", policy.Settings{Rank: 7, Senders: 27})
+	require.Equal(t, []any{"a7", 7, 27, "lessons", []string{"c1", "c2", "c3", "c4"}, 500 * time.Millisecond},
+		[]any{c.Name, c.Rank, c.Senders, c.Service, c.Stewards, c.Period})
+}
