--- a/internal/fleet/spreader/spreader_test.go
+++ b/internal/fleet/spreader/spreader_test.go
@@ -141,9 +141,10 @@
 		return s
 	}
 	a, b := open(0), open(1)
-	defer a.list.Shut()
-	defer b.list.Shut()
-	_, err = b.list.Rejoin()
+	list := b.way.(*gossip).list
+	defer a.way.(*gossip).list.Shut()
+	defer list.Shut()
+	_, err = list.Rejoin()
 	require.NoError(t, err)
 	sum := spread.Summary{From: spread.Stamp{Name: "b", Life: 1, Seq: 1}, Demand: 3}
 	for i := range 27 {
@@ -151,9 +152,9 @@
 	}
 	text, err := json.Marshal(note{Summary: &sum})
 	require.NoError(t, err)
-	_, before, _ := b.list.Traffic()
-	require.NoError(t, b.list.Note("a", note{Summary: &sum}))
-	_, after, _ := b.list.Traffic()
+	_, before, _ := list.Traffic()
+	require.NoError(t, list.Note("a", note{Summary: &sum}))
+	_, after, _ := list.Traffic()
 	assert.Less(t, after-before, int64(len(text)*2/3))
 }
 
--- a/internal/rpcline/rpcline.go
+++ b/internal/rpcline/rpcline.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -83,7 +84,7 @@
 	case head.Seq != l.seq:
 		return fmt.Errorf("%w: %d, asked %d", ErrSequence, head.Seq, l.seq)
 	case head.Error != "":
-		if err := l.dec.Decode(nil); err != nil { // the empty body of a refusal
+		if err := l.dec.DecodeValue(reflect.Value{}); err != nil { // the empty body of a refusal
 			return err
 		}
 		return Refusal{head.Error}
--- a/internal/servers/trunk/looks_test.go
+++ b/internal/servers/trunk/looks_test.go
@@ -54,7 +54,7 @@
 	}
 	cfg.ConnectTimeout = 100 * time.Hour
 	p := NewPool(cfg, &core{make(chan told, 1000), nil, nil})
-	k.trunk = newTrunk(p.cfg, p.core, listed("peer", policy.Up, time.Time{}), &p.sent, &p.conns)
+	k.trunk = newTrunk(p.cfg, p.core, listed("peer", policy.Up, time.Time{}), &p.sent, &p.conns, p.places)
 	k.l = &link{conn: &deaf{}, heard: time.Now(), read: make(chan struct{})}
 	k.link = k.l
 	go func() {
