Trunk tests of places wait for no fixed time where the program bounds one

Cause: two tests held an actor while a dial waited for its place, 100 ms at most in the program: on a stalled machine the call would have ended first. Dials were counted after the server could see them.

Change: the bound is a field of the pool's Config that tests set; dials are counted before they are made.

--- a/internal/servers/trunk/places.go
+++ b/internal/servers/trunk/places.go
@@ -313,11 +313,11 @@
 }
 
 // vacated waits until the connection has ended whose place is taken.
-func vacated(done, freed <-chan struct{}) error {
+func vacated(done, freed <-chan struct{}, most time.Duration) error {
 	if freed == nil {
 		return nil
 	}
-	late := time.NewTimer(yieldMost)
+	late := time.NewTimer(most)
 	defer late.Stop()
 	select {
 	case <-freed:
--- a/internal/servers/trunk/places_test.go
+++ b/internal/servers/trunk/places_test.go
@@ -63,10 +63,12 @@
 		}
 	}
 	cfg.Dial = func(_ context.Context, address string) (net.Conn, error) {
+		w.mu.Lock()
+		w.dials[at[address]]++ // before the server can see it
+		w.mu.Unlock()
 		conn, err := net.Dial("tcp", address)
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		w.dials[at[address]]++
 		if err != nil {
 			return nil, err
 		}
@@ -221,7 +223,7 @@
 // crowd fills the places of a list that does not fit, all but one in use, and returns the idle
 // server, whose actor can be held until free is called, and one without a place.
 func crowd(t *testing.T, cfg Config) (w *town, idle, other string, hold <-chan struct{}, free func()) {
-	cfg.Part, cfg.Jitter, cfg.Silence = 8, ms, time.Hour
+	cfg.Part, cfg.Jitter, cfg.Silence, cfg.Linger, cfg.ConnectTimeout = 8, ms, time.Hour, 50*ms, standin.Patience
 	w = newTown(t, 20, cfg)
 	w.Servers(w.list, true)
 	_, far := w.came(t, 3)
@@ -243,7 +245,7 @@
 // Nothing goes out on the connection that is about to end: the call is told to go elsewhere, and the
 // other's is served.
 func TestTakenMeanwhile(t *testing.T) {
-	w, idle, other, held, free := crowd(t, Config{Linger: 50 * ms})
+	w, idle, other, held, free := crowd(t, Config{yield: standin.Patience})
 	w.trunks[idle].post(func() { <-held })
 	late := w.call(idle, 50)
 	w.call(other, 51)
@@ -260,7 +262,7 @@
 // TestPlaceNotYielded: where the one whose place is taken stands still, the call does not wait for it.
 // That no connection came tells nothing of the server that it was for.
 func TestPlaceNotYielded(t *testing.T) {
-	w, idle, other, held, free := crowd(t, Config{Linger: 50 * ms, ConnectTimeout: standin.Patience})
+	w, idle, other, held, free := crowd(t, Config{yield: 50 * ms})
 	w.trunks[idle].post(func() { <-held })
 	w.call(other, 51)
 	w.core.ended(t, agent.Unwritten, policy.NotSent)
@@ -273,7 +275,7 @@
 // taken meanwhile: on a connection of its own, once there is a place, as what is written on one
 // that ends at once may be lost.
 func TestReleaseOfTaken(t *testing.T) {
-	w, idle, other, held, free := crowd(t, Config{Linger: 50 * ms, Redial: 100 * ms})
+	w, idle, other, held, free := crowd(t, Config{yield: standin.Patience, Redial: 100 * ms})
 	id := w.call(idle, 50)
 	g := w.servers[idle].Await(t, isup.SetUp)
 	w.GiveUp(idle, id, 0, policy.TimedOut)
@@ -282,7 +284,7 @@
 	time.Sleep(100 * ms)
 	w.trunks[idle].post(func() { <-held })
 	g.Answer("late")
-	time.Sleep(50 * ms) // it waits in the mailbox
+	time.Sleep(300 * ms) // it waits in the mailbox
 	w.call(other, 51)
 	require.Eventually(t, func() bool { return w.places.has(w.trunks[other]) }, standin.Patience, ms)
 	free()
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -48,6 +48,7 @@
 	Log            *slog.Logger
 	doubts         *Doubts                             // of all the pool's servers
 	draw           func(d time.Duration) time.Duration // a time of up to d
+	yield          time.Duration                       // a dial waits so long for the place it takes
 	Dial           func(ctx context.Context, address string) (net.Conn, error)
 	Wrote          func(class, zone string) // hears of each set-up written whole, and its server's zone; nil: nobody
 	// Placed hears which servers have lost their place for a connection, or come by one, where Part does
@@ -92,6 +93,9 @@
 	if c.draw == nil {
 		c.draw = jitter
 	}
+	if c.yield <= 0 {
+		c.yield = yieldMost
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			d := net.Dialer{LocalAddr: c.Source}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -337,7 +337,7 @@
 	go func() {
 		defer cancel()
 		var conn net.Conn
-		err := vacated(ctx.Done(), freed)
+		err := vacated(ctx.Done(), freed, t.cfg.yield)
 		if err == nil {
 			conn, err = t.cfg.Dial(ctx, address)
 		}
