--- a/internal/lab/scalelab/run.go
+++ b/internal/lab/scalelab/run.go
@@ -534,6 +534,9 @@
 			}
 		}
 		s.Knew = append(s.Knew, r.waitFor(ctx, join, began, eventMost)...)
+		if ctx.Err() != nil { // orders are under way still
+			return context.Cause(ctx)
+		}
 		i := r.procs[r.ordinary()].Agents[0]
 		began = time.Now()
 		r.kill(r.ordinary())
