Lab of scale: a watch that is seen in flight can be ended

TestDiscoveryMessages: a watch was counted as in flight in one section of the list's lock and read what ends it in a later one; one that was ended between the two waited for ever.

--- a/internal/lab/scalelab/list.go
+++ b/internal/lab/scalelab/list.go
@@ -108,10 +108,13 @@
 func (l *List) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
 	patience, _ := strconv.Atoi(r.URL.Query().Get("patience"))
-	l.note(r.RemoteAddr, func(w *Watch) {
+	var news, expired <-chan struct{}
+	var n int
+	l.note(r.RemoteAddr, func(w *Watch) { // at one moment: who sees it in flight may end it
 		w.Asked++
 		w.InFlight++
 		w.MostOpen = max(w.MostOpen, w.InFlight)
+		news, expired, n = l.news, l.expired, len(l.items)
 	})
 	var ends <-chan time.Time
 	if !l.ByHand {
@@ -119,9 +122,6 @@
 		defer t.Stop()
 		ends = t.C
 	}
-	l.mu.Lock()
-	news, expired, n := l.news, l.expired, len(l.items)
-	l.mu.Unlock()
 	if n <= after {
 		select {
 		case <-news:
