--- a/internal/lab/labcli/scale.go
+++ b/internal/lab/labcli/scale.go
@@ -39,6 +39,7 @@
 	Target     int             `help:"The size to plan with: a line through the sizes is read there." default:"730"`
 	By         string          `help:"Whom an agent's membership, spread and zones cover." enum:"fleet,service" default:"fleet"`
 	Services   int             `help:"Services." default:"27"`
+	Stewards   string          `help:"Where the stewards of spread are: among the agents, or on the control machines (by service, with config)." enum:"agents,machines" default:"agents"`
 	Skew       bool            `help:"One service has a third of all agents."`
 	Delay      []time.Duration `help:"Least and most delay between the two regions, each way; 0s: none." default:"30ms,150ms"`
 	Servers    int             `help:"Setup servers listed." default:"24"`
@@ -66,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	plan := scalelab.Plan{Services: c.Services, Parts: c.Parts, By: c.By, Skew: c.Skew, Servers: c.Servers, PerProcess: c.PerProcess,
+	plan := scalelab.Plan{Services: c.Services, Parts: c.Parts, By: c.By, Skew: c.Skew, Stewards: c.Stewards, Servers: c.Servers, PerProcess: c.PerProcess,
 		Span: c.Span, Warm: c.Warm, Pace: c.Pace, JoinMost: c.JoinMost, DeathMost: c.DeathMost, Seed: c.Seed}
 	switch len(c.Delay) {
 	case 2:
--- a/internal/lab/scalelab/helper.go
+++ b/internal/lab/scalelab/helper.go
@@ -242,7 +242,7 @@
 	}
 	if h.spread != nil {
 		t := h.spread.Traffic()
-		c.Datagrams[Spread], c.Bytes[Spread] = t.Sent, t.Bytes
+		c.Datagrams[Spread], c.Bytes[Spread], c.In[Spread] = t.Sent, t.Bytes, t.Received
 	}
 	if h.placer != nil {
 		c.Datagrams[Zones], c.Bytes[Zones], _ = h.placer.Gossip()
--- a/internal/lab/scalelab/hollow.go
+++ b/internal/lab/scalelab/hollow.go
@@ -172,9 +172,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	d := h.deal
-	spreading := spreader.Config{Mode: "common"}
+	spreading, spreadAs := h.spreading()
 	if d.has(Discovery) || d.has(Spread) || d.has(Zones) {
-		if err := h.startCore(spreading); err != nil {
+		if err := h.startCore(spreadAs); err != nil {
 			return err
 		}
 	}
@@ -203,8 +203,7 @@
 		})
 	}
 	if d.has(Spread) {
-		spreading.Members = d.membership(h.i, spreadPort)
-		if h.spread, err = spreader.Open(spreading, spreading.Spread(h.Name, h.life()), spreads{h}, h.log); err != nil {
+		if h.spread, err = spreader.Open(spreading, spreadAs, spreads{h}, h.log); err != nil {
 			return err
 		}
 		h.work.Go(func() { h.spread.Run(ctx) })
@@ -223,6 +222,22 @@
 	return nil
 }
 
+// spreading is the agent's file on spreading load, and what its module is told of it. By control
+// machines the senders of a service are as many as its agents; among agents this is left untold, as
+// in the runs before there were machines.
+func (h *hollow) spreading() (spreader.Config, spread.Config) {
+	d := h.deal
+	if !d.atMachines() {
+		file := spreader.Config{Mode: "common", Members: d.membership(h.i, spreadPort)}
+		return file, file.Spread(h.Name, h.life())
+	}
+	file := spreader.Config{Mode: "control", Service: h.Service, Machines: d.Machines[h.Region], Source: &net.TCPAddr{IP: net.ParseIP(d.Hosts[h.i])}}
+	as := file.Spread(h.Name, h.life())
+	group := peers(d.Places, h.Group)
+	as.Rank, as.Senders = max(slices.Index(group, h.i), 0), len(group)
+	return file, as
+}
+
 // stop ends the agent well; a death is its process's SIGKILL.
 func (h *hollow) stop() {
 	h.cancel()
@@ -241,14 +256,17 @@
 func (h *hollow) life() time.Time { return lifeAt }
 
 // startCore starts the agent's own core and module, with setup servers of which nothing is heard.
-func (h *hollow) startCore(spreading spreader.Config) error {
+func (h *hollow) startCore(spreading spread.Config) error {
 	info, err := settings.Parse([]byte(lab.AgentSettings))
 	if err != nil {
 		return err
 	}
 	set := info.Policy()
 	if h.deal.has(Spread) {
-		set.Spread = spreading.Spread(h.Name, h.life())
+		set.Spread = spreading
+		if h.deal.atMachines() {
+			set.Rank, set.Senders = spreading.Rank, spreading.Senders
+		}
 	}
 	if h.core, err = agent.New(agent.Config{Sights: h.deal.has(Zones), Settings: set, Seed: uint64(h.i), Log: h.log}); err != nil {
 		return err
--- a/internal/lab/scalelab/plan.go
+++ b/internal/lab/scalelab/plan.go
@@ -32,6 +32,12 @@
 	ByService = "service" // those of one service
 )
 
+// Where the stewards of spread are.
+const (
+	AtAgents   = "agents"   // one of the senders, by gossip (mode common of the spreader's file)
+	AtMachines = "machines" // on the control machines, by service (mode control)
+)
+
 // Bounds of a run on this machine.
 const (
 	MostProcesses = 300
@@ -44,6 +50,7 @@
 	Parts            []string
 	By               string
 	Skew             bool             // one service has a third of all agents
+	Stewards         string           // where the stewards of spread are
 	Delay            [2]time.Duration // least and most delay between regions, each way; zero: none
 	Servers          int              // setup servers that are listed
 	PerProcess       int
@@ -73,6 +80,10 @@
 		return fmt.Errorf("%w: %d services of %d agents; three agents each are the least by service", ErrPlan, p.Services, p.Agents)
 	case p.By != ByFleet && p.By != ByService:
 		return fmt.Errorf("%w: by %q is neither %s nor %s", ErrPlan, p.By, ByFleet, ByService)
+	case p.Stewards != AtAgents && p.Stewards != AtMachines && p.Stewards != "":
+		return fmt.Errorf("%w: stewards at %q, neither %s nor %s", ErrPlan, p.Stewards, AtAgents, AtMachines)
+	case p.atMachines() && (!p.has(Spread) || !p.has(Config) || p.By != ByService):
+		return fmt.Errorf("%w: stewards at machines need spread and config, by service", ErrPlan)
 	case p.PerProcess < 1 || p.Span <= 0 || p.Servers < 1:
 		return fmt.Errorf("%w: per process, span and servers must be positive", ErrPlan)
 	}
@@ -98,7 +109,10 @@
 
 func (p Plan) has(part string) bool { return slices.Contains(p.Parts, part) }
 
-// talk tells whether agents talk among themselves.
+// atMachines tells whether the stewards of spread are on the control machines.
+func (p Plan) atMachines() bool { return p.Stewards == AtMachines }
+
+// talk tells whether agents talk among themselves, or of themselves to those of their service.
 func (p Plan) talk() bool { return p.has(Members) || p.has(Spread) || p.has(Zones) }
 
 // Place is who a hollow agent is.
@@ -176,7 +190,7 @@
 func (p Plan) processes(places []Place) []process {
 	alone := map[int]string{}
 	first := peers(places, 0)
-	if p.has(Spread) {
+	if p.has(Spread) && !p.atMachines() {
 		var names []string
 		for _, i := range first {
 			names = append(names, places[i].Name)
--- a/internal/lab/scalelab/scale_test.go
+++ b/internal/lab/scalelab/scale_test.go
@@ -297,3 +297,22 @@
 	require.Equal(t, 2, k.Reached)
 	require.Less(t, k.Seconds.Max, (10 * untilEvery).Seconds())
 }
+
+// TestAtMachines: stewards on the control machines need what carries them, and no agent has the role.
+func TestAtMachines(t *testing.T) {
+	p := Plan{Agents: 54, Services: 2, Parts: []string{Spread, Config}, By: ByService, Stewards: AtMachines, Servers: 24, PerProcess: 50, Span: time.Second}
+	require.NoError(t, p.Check())
+	for _, o := range p.processes(p.places()) {
+		require.NotEqual(t, steward, o.Role)
+	}
+	for _, bad := range []func(*Plan){
+		func(p *Plan) { p.By = ByFleet },
+		func(p *Plan) { p.Parts = []string{Spread} },
+		func(p *Plan) { p.Parts = []string{Config} },
+		func(p *Plan) { p.Stewards = "elsewhere" },
+	} {
+		q := p
+		bad(&q)
+		require.ErrorIs(t, q.Check(), ErrPlan)
+	}
+}
