--- a/internal/fleet/control/conn.go
+++ b/internal/fleet/control/conn.go
@@ -157,7 +157,7 @@
 }
 
 func newCodec(conn net.Conn, s *server) *codec {
-	in := &frames{r: bufio.NewReader(conn)}
+	in := newFrames(bufio.NewReader(conn))
 	out := bufio.NewWriter(conn)
 	return &codec{conn: conn, server: s, in: in, dec: gob.NewDecoder(in), out: out, enc: gob.NewEncoder(out),
 		places: make(chan struct{}, mostRequests), gone: make(chan struct{})}
@@ -187,7 +187,7 @@
 	if err := c.readBy(idle); err != nil {
 		return err
 	}
-	if _, err := c.in.r.Peek(1); err != nil {
+	if _, err := c.in.From.Peek(1); err != nil {
 		return err
 	}
 	return c.readBy(requestTime)
@@ -271,60 +271,50 @@
 // frames reads gob messages, each within the bounds: gob itself takes messages of up to 1 GiB,
 // and definitions of types without end.
 type frames struct {
-	r     *bufio.Reader
-	left  int // bytes of the message under way
-	types int // definitions so far
-	err   error
+	gobframe.Reader
+	types int   // definitions so far
+	err   error // ends it
 }
 
-func (f *frames) Read(p []byte) (int, error) {
-	if f.left == 0 && f.err == nil {
-		f.err = f.next()
-	}
-	if f.err != nil {
-		return 0, f.err
-	}
-	n, err := f.r.Read(p[:min(len(p), f.left)])
-	f.left -= n
-	return n, err
-}
-
-// ReadByte has gob take frames as it is, and read no byte ahead.
-func (f *frames) ReadByte() (byte, error) {
-	var b [1]byte
-	_, err := io.ReadFull(f, b[:])
-	return b[0], err
+func newFrames(r *bufio.Reader) *frames {
+	f := &frames{}
+	f.Reader = gobframe.Reader{From: r, Head: func() (whole int, err error) {
+		if f.err == nil {
+			whole, f.err = f.next()
+		}
+		return whole, f.err
+	}}
+	return f
 }
 
 // next looks at a message's head: its length, and whether it is a definition of a type (whose
 // id is negative, which gob writes as an odd number).
-func (f *frames) next() error {
+func (f *frames) next() (int, error) {
 	size, width, err := f.number(0)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if size == 0 || size > mostMessage {
-		return fmt.Errorf("%w: a message of %d bytes, most %d", errJunk, size, mostMessage)
+		return 0, fmt.Errorf("%w: a message of %d bytes, most %d", errJunk, size, mostMessage)
 	}
 	id, more, err := f.number(width)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if uint64(more) > size {
-		return fmt.Errorf("%w: a message of %d bytes ends in its head", errJunk, size)
+		return 0, fmt.Errorf("%w: a message of %d bytes ends in its head", errJunk, size)
 	}
 	if id&1 == 1 {
 		if f.types++; f.types > mostTypes {
-			return fmt.Errorf("%w: more than %d definitions of types", errJunk, mostTypes)
+			return 0, fmt.Errorf("%w: more than %d definitions of types", errJunk, mostTypes)
 		}
 	}
-	f.left = width + int(size)
-	return nil
+	return width + int(size), nil
 }
 
 // number peeks at an unsigned number of gob's at an offset, and tells its width.
 func (f *frames) number(at int) (n uint64, width int, err error) {
-	n, width, err = gobframe.Number(f.r, at)
+	n, width, err = gobframe.Number(f.From, at)
 	if errors.Is(err, gobframe.ErrNumber) {
 		err = fmt.Errorf("%w: %w", errJunk, err)
 	}
--- a/internal/gobframe/gobframe.go
+++ b/internal/gobframe/gobframe.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 )
 
 // ErrNumber is an unsigned number longer than gob writes any.
@@ -34,3 +35,34 @@
 	}
 	return n, 1 + bytes, nil
 }
+
+// Reader hands gob's messages on to a decoder, each after Head has looked at it: so a message that is
+// refused takes no memory. It reads no byte ahead of the message under way.
+type Reader struct {
+	From *bufio.Reader
+	// Head peeks at a message's head and tells the bytes of the whole message, head included; an error
+	// is the reader's, and Head is asked again at the next read.
+	Head func() (int, error)
+	rest int // bytes of the message under way
+}
+
+// Read reads of one message at a time.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.rest == 0 {
+		var err error
+		if r.rest, err = r.Head(); err != nil {
+			r.rest = 0
+			return 0, err
+		}
+	}
+	n, err := r.From.Read(p[:min(len(p), r.rest)])
+	r.rest -= n
+	return n, err
+}
+
+// ReadByte has gob take the reader as it is: it puts no buffer of its own, which reads ahead, in between.
+func (r *Reader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := io.ReadFull(r, b[:])
+	return b[0], err
+}
--- a/internal/gobframe/gobframe_test.go
+++ b/internal/gobframe/gobframe_test.go
@@ -33,3 +33,29 @@
 	require.EqualValues(t, 258, n)
 	require.Equal(t, 3, width)
 }
+
+// TestReader: a decoder gets whole messages, one at a time, and none whose head is refused.
+func TestReader(t *testing.T) {
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	for _, size := range []int{1, 300, 70_000} {
+		require.NoError(t, enc.Encode(make([]byte, size)))
+	}
+	in := bufio.NewReader(&b)
+	r := &Reader{From: in}
+	r.Head = func() (int, error) {
+		size, width, err := Number(in, 0)
+		if err == nil && size > 60_000 {
+			err = io.ErrShortBuffer
+		}
+		return width + int(size), err
+	}
+	dec := gob.NewDecoder(r)
+	var got []byte
+	require.NoError(t, dec.Decode(&got))
+	require.Len(t, got, 1)
+	require.NoError(t, dec.Decode(&got))
+	require.Len(t, got, 300)
+	require.ErrorIs(t, dec.Decode(&got), io.ErrShortBuffer)
+	require.Len(t, got, 300)
+}
--- a/internal/rpcline/rpcline.go
+++ b/internal/rpcline/rpcline.go
@@ -9,7 +9,6 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/rpc"
 	"reflect"
@@ -53,7 +52,7 @@
 		return nil, err
 	}
 	counted := counting{conn, counts}
-	l := &Line{conn: conn, most: most, in: &frames{r: bufio.NewReader(counted)}, out: bufio.NewWriter(counted)}
+	l := &Line{conn: conn, most: most, in: newFrames(bufio.NewReader(counted)), out: bufio.NewWriter(counted)}
 	l.enc, l.dec = gob.NewEncoder(l.out), gob.NewDecoder(l.in)
 	return l, nil
 }
@@ -95,45 +94,32 @@
 // frames hands gob's messages on to the decoder, and refuses one that would take an answer over
 // its bound before the decoder takes memory for it.
 type frames struct {
-	r    *bufio.Reader
+	gobframe.Reader
 	most int // the answer's bound
 	left int // of it
-	rest int // of the message that is being read
 }
 
-func (f *frames) Read(p []byte) (int, error) {
-	if f.rest == 0 {
-		if err := f.next(); err != nil {
-			return 0, err
-		}
-	}
-	n, err := f.r.Read(p[:min(len(p), f.rest)])
-	f.rest -= n
-	return n, err
-}
-
-// ReadByte keeps the decoder from putting a buffer of its own in between.
-func (f *frames) ReadByte() (byte, error) {
-	var b [1]byte
-	_, err := io.ReadFull(f, b[:])
-	return b[0], err
+func newFrames(r *bufio.Reader) *frames {
+	f := &frames{}
+	f.Reader = gobframe.Reader{From: r, Head: f.next}
+	return f
 }
 
 // next looks at the length of the next message.
-func (f *frames) next() error {
-	size, width, err := gobframe.Number(f.r, 0)
+func (f *frames) next() (int, error) {
+	size, width, err := gobframe.Number(f.From, 0)
 	if errors.Is(err, gobframe.ErrNumber) {
-		return fmt.Errorf("%w: %w", ErrSize, err)
+		return 0, fmt.Errorf("%w: %w", ErrSize, err)
 	}
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if size > uint64(f.left) {
-		return fmt.Errorf("%w: a message of %d bytes, %d left of %d", ErrSize, size, f.left, f.most)
+		return 0, fmt.Errorf("%w: a message of %d bytes, %d left of %d", ErrSize, size, f.left, f.most)
 	}
-	f.rest = width + int(size)
-	f.left = max(f.left-f.rest, 0)
-	return nil
+	whole := width + int(size)
+	f.left = max(f.left-whole, 0)
+	return whole, nil
 }
 
 // Traffic is the bytes on the wire so far.
