Failing test: an answer on a replaced connection after its server's removal

Callers of a fleet of 128 processes were left waiting: a call stood at a setup server that had been removed from the list, and its release never reached the caller.

serverActor.withdraw and update (a new address) end sa.link alone. A replaced connection with an unanswered set-up stays open, its answer is passed on as standing, and then the actor is finished: it dials no more, so no message can report the call's end.

The test holds the answer until the server has been removed, left out of a whole list, or moved.

--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -601,3 +601,33 @@
 		assert.Equal(t, tc.want, a.stallTimeout(), "queued %v, stated %v ago", tc.queued, tc.ago)
 	}
 }
+
+// TestAnswerOnReplacedConnectionAfterRemoval guards against a call that stands, after its server's removal, on a
+// replaced connection: its end would never be heard.
+func TestAnswerOnReplacedConnectionAfterRemoval(t *testing.T) {
+	for name, leave := range map[string]func(p *Pool, s *standin.Server){
+		"removed":  func(p *Pool, s *standin.Server) { p.update(listedServer(s.Addr, policy.Gone, time.Time{})) },
+		"left out": func(p *Pool, s *standin.Server) { p.Servers(nil, true) },
+		"moved": func(p *Pool, s *standin.Server) {
+			p.update(listedServer(standin.NewServer(t, "").Addr, policy.Up, time.Time{}))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, c := startPool(t, Config{Aim: 400 * ms, FirstMessageTimeout: standin.WaitTimeout, SilenceTimeout: time.Hour})
+			s := standin.NewServer(t, "")
+			p.update(listedServer(s.Addr, policy.Up, time.Time{}))
+			p.SetUp(newAttempt(firstCall, 30*time.Second))
+			g := s.Await(t, isup.SetUp)
+			standin.Next(t, c.reports) // group state on the first connection
+			standin.Next(t, c.reports) // group state on the second connection: it has replaced the first
+			leave(p, s)
+			c.awaitEnd(t, agent.Written, policy.Cut)
+			g.Answer("")
+			require.Eventually(t, func() bool {
+				_, err := g.Conn.Write([]byte("\x00\x09\x06\x00\x00\x00\x00\x00\x00\x00\x01")) // a message without effect
+				return err != nil
+			}, standin.WaitTimeout, ms, "the replaced connection ends as well")
+			assert.Empty(t, c.events, "the answer that crossed the removal must not make the call stand")
+		})
+	}
+}
