Close replaced connections too when a setup server is removed or has moved

Cause: serverActor counted its replaced connections and had no list of them, so withdraw and update could end the connection in use alone. An answer on a replaced one made a call stand at a server to which the actor, finished, dials no more; after the next list the pool drops the actor and the reader discards what still comes. Neither the call's end nor a release could pass.

The actor now keeps the replaced connections (retiredLinks is a set) and closeAllLinks ends them all with their unanswered set-ups, which the module sends elsewhere after the release wait; an answer that crosses finds no attempt. stop ends the same set, where it looked for replaced connections by their open attempts.

Why it works: after withdraw no connection is left on which a call could begin to stand, and every attempt has its end, so 'finished' holds what it says.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -70,7 +70,7 @@
 func (sa *serverActor) discard(l *link) {
 	if l.retired {
 		l.retired = false
-		sa.retiredLinks--
+		delete(sa.retiredLinks, l)
 	}
 	if l.checkTimer != nil {
 		l.checkTimer.Stop()
@@ -138,7 +138,7 @@
 		sa.linkLost(l, errNoFirstMessage)
 		sa.dialFailed(errNoFirstMessage)
 		return
-	case !l.received || sa.retiredLinks >= maxRetiredLinks || time.Since(sa.lastExtraDial) < sa.cfg.RedialInterval:
+	case !l.received || len(sa.retiredLinks) >= maxRetiredLinks || time.Since(sa.lastExtraDial) < sa.cfg.RedialInterval:
 	case l.stalled(sa.stallTimeout()), len(sa.open) > 0 && silent >= sa.cfg.SilenceTimeout:
 		sa.log.Info("setup server silent: trying a new connection", "for", silent, "out", l.unanswered)
 		sa.lastExtraDial = time.Now()
--- a/internal/servers/trunk/slots.go
+++ b/internal/servers/trunk/slots.go
@@ -239,8 +239,8 @@
 
 // reportUsage reports to the table what the current event has changed.
 func (sa *serverActor) reportUsage() {
-	u := usage{Use: subset.Use{Pinned: len(sa.open)+len(sa.unsentReleases)+len(sa.waiting) > 0 || sa.dialing || sa.retiredLinks > 0, Failed: sa.dialFailures > 0},
-		linked: sa.link != nil, extraConns: sa.retiredLinks}
+	u := usage{Use: subset.Use{Pinned: len(sa.open)+len(sa.unsentReleases)+len(sa.waiting) > 0 || sa.dialing || len(sa.retiredLinks) > 0, Failed: sa.dialFailures > 0},
+		linked: sa.link != nil, extraConns: len(sa.retiredLinks)}
 	if sa.dialing && sa.link != nil {
 		u.extraConns++
 	}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -62,7 +63,7 @@
 	server          agent.Server
 	link            *link              // connection for new set-ups; nil: none is up
 	dialing         bool               // a dial is in progress
-	retiredLinks    int                // replaced connections kept open for their unanswered set-ups
+	retiredLinks    map[*link]struct{} // replaced connections kept open for their unanswered set-ups
 	lastExtraDial   time.Time          // when a second connection was last dialled
 	cancelDial      context.CancelFunc // cancels the dial in progress
 	waiting         []agent.Attempt    // set-ups that wait for a connection
@@ -100,7 +101,7 @@
 
 func newServerActor(cfg Config, core Core, s agent.Server, sent, conns *atomic.Int64, connSlots *slots) *serverActor {
 	return &serverActor{connCount: conns, slots: connSlots, cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), serverID: s.ID, server: s, sentCount: sent,
-		mailbox: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{},
+		mailbox: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{}, retiredLinks: map[*link]struct{}{},
 		probes: map[isup.CallID]time.Time{}, lastReceived: time.Now()}
 }
 
@@ -138,7 +139,9 @@
 	sa.finished.Store(false)
 	if s.Address != old.Address && sa.link != nil {
 		sa.log.Info("setup server has moved", "from", old.Address, "to", s.Address)
-		sa.linkLost(sa.link, errDied)
+	}
+	if s.Address != old.Address {
+		sa.closeAllLinks(errDied)
 	}
 	if s.ReadyAt > old.ReadyAt {
 		sa.cutCallsBefore(time.Unix(0, int64(s.ReadyAt)))
@@ -158,9 +161,7 @@
 func (sa *serverActor) withdraw() {
 	sa.server.State = policy.Gone
 	sa.failWaiting(agent.Unwritten, policy.NotSent, errNotAccepting)
-	if sa.link != nil {
-		sa.linkLost(sa.link, errDied)
-	}
+	sa.closeAllLinks(errDied)
 	sa.cutCallsBefore(time.Now())
 	sa.unsentReleases = nil
 	sa.finished.Store(true)
@@ -383,14 +384,15 @@
 	l := &link{conn: conn, lastReceived: time.Now(), readDone: make(chan struct{})}
 	if old := sa.link; old != nil {
 		old.retired, old.retiredAt = true, time.Now()
-		if sa.retiredLinks++; old.unanswered == 0 {
+		sa.retiredLinks[old] = struct{}{}
+		if old.unanswered == 0 {
 			sa.linger(old)
 		}
 	}
 	sa.link = l
 	sa.slots.setLink(sa, l)
 	go sa.readLoop(l)
-	if sa.retiredLinks > 0 && sa.cfg.Probes {
+	if len(sa.retiredLinks) > 0 && sa.cfg.Probes {
 		sa.probe()
 	}
 	sa.checkLink(l)
@@ -540,6 +542,16 @@
 	sa.reconnect()
 }
 
+// closeAllLinks closes the connection in use and the retired ones, and ends their unanswered set-ups.
+func (sa *serverActor) closeAllLinks(err error) {
+	if sa.link != nil {
+		sa.linkLost(sa.link, err)
+	}
+	for l := range sa.retiredLinks {
+		sa.linkLost(l, err)
+	}
+}
+
 // stop closes the connections without waiting for unanswered set-ups. What was written last, such as the
 // release of a call, must still reach the server, and closing a connection that has unread bytes would reset
 // it. So stop ends the sending side first and waits, for Config.StopLinger at most, until the server ends the
@@ -550,14 +562,9 @@
 	if sa.cancelDial != nil {
 		sa.cancelDial()
 	}
-	links := map[*link]bool{}
+	links := maps.Clone(sa.retiredLinks)
 	if sa.link != nil {
-		links[sa.link] = true
-	}
-	for _, a := range sa.open {
-		if a.link.retired {
-			links[a.link] = true
-		}
+		links[sa.link] = struct{}{}
 	}
 	lingerCtx, cancel := context.WithTimeout(context.Background(), sa.cfg.StopLinger)
 	defer cancel()
