Logs follow a call by its id, and each connection by its end and reason

The incident's logs could not show on which connection an answer had come: the end of a replaced connection was not logged, and at debug a line was dropped after 20 of its kind in a second.

Now 'replaced connection to setup server ended' stands beside 'connection to setup server ended', both with the set-ups out and the local address, which a server's records can be searched for. At debug: attempt sent and given up, call stands, refused, failed and ended, end of call kept, caller connected, caller's connection closed with its reason; lines at debug are not limited.

The stand-in connection of checks_test.go gets a local address, as the log asks for it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -317,11 +317,13 @@
 
 func (a *Agent) refuse(f Front, c Call, retryAfter time.Duration) {
 	a.tally(c).Refused.Add(1)
+	a.cfg.Log.Debug("call refused", "call", c.ID, "retry_after", retryAfter)
 	f.Refused(c, retryAfter)
 }
 
 func (a *Agent) fail(f Front, c Call, err error) {
 	a.tally(c).Failed.Add(1)
+	a.cfg.Log.Debug("call failed", "call", c.ID, "error", err)
 	f.Failed(c, err)
 }
 
@@ -524,6 +526,7 @@
 func (a *Agent) giveUp(c *call, why policy.Result) {
 	if c.attemptOut && !c.givenUp {
 		c.givenUp = true
+		a.cfg.Log.Debug("attempt given up", "call", c.ID, "attempt", c.attempts-1, "server", c.server, "stands", c.stands)
 		c.cancelAttempt()
 		a.backend.GiveUp(c.server, c.ID, c.attempts-1, why)
 	}
@@ -614,6 +617,7 @@
 		return
 	}
 	c.attemptTimer.Stop()
+	a.cfg.Log.Debug("call stands", "call", id, "attempt", n, "server", c.server)
 	c.stands = true
 	a.standingCalls++
 	a.storeAndAnswer(c, Promise{Outcome: Served, Description: description}, func() {
@@ -716,6 +720,7 @@
 	n := c.attempts
 	c.attempts++
 	c.server, c.attemptOut, c.givenUp, c.sentAt = d.Server, true, false, a.now()
+	a.cfg.Log.Debug("attempt sent", "call", c.ID, "attempt", n, "server", c.server)
 	left := d.Deadline - c.sentAt
 	if c.attemptTimeout > 0 {
 		left = min(left, c.attemptTimeout)
--- a/agent/promises.go
+++ b/agent/promises.go
@@ -156,6 +156,7 @@
 // notifyEnded tells the caller how a call that stood has ended.
 func (a *Agent) notifyEnded(c *call, err *Failure) {
 	c.callerLeft = true
+	a.cfg.Log.Debug("call ended", "call", c.ID, "server", c.server, "error", failureOrNil(err))
 	c.front.Ended(c.Call, failureOrNil(err))
 }
 
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -142,6 +142,7 @@
 		return
 	}
 	p.idleTimeout = m.IdleTimeout
+	m.Log.Debug("caller connected", "caller", conn.RemoteAddr())
 	m.peers[p] = struct{}{}
 	m.openConns++
 	m.goroutines.Go(p.readAll)
@@ -429,6 +430,7 @@
 			return
 		}
 	}
+	m.Log.Debug("end of call kept", "call", end.message.ID, "caller", end.host)
 	if len(m.pendingEnds) < maxPendingEnds {
 		m.pendingEnds = append(m.pendingEnds, end)
 	}
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -178,6 +178,7 @@
 	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		p.manager.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
 	}
+	p.manager.Log.Debug("caller's connection closed", "caller", p.conn.RemoteAddr(), "reason", err)
 	p.midMessage.Store(false)
 	p.manager.removePeer(p)
 	p.queue.Close() // the writer sends what is queued, then closes the connection
--- a/internal/loglimit/loglimit.go
+++ b/internal/loglimit/loglimit.go
@@ -41,8 +41,12 @@
 // Enabled asks the next handler.
 func (h *Handler) Enabled(ctx context.Context, l slog.Level) bool { return h.next.Enabled(ctx, l) }
 
-// Handle passes a line on unless its message has reached its limit for this second.
+// Handle passes a line on unless its message has reached its limit for this second. Lines at debug are not
+// limited: a trace of a call must be complete.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
+	if r.Level <= slog.LevelDebug {
+		return h.next.Handle(ctx, r)
+	}
 	pass, dropped := h.counters.allow(r.Message, r.Time, h.perSecond)
 	if !pass {
 		return nil
--- a/internal/servers/trunk/checks_test.go
+++ b/internal/servers/trunk/checks_test.go
@@ -31,6 +31,7 @@
 	c.deadlines = append(c.deadlines, when)
 	return nil
 }
+func (c *silentConn) LocalAddr() net.Addr { return &net.TCPAddr{} }
 func (c *silentConn) Read(b []byte) (int, error) {
 	n := copy(b, c.in)
 	c.in = c.in[n:]
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -390,6 +390,7 @@
 		}
 	}
 	sa.link = l
+	sa.log.Debug("connected to setup server", "address", address, "local", conn.LocalAddr(), "replaced", len(sa.retiredLinks))
 	sa.slots.setLink(sa, l)
 	go sa.readLoop(l)
 	if len(sa.retiredLinks) > 0 && sa.cfg.Probes {
@@ -524,14 +525,10 @@
 // linkLost closes a connection and ends its unanswered set-ups. Calls that stand outlive it, and the next
 // dial shows whether their server is alive.
 func (sa *serverActor) linkLost(l *link, err error) {
+	sa.logLinkLost(l, err)
 	sa.discard(l)
 	if sa.link == l {
 		sa.link = nil
-		level := slog.LevelInfo
-		if errors.Is(err, errNoSlot) { // happens as often as another server needs the slot for a call
-			level = slog.LevelDebug
-		}
-		sa.log.Log(context.Background(), level, "connection to setup server ended", "error", err)
 	}
 	for id, a := range sa.open {
 		if a.link == l && !a.stands {
@@ -542,6 +539,22 @@
 	sa.reconnect()
 }
 
+// logLinkLost logs the end of a connection that was in use or replaced. Other connections have ended before.
+func (sa *serverActor) logLinkLost(l *link, err error) {
+	text := "connection to setup server ended"
+	switch {
+	case l.retired:
+		text = "replaced connection to setup server ended"
+	case sa.link != l:
+		return
+	}
+	level := slog.LevelInfo
+	if errors.Is(err, errNoSlot) { // happens as often as another server needs the slot for a call
+		level = slog.LevelDebug
+	}
+	sa.log.Log(context.Background(), level, text, "error", err, "out", l.unanswered, "local", l.conn.LocalAddr())
+}
+
 // closeAllLinks closes the connection in use and the retired ones, and ends their unanswered set-ups.
 func (sa *serverActor) closeAllLinks(err error) {
 	if sa.link != nil {
