Ends of calls go to connections with calls, not to idle ones

Cause: Manager.deliverEnd, once the call's own connection is gone, sends the end on any connection of the host, in the random order of a map. A connection that was only opened, or on which a bad client stays in the middle of a message, counts like one in use, and nobody reads there. MarkReady gave kept ends to whoever connected next, the platform's test of readiness included.

Now an end goes to a connection on which calls were placed or ended, the latest used first.

--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -63,19 +63,6 @@
 	cancelCaller context.CancelFunc // ends the call's CallerContext
 }
 
-// pendingEnd is the end of a call that could not be sent on any connection of its caller.
-type pendingEnd struct {
-	message Message
-	host    string // "": any host
-	since   time.Time
-}
-
-// Bounds on how long, and how many, ends are kept that could not be sent.
-const (
-	pendingEndLifetime = 10 * time.Second
-	maxPendingEnds     = 4096
-)
-
 // Manager serves the callers of one front.
 type Manager struct {
 	Config
@@ -246,23 +233,6 @@
 	}
 }
 
-// MarkReady records that a connection can receive messages, and sends it the pending ends for its host.
-func (m *Manager) MarkReady(p *Peer) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	p.ready.Store(true)
-	var remaining []pendingEnd
-	for _, end := range m.pendingEnds {
-		switch {
-		case time.Since(end.since) > pendingEndLifetime:
-		case (end.host == p.host || end.host == "") && p.Send(end.message):
-		default:
-			remaining = append(remaining, end)
-		}
-	}
-	m.pendingEnds = remaining
-}
-
 // Close closes all connections once their queued messages are written. A set-up that is read from now on is
 // not accepted, as its caller could not be answered.
 func (m *Manager) Close() {
@@ -296,6 +266,7 @@
 	case duplicate:
 		return agent.ErrDuplicate
 	}
+	m.MarkCalls(p)
 	if !m.core.Offer(m.front, c) {
 		m.front.Refused(c, m.RetryAfter)
 	}
@@ -396,18 +367,6 @@
 	}
 }
 
-// SendEnd reports the end of a call that stood, on the call's connection or another one of its caller.
-func (m *Manager) SendEnd(id string, data []byte) {
-	if entry := m.removeCall(id); entry != nil {
-		m.deliverEnd(pendingEnd{Message{ID: id, Kind: KindEnd, Data: data}, entry.peer.host, time.Now()}, entry.peer)
-	}
-}
-
-// SendUnknownEnd reports the end of a call that this manager does not know, to any caller.
-func (m *Manager) SendUnknownEnd(id string, data []byte) {
-	m.deliverEnd(pendingEnd{Message{ID: id, Kind: KindEnd, Data: data}, "", time.Now()}, nil)
-}
-
 // ReleaseUnknown passes on the release of a call that this manager does not know.
 func (m *Manager) ReleaseUnknown(id string) { m.core.ReleaseUnknown(id) }
 
@@ -417,21 +376,3 @@
 		entry.peer.Fail(err)
 	}
 }
-
-// deliverEnd tries the caller's connections in turn, and keeps the message for later if none accepts it.
-func (m *Manager) deliverEnd(end pendingEnd, first *Peer) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, registered := m.peers[first]; registered && first.Send(end.message) {
-		return
-	}
-	for p := range m.peers {
-		if p.ready.Load() && (p.host == end.host || end.host == "") && p.Send(end.message) {
-			return
-		}
-	}
-	m.Log.Debug("end of call kept", "call", end.message.ID, "caller", end.host)
-	if len(m.pendingEnds) < maxPendingEnds {
-		m.pendingEnds = append(m.pendingEnds, end)
-	}
-}
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -30,6 +30,8 @@
 	ID   string
 	Kind Kind
 	Data []byte
+
+	endedAt time.Time // of KindEnd: when the call's end was reported
 }
 
 // Peer is one caller's connection. One goroutine reads it, and an actor writes it.
@@ -47,6 +49,7 @@
 	lastUsed    atomic.Int64 // last use or receipt of bytes, in Unix nanoseconds
 	idleTimeout time.Duration
 	ready       atomic.Bool // it can be sent ends of calls
+	hadCalls    atomic.Bool // calls were placed or ended on it
 
 	readDeadline time.Time // by when the awaited bytes must arrive; used by the reader alone
 	deadlineSet  bool      // readDeadline is set on the connection
@@ -155,9 +158,9 @@
 
 // MessageRead records that a complete message was read.
 func (p *Peer) MessageRead() {
-	p.gotMessage.Store(true)
 	p.midMessage.Store(false)
 	p.touch()
+	p.gotMessage.Store(true)
 }
 
 // touch records that the connection was used now.
@@ -222,7 +225,7 @@
 	case KindAnswer:
 		p.manager.releaseUndelivered(message.ID)
 	case KindEnd:
-		p.manager.deliverEnd(pendingEnd{message, p.host, time.Now()}, nil)
+		p.manager.deliverEnd(message, p.host, nil)
 	}
 }
 
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -132,6 +132,7 @@
 		if _, err := m.Cause(); err != nil {
 			return err
 		}
+		f.MarkCalls(p)
 		if known, _, _ := f.Withdraw(m.Call.String()); !known {
 			f.ReleaseUnknown(m.Call.String())
 		}
