An end of a call that its caller can't have read is sent again

Cause: Peer.writeAll takes a write that succeeds as delivered. A caller that closes with unread bytes resets the connection; one that closed before the bytes came answers them with a reset that nobody sees.

Now a connection remembers the ends of the last 0.25 s. When reading ends with a reset, they go to another connection. When it ends in order, the writer waits 50 ms (the protocol's crossing) and writes a message without effect: an error means that the end was not read. What is still queued when reading has ended goes elsewhere at once. A caller's 'release heard' takes an end off the list.

--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -34,6 +34,7 @@
 	IdleTimeout         time.Duration // AwaitMessage returns ErrIdle after this long without a message
 	LingerTimeout       time.Duration // time for a caller to notice that its connection is closing
 	RetryAfter          time.Duration // sent when the agent is too busy; 0: callers ignore it, none is sent
+	NoOpMessage         []byte        // without effect, to find out whether a caller's connection was reset
 	CloseMessage        []byte        // sent last on a connection that the manager closes
 	Log                 *slog.Logger
 }
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,11 @@
 	readDeadline time.Time // by when the awaited bytes must arrive; used by the reader alone
 	deadlineSet  bool      // readDeadline is set on the connection
 
+	endsMu      sync.Mutex   // guards the three fields below
+	writtenEnds []writtenEnd // the last ones, not confirmed by the caller
+	callerLeft  bool         // reading has ended
+	readError   error        // why it has
+
 	linger atomic.Bool // closeWrite waits for the caller to see the close
 
 	openSetUps, calls int // set-ups without an answer, and all calls; guarded by manager.mu
@@ -182,6 +188,7 @@
 		p.manager.Log.Warn("caller's connection ended", "caller", p.conn.RemoteAddr(), "error", err)
 	}
 	p.manager.Log.Debug("caller's connection closed", "caller", p.conn.RemoteAddr(), "reason", err)
+	p.setReadError(err)
 	p.midMessage.Store(false)
 	p.manager.removePeer(p)
 	p.queue.Close() // the writer sends what is queued, then closes the connection
@@ -207,13 +214,22 @@
 	for {
 		message, ok := p.queue.Take()
 		if !ok {
+			p.resendUnread()
 			p.closeWrite()
 			return
 		}
+		if message.Kind == KindEnd && p.left() {
+			p.handleUnsent(message)
+			continue
+		}
 		p.conn.SetWriteDeadline(time.Now().Add(p.manager.WriteTimeout))
 		if _, err := p.conn.Write(message.Data); err != nil {
 			p.conn.Close()
 			p.handleUnsent(message)
+			continue
+		}
+		if message.Kind == KindEnd {
+			p.addWrittenEnd(message)
 		}
 	}
 }
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -23,6 +23,7 @@
 // New returns a front that passes calls to core; ready gives the result of callers' tests.
 func New(cfg connmgr.Config, core connmgr.Core, ready func() bool) *Front {
 	f := &Front{ready: ready}
+	cfg.NoOpMessage = f.encode(isup.Message{Type: isup.Progress})
 	f.Manager = connmgr.New(cfg, core, f, f.readMessages)
 	return f
 }
@@ -142,7 +143,9 @@
 			cause = isup.Passed
 		}
 		p.Send(connmgr.Message{Data: f.encode(isup.Message{Type: isup.TestResult, Call: m.Call}.WithCause(cause))})
-	case isup.Progress, isup.Released:
+	case isup.Released:
+		p.ConfirmEnd(m.Call.String())
+	case isup.Progress:
 	default:
 		return errors.New("unexpected type")
 	}
