The end of an unknown call is passed on once

Seen in the soak: after a restart, a server that repeats a call's release on each new connection had each copy passed on to the callers (up to twelve for one call).

Cause: Agent.UnknownEnded checks the set of recent calls and does not add the call to it.

TestUnknownEndReportedOnce: 3 reports before, 1 now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -368,6 +368,7 @@
 func (a *Agent) UnknownEnded(id string, err *Failure) {
 	a.post(id, func() {
 		if a.calls[id] == nil && !a.adoptedEnded(id, err) && !a.recent.Has(id) && a.unknownEnds.allow(time.Now(), unknownEndsPerSecond) {
+			a.recent.Add(id) // a server may report the end on several connections
 			a.cfg.OnUnknownEnded(id, failureOrNil(err))
 		}
 	})
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -409,6 +409,23 @@
 	})
 }
 
+// TestUnknownEndReportedOnce guards against a caller that is told again and again of the same end, as a server
+// repeats it on each new connection.
+func TestUnknownEndReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reported := 0
+		a, err := New(Config{Settings: settings(), OnUnknownEnded: func(string, error) { reported++ }})
+		require.NoError(t, err)
+		go a.Run()
+		defer a.Stop()
+		for range 3 {
+			a.UnknownEnded("old", nil)
+		}
+		synctest.Wait()
+		require.Equal(t, 1, reported)
+	})
+}
+
 // TestModuleTimeIsUnixTime checks that the module's time is comparable with the Unix time of a server's
 // start.
 func TestModuleTimeIsUnixTime(t *testing.T) {
