--- a/internal/faultnet/wrappedlink.go
+++ b/internal/faultnet/wrappedlink.go
@@ -17,6 +17,7 @@
 	holdIn   bool          // data to this process is held back
 	holdOut  bool          // data from this process is held back
 	delay    time.Duration // added in each direction
+	split    bool          // data from this process is sent in pieces
 	changed  chan struct{} // closed and replaced at each change
 	healedAt time.Time     // when the last cut ended
 	conns    map[*wrappedConn]bool
@@ -33,6 +34,15 @@
 // Delay sets the delay that is added in each direction.
 func (l *WrappedLink) Delay(d time.Duration) { l.change(func() { l.delay = d }) }
 
+// Split makes data from this process arrive in pieces, if the link has a delay.
+func (l *WrappedLink) Split(on bool) { l.change(func() { l.split = on }) }
+
+// pieceBytes is the size of the pieces on a link that splits data, and pieceGap the time between them.
+const (
+	pieceBytes = 7
+	pieceGap   = 2 * time.Millisecond
+)
+
 func (l *WrappedLink) change(do func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -149,13 +159,29 @@
 		if c.waitForLink(func(g *WrappedLink) (bool, time.Duration) { return g.holdOut, g.delay }, p.writtenAt) != nil {
 			return
 		}
-		if _, err := c.Conn.Write(p.data); err != nil {
+		if err := c.writePieces(p.data); err != nil {
 			c.Close()
 			return
 		}
 	}
 }
 
+// writePieces writes data to the connection, in pieces if the link splits it.
+func (c *wrappedConn) writePieces(data []byte) error {
+	c.link.mu.Lock()
+	split := c.link.split
+	c.link.mu.Unlock()
+	for split && len(data) > pieceBytes {
+		if _, err := c.Conn.Write(data[:pieceBytes]); err != nil {
+			return err
+		}
+		data = data[pieceBytes:]
+		time.Sleep(pieceGap)
+	}
+	_, err := c.Conn.Write(data)
+	return err
+}
+
 // waitForLink waits until the link is not cut in one direction and its delay has passed since the given
 // time. state returns that direction's fault and the delay.
 func (c *wrappedConn) waitForLink(state func(*WrappedLink) (held bool, delay time.Duration), since time.Time) error {
--- a/internal/lab/emulator/callers.go
+++ b/internal/lab/emulator/callers.go
@@ -284,7 +284,7 @@
 	if n > 0 && c.world.MarksRetry {
 		m = m.WithText(isup.Retry, "1")
 	}
-	c.world.Check.addCall(t.id)
+	c.world.Check.AddCall(t.id)
 	conn, err := c.connect(l)
 	if err == nil {
 		l.mu.Lock()
