A release of an unknown call reaches servers whose dial is under way

Callers: a call from before a restart that is released while its server is being dialled stood for ever.

It is kept now, up to 64 a server, for the server's next connection, until the server is gone.

TestUnknownReleaseDuringDial holds the dial until the release was handled: failed before, passes now.

--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -207,9 +207,8 @@
 // maxUnknownReleases limits the releases of unknown calls that wait for a server's next connection.
 const maxUnknownReleases = 64
 
-// ReleaseUnknown releases a call at every connected server, because it is not known which one holds the call.
-// Servers without a slot get the release once they have a connection. A server that does not hold the call
-// has nothing to do.
+// ReleaseUnknown releases a call at every server, because it is not known which one holds the call. A server
+// without a connection gets the release on its next one. A server that does not hold the call has nothing to do.
 func (p *Pool) ReleaseUnknown(id string) {
 	n, err := isup.ParseCallID(id)
 	if err != nil {
@@ -220,7 +219,7 @@
 			switch {
 			case actor.link != nil:
 				actor.sendRelease(actor.link, n)
-			case actor.slots.excluded(actor) && len(actor.unknownReleases) < maxUnknownReleases:
+			case actor.server.State != policy.Gone && len(actor.unknownReleases) < maxUnknownReleases:
 				actor.unknownReleases = append(actor.unknownReleases, n)
 			}
 		})
--- a/internal/servers/trunk/slots.go
+++ b/internal/servers/trunk/slots.go
@@ -163,13 +163,6 @@
 	return s.actors[actor.serverID] == actor && s.table.HasSlot(actor.serverID)
 }
 
-// excluded reports whether a server has no slot because not every server can have one.
-func (s *slots) excluded(actor *serverActor) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.actors[actor.serverID] == actor && !s.table.Fits() && !s.table.HasSlot(actor.serverID)
-}
-
 // preferred reports whether a server should have a connection even if no call needs it.
 func (s *slots) preferred(actor *serverActor) bool {
 	s.mu.Lock()
--- a/internal/servers/trunk/slots_test.go
+++ b/internal/servers/trunk/slots_test.go
@@ -366,3 +366,23 @@
 	w.call(others[0], 1)
 	assert.Equal(t, secondCall, w.servers[others[0]].Await(t, isup.Release).Call.String())
 }
+
+// TestUnknownReleaseDuringDial guards against a call that stands for ever because its caller releases it while its
+// server is being dialled.
+func TestUnknownReleaseDuringDial(t *testing.T) {
+	dialing, dialReturns := make(chan struct{}), make(chan struct{})
+	p, _ := startPool(t, Config{Jitter: ms, ConnectTimeout: standin.WaitTimeout, Dial: func(_ context.Context, address string) (net.Conn, error) {
+		close(dialing)
+		<-dialReturns
+		return net.Dial("tcp", address)
+	}})
+	s := standin.NewServer(t, "")
+	p.update(listedServer(s.Addr, policy.Up, time.Time{}))
+	<-dialing
+	p.ReleaseUnknown(firstCall)
+	released := make(chan struct{})
+	p.actors["s"].post(func() { close(released) })
+	<-released
+	close(dialReturns)
+	assert.Equal(t, firstCall, s.Await(t, isup.Release).Call.String())
+}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -163,7 +163,7 @@
 	sa.failWaiting(agent.Unwritten, policy.NotSent, errNotAccepting)
 	sa.closeAllLinks(errDied)
 	sa.cutCallsBefore(time.Now())
-	sa.unsentReleases = nil
+	sa.unsentReleases, sa.unknownReleases = nil, nil
 	sa.finished.Store(true)
 }
 
