--- a/internal/lab/labcli/soak.go
+++ b/internal/lab/labcli/soak.go
@@ -18,7 +18,7 @@
 	Seed     uint64        `help:"The first trial's seed; each next one has the next." default:"1"`
 	Span     time.Duration `help:"How long callers place calls and faults begin, in each trial." default:"10s"`
 	Parallel int           `help:"Trials at once." default:"3"`
-	Quiet    bool          `help:"Play without faults."`
+	Faults   []string      `help:"Kinds of faults; all if not given, none: no fault." placeholder:"NAME,..."`
 	Logs     string        `help:"Write the agents' logs of trials that broke a rule to this folder."`
 }
 
@@ -58,7 +58,7 @@
 	if err := os.MkdirAll(trialDir, 0o700); err != nil {
 		return soaklab.Report{Seed: seed}, err
 	}
-	report, err := soaklab.Run(ctx, soaklab.Config{Bin: bin, Dir: trialDir, Seed: seed, Span: c.Span, Quiet: c.Quiet})
+	report, err := soaklab.Run(ctx, soaklab.Config{Bin: bin, Dir: trialDir, Seed: seed, Span: c.Span, Faults: c.Faults})
 	if err == nil && len(report.Violations) > 0 && c.Logs != "" {
 		if err := os.MkdirAll(c.Logs, 0o700); err != nil {
 			return report, err
--- a/internal/lab/soaklab/faults.go
+++ b/internal/lab/soaklab/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 
 	"woodrouter/internal/faultnet"
@@ -26,6 +27,10 @@
 	inject func(t *trial, rng *rand.Rand) string
 }
 
+// RemoveStalled is the name of the fault of an incident: a server is removed while set-ups wait on a connection that
+// its agents have replaced.
+const RemoveStalled = "remove stalled"
+
 var faults = []fault{
 	{"stops", (*trial).stopSeries},
 	{"stops", (*trial).stopSeries},
@@ -37,7 +42,7 @@
 	{"replace", (*trial).replaceServer},
 	{"replace", (*trial).replaceServer},
 	{"remove", (*trial).removeServer},
-	{"remove", (*trial).removeServer},
+	{RemoveStalled, (*trial).removeStalledServer},
 	{"discovery silent", (*trial).silenceDiscovery},
 	{"discovery down", (*trial).stopDiscovery},
 	{"reloads", (*trial).reload},
@@ -51,11 +56,15 @@
 	{"burst", (*trial).burst},
 }
 
-// injectFaults begins faults at drawn times until ctx ends.
+// injectFaults begins faults of the trial's kinds at drawn times until ctx ends.
 func (t *trial) injectFaults(ctx context.Context) {
+	kinds := slices.Clone(faults)
+	if t.Faults != nil {
+		kinds = slices.DeleteFunc(kinds, func(f fault) bool { return !slices.Contains(t.Faults, f.name) })
+	}
 	lab.Sleep(ctx, time.Second)
-	for ctx.Err() == nil {
-		f := faults[t.rng.IntN(len(faults))]
+	for ctx.Err() == nil && len(kinds) > 0 {
+		f := kinds[t.rng.IntN(len(kinds))]
 		rng := rand.New(rand.NewPCG(t.rng.Uint64(), 1))
 		if what := f.inject(t, rng); what != "" {
 			t.mu.Lock()
@@ -289,6 +298,25 @@
 	})
 }
 
+// The course of RemoveStalled: the processor stalls for longer than agents wait before they open a second connection,
+// and works again soon after the server's removal.
+const (
+	removalStall   = 900 * time.Millisecond
+	removedAfter   = 650 * time.Millisecond
+	removedProcess = 3 * time.Second // how long the process goes on
+)
+
+func (t *trial) removeStalledServer(rng *rand.Rand) string {
+	return t.serverFault(rng, func(s *emulator.Server) {
+		s.Stall(removalStall)
+		time.Sleep(removedAfter)
+		if _, err := t.cluster.World.Start(s); err != nil {
+			t.recorder.report("laboratory", "%s: %v", s.ID, err)
+		}
+		t.cluster.World.Remove(s, removedProcess)
+	})
+}
+
 // takeDiscovery reports whether the bulletin has no fault yet, and marks it.
 func (t *trial) takeDiscovery() bool {
 	t.mu.Lock()
--- a/internal/lab/soaklab/soak_test.go
+++ b/internal/lab/soaklab/soak_test.go
@@ -20,16 +20,24 @@
 // TestSoak is the short form of `woodlab soak`: a few seeds of it, with every deployment.
 func TestSoak(t *testing.T) {
 	for seed := range uint64(5) {
-		playSeed(t, seed+1)
+		playSeed(t, seed+1, nil)
 	}
 }
 
-func playSeed(t *testing.T, seed uint64) {
+// TestCallAtRemovedServerEnds guards against a call that is set up at a server after its removal, on a replaced
+// connection, and whose end its caller never hears.
+func TestCallAtRemovedServerEnds(t *testing.T) {
+	for _, seed := range []uint64{5, 2, 3} {
+		playSeed(t, seed, []string{RemoveStalled})
+	}
+}
+
+func playSeed(t *testing.T, seed uint64, faults []string) {
 	t.Run("", func(t *testing.T) {
 		t.Parallel()
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 		defer cancel()
-		report, err := Run(ctx, Config{Bin: bin, Dir: t.TempDir(), Seed: seed})
+		report, err := Run(ctx, Config{Bin: bin, Dir: t.TempDir(), Seed: seed, Faults: faults})
 		require.NoError(t, err)
 		assert.Greater(t, report.Served, 50)
 		for _, v := range report.Violations {
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -27,7 +27,7 @@
 	Bin, Dir string
 	Seed     uint64
 	Span     time.Duration // how long callers place calls and faults begin; 0: defaultSpan
-	Quiet    bool          // no faults
+	Faults   []string      // names of the kinds of faults; nil: all
 }
 
 // Report is the result of a trial.
@@ -184,9 +184,7 @@
 			load.Go(func() { c.crowd(loadCtx, crowdConns) })
 		}
 	}
-	if !t.Quiet {
-		t.injectFaults(loadCtx)
-	}
+	t.injectFaults(loadCtx)
 	<-loadCtx.Done()
 	close(t.loadEnded)
 	t.underWay.Wait()
