Discovery is asked again sooner after an outage

Seen by reading Follower.Run: the pause after a failed call grows to 0.4 to 1.2 s, and after a call that was silent for 1.75 s it came on top. Now the time of the failed call counts towards the pause (at most 0.1 s is left after a silent one), and pauses grow to 0.2 to 0.6 s.

--- a/internal/servers/bulletin/bulletin.go
+++ b/internal/servers/bulletin/bulletin.go
@@ -137,7 +137,7 @@
 
 // maxRetryFactor limits the delay between failed requests, as a multiple of RetryDelay. Hundreds of processes
 // poll one bulletin, so each delay is also randomized.
-const maxRetryFactor = 8
+const maxRetryFactor = 4
 
 // errMissingEvents means that an answer left events out. They are requested once more.
 var errMissingEvents = errors.New("events are missing in the answer")
@@ -204,6 +204,7 @@
 			f.closeConn()
 			failures, lastAddress = 0, address
 		}
+		began := time.Now()
 		atOnce, err := f.poll(requestCtx, address)
 		if err == nil {
 			if failures > 0 {
@@ -217,19 +218,25 @@
 			}
 		}
 		if !atOnce {
-			f.pause(requestCtx, failures)
+			f.pause(requestCtx, retryPause(f.RetryDelay, failures, time.Since(began)))
 		}
 		cancel()
 	}
 }
 
-// pause waits before the next request, longer with each consecutive failure. It ends early when the address
-// changes.
-func (f *Follower) pause(requestCtx context.Context, failures int) {
-	wait := f.RetryDelay * time.Duration(min(1<<min(max(failures-1, 0), 10), maxRetryFactor))
+// retryPause returns the wait before the next request, longer with each consecutive failure. The time that the
+// failed request took counts: a bulletin that was silent must be asked again soon. The rest is random, so that many
+// processes do not ask together.
+func retryPause(delay time.Duration, failures int, took time.Duration) time.Duration {
+	wait := delay * time.Duration(min(1<<min(max(failures-1, 0), 10), maxRetryFactor))
+	return max(wait/2+rand.N(wait+1)-took, rand.N(delay+1))
+}
+
+// pause waits before the next request. It ends early when the address changes.
+func (f *Follower) pause(requestCtx context.Context, wait time.Duration) {
 	select {
 	case <-requestCtx.Done():
-	case <-time.After(wait/2 + rand.N(wait+1)):
+	case <-time.After(wait):
 	}
 }
 
--- a/internal/servers/bulletin/bulletin_test.go
+++ b/internal/servers/bulletin/bulletin_test.go
@@ -156,3 +156,25 @@
 	assert.Contains(t, c.nextUpdate(t), "[{{a -1 0 0s} x:1 }]")
 	assert.Less(t, time.Since(began), f.PollWait+f.Grace+2*time.Second, "by then its events count as told")
 }
+
+// TestRetryPause guards against a change that is read late because of a long pause after an outage.
+func TestRetryPause(t *testing.T) {
+	const delay = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name        string
+		failures    int
+		took        time.Duration
+		least, most time.Duration
+	}{
+		{"answered early without news", 0, 0, delay / 2, 3 * delay / 2},
+		{"refused once", 1, 0, delay / 2, 3 * delay / 2},
+		{"refused for long", 20, 0, 2 * delay, 6 * delay},
+		{"silent for long", 20, 1750 * time.Millisecond, 0, delay},
+	} {
+		for range 200 {
+			pause := retryPause(delay, tc.failures, tc.took)
+			assert.GreaterOrEqual(t, pause, tc.least, tc.name)
+			assert.LessOrEqual(t, pause, tc.most, tc.name)
+		}
+	}
+}
