A draining server is connected after a restart, to hear the ends of its calls

Restarts and drains together: a call that an earlier process set up at a server which drains at the restart ends there, and its release can be written only on an open connection or the next one.

Cause: serverActor.update dials a server that is up, and a draining one only for calls or releases that this process knows.

Now a draining server is dialled until a first connection was up; nothing new is sent on it.

TestDrainingServerConnectedAfterRestart: no connection in 10 s before, passes now.

--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -63,6 +63,7 @@
 	server          agent.Server
 	link            *link              // connection for new set-ups; nil: none is up
 	dialing         bool               // a dial is in progress
+	connectedBefore bool               // a connection was up at some time
 	retiredLinks    map[*link]struct{} // replaced connections kept open for their unanswered set-ups
 	lastExtraDial   time.Time          // when a second connection was last dialled
 	cancelDial      context.CancelFunc // cancels the dial in progress
@@ -151,6 +152,9 @@
 		sa.connectSoon()
 	case policy.Draining:
 		sa.failWaiting(agent.Unwritten, policy.NotSent, errNotAccepting)
+		if !sa.connectedBefore { // calls from before a restart may stand there
+			sa.connectSoon()
+		}
 	case policy.Gone:
 		sa.withdraw()
 	}
@@ -389,7 +393,7 @@
 			sa.linger(old)
 		}
 	}
-	sa.link = l
+	sa.link, sa.connectedBefore = l, true
 	sa.log.Debug("connected to setup server", "address", address, "local", conn.LocalAddr(), "replaced", len(sa.retiredLinks))
 	sa.slots.setLink(sa, l)
 	go sa.readLoop(l)
@@ -444,9 +448,11 @@
 }
 
 // reconnect opens a connection if the server is up, holds calls or has releases due. Calls may be held by a
-// server that fell silent, and the dial shows whether it is alive.
+// server that fell silent, and the dial shows whether it is alive. A draining server without a connection yet may
+// hold calls of an earlier process.
 func (sa *serverActor) reconnect() {
-	if sa.server.State == policy.Up || len(sa.open) > 0 || len(sa.unsentReleases) > 0 {
+	firstOfDraining := sa.server.State == policy.Draining && !sa.connectedBefore
+	if sa.server.State == policy.Up || firstOfDraining || len(sa.open) > 0 || len(sa.unsentReleases) > 0 {
 		sa.connect()
 	}
 }
--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -631,3 +631,16 @@
 		})
 	}
 }
+
+// TestDrainingServerConnectedAfterRestart guards against a call of an earlier process that ends at a draining server
+// and whose end nobody hears.
+func TestDrainingServerConnectedAfterRestart(t *testing.T) {
+	p, c := startPool(t, Config{Jitter: ms})
+	s := standin.NewServer(t, "")
+	p.update(listedServer(s.Addr, policy.Draining, time.Time{}))
+	require.Eventually(t, func() bool { return len(s.Conns()) == 1 }, standin.WaitTimeout, ms)
+	s.Conns()[0].Send(isup.Message{Type: isup.Release, Call: 1}.WithCause(isup.Normal))
+	assert.Equal(t, firstCall, standin.Next(t, c.unknown))
+	p.SetUp(newAttempt(secondCall, 3*time.Second))
+	assert.ErrorIs(t, c.awaitEnd(t, agent.Unwritten, policy.NotSent).err, errNotAccepting)
+}
