--- a/internal/lab/soaklab/callers.go
+++ b/internal/lab/soaklab/callers.go
@@ -35,6 +35,7 @@
 	agent int
 
 	accepting atomic.Bool // new connections may be made
+	stopping  atomic.Bool // the process has got SIGTERM: open connections are used until they end
 	lifeIndex atomic.Int64
 }
 
@@ -114,7 +115,7 @@
 		return
 	}
 	until := time.Now().Add(time.Duration(200+rng.IntN(3000)) * time.Millisecond)
-	for ctx.Err() == nil && time.Now().Before(until) {
+	for ctx.Err() == nil && (time.Now().Before(until) || c.stopping.Load()) {
 		select {
 		case <-k.ended:
 			return
--- a/internal/lab/soaklab/faults.go
+++ b/internal/lab/soaklab/faults.go
@@ -185,6 +185,7 @@
 	t.checkProcess(agent)
 	done := proc.Done()
 	t.recorder.updateLife(l, func(l *life) { l.terminated = time.Now() })
+	callers.stopping.Store(true)
 	proc.Term()
 	kill := time.NewTimer(t.killAfter())
 	defer kill.Stop()
@@ -198,6 +199,7 @@
 		t.recorder.updateLife(l, func(l *life) { l.ended = time.Now() })
 	}
 	callers.accepting.Store(false)
+	callers.stopping.Store(false)
 	t.startAgent(agent)
 }
 
@@ -205,6 +207,7 @@
 func (t *trial) startAgent(agent int) {
 	l := t.recorder.addLife(agent)
 	callers := t.callers[agent]
+	t.setStarting(agent, true)
 	if err := t.cluster.StartAgent(agent); err != nil {
 		t.recorder.report("start", "a%d: %v", agent, err)
 		return
@@ -216,6 +219,7 @@
 		return
 	}
 	t.recorder.updateLife(l, func(l *life) { l.ready = time.Now() })
+	t.setStarting(agent, false)
 	t.mu.Lock()
 	t.currentLife[agent] = l
 	t.stopping[agent] = false
@@ -224,6 +228,12 @@
 	callers.accepting.Store(true)
 }
 
+func (t *trial) setStarting(agent int, on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.starting[agent] = on
+}
+
 func (t *trial) killAgent(rng *rand.Rand) string {
 	agent := t.takeAgent(rng)
 	if agent < 0 {
@@ -388,10 +398,10 @@
 func (t *trial) reloadAll(unusableFirst bool) {
 	for agent := range t.Agents {
 		t.mu.Lock()
-		stopping := t.stopping[agent]
+		starting := t.starting[agent]
 		t.mu.Unlock()
-		if stopping {
-			continue // its next start reads the file anew
+		if starting {
+			continue // SIGHUP ends a process that has not asked for it yet
 		}
 		if unusableFirst {
 			os.WriteFile(t.cluster.ConfigPath(agent), []byte(`{"name":`), 0o600)
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -78,6 +78,7 @@
 	mu          sync.Mutex
 	faults      []string
 	stopping    map[int]bool              // agents whose process is being stopped or started
+	starting    map[int]bool              // agents whose process is not ready yet
 	faulty      map[*emulator.Server]bool // servers with a fault
 	discovery   bool                      // the bulletin has a fault
 	stops       int
@@ -108,11 +109,14 @@
 	if rng.IntN(3) == 0 {
 		d.Keepalive = 400 * time.Millisecond
 	}
+	if rng.IntN(3) == 0 {
+		d.ConnectTimeout = 1500 * time.Millisecond // connections come up late, at the second try of the handshake
+	}
 	if cfg.Span == 0 {
 		cfg.Span = defaultSpan
 	}
 	t := &trial{Config: cfg, Deployment: d, Agents: 3 + rng.IntN(3), Servers: 3 + rng.IntN(3), Crowd: rng.IntN(4) == 0, rng: rng,
-		loadEnded: make(chan struct{}), settled: make(chan struct{}), stopping: map[int]bool{}, faulty: map[*emulator.Server]bool{}}
+		loadEnded: make(chan struct{}), settled: make(chan struct{}), stopping: map[int]bool{}, starting: map[int]bool{}, faulty: map[*emulator.Server]bool{}}
 	t.recorder = newRecorder(t.Agents)
 	t.currentLife = make([]*life, t.Agents)
 	for range t.Agents {
