--- a/internal/faultnet/wrappedlink.go
+++ b/internal/faultnet/wrappedlink.go
@@ -37,6 +37,13 @@
 // Split makes data from this process arrive in pieces, if the link has a delay.
 func (l *WrappedLink) Split(on bool) { l.change(func() { l.split = on }) }
 
+// Splits reports whether data from this process arrives in pieces, and so later than the link's delay.
+func (l *WrappedLink) Splits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.split
+}
+
 // pieceBytes is the size of the pieces on a link that splits data, and pieceGap the time between them.
 const (
 	pieceBytes = 7
--- a/internal/lab/emulator/faults.go
+++ b/internal/lab/emulator/faults.go
@@ -126,7 +126,8 @@
 
 // writeEnds writes releases on a connection, and reports those that can have arrived to the observer.
 func (s *Server) writeEnds(p *agentConn, ends []serverEnd) {
-	link, reachable := s.links[p.agent], s.sendDelay(p) <= 0
+	link := s.links[p.agent]
+	reachable := s.sendDelay(p) <= 0 && !link.Splits()
 	for _, e := range ends {
 		s.send(p, e.message)
 		time.AfterFunc(s.world.LinkDelay+repeatDelay, func() {
