An operator's UNDRAIN is not undone by the restore of an earlier drain

Cause: restoreDrain reads the replicated orders and then starts the drain. An UNDRAIN that is stored and carried out between the two finds no drain to end; the log has 'restoring the drain' and no 'drain ended' after it.

The restore now does nothing once an operator has given an order to this process.

TestUndrainCrossesRestore: drained before, not drained now.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -88,6 +88,7 @@
 type drainOrder struct {
 	mu    sync.Mutex
 	ended chan struct{} // closed when the drain ends; nil: not draining
+	given bool          // an operator has given an order since the start
 }
 
 // startDrain makes callers move to other agents. The process keeps running, and endDrain reverses it.
@@ -95,14 +96,32 @@
 	order := &d.drainOrder
 	order.mu.Lock()
 	defer order.mu.Unlock()
+	order.given = true
 	if order.ended != nil {
 		return console.Success + " drains already"
 	}
-	order.ended = make(chan struct{})
+	d.startDrainLocked()
+	return console.Success + " drains"
+}
+
+// restoreDrainOrder drains this agent as ordered before its start, unless an operator has given an order since.
+func (d *Daemon) restoreDrainOrder() {
+	order := &d.drainOrder
+	order.mu.Lock()
+	defer order.mu.Unlock()
+	if order.given || order.ended != nil {
+		return
+	}
+	d.log.Info("restoring the drain that was ordered before this start")
+	d.startDrainLocked()
+}
+
+// startDrainLocked starts a drain. The caller holds the order's lock.
+func (d *Daemon) startDrainLocked() {
+	d.drainOrder.ended = make(chan struct{})
 	d.drained.Store(true)
 	d.log.Info("drain started: callers must use other agents")
-	go d.runDrain(order.ended)
-	return console.Success + " drains"
+	go d.runDrain(d.drainOrder.ended)
 }
 
 // endDrain accepts callers again.
@@ -110,6 +129,7 @@
 	order := &d.drainOrder
 	order.mu.Lock()
 	defer order.mu.Unlock()
+	order.given = true
 	if order.ended == nil {
 		return console.Success + " does not drain"
 	}
--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -224,3 +224,19 @@
 	assert.True(t, consoleSucceeds(d.cfg.Console, "READY"))
 	assert.Equal(t, isup.Answer, outcome(0x1000).Type)
 }
+
+// TestUndrainCrossesRestore guards against an agent that drains for good because it restores, after an operator's
+// UNDRAIN, the order that it had read before.
+func TestUndrainCrossesRestore(t *testing.T) {
+	for _, undrained := range []bool{true, false} {
+		d := &Daemon{log: slog.New(slog.DiscardHandler)}
+		if undrained {
+			d.endDrain()
+		}
+		d.restoreDrainOrder()
+		assert.Equal(t, !undrained, d.drained.Load())
+		if d.drainOrder.ended != nil {
+			close(d.drainOrder.ended)
+		}
+	}
+}
--- a/internal/daemon/promises.go
+++ b/internal/daemon/promises.go
@@ -118,8 +118,7 @@
 		drained, err := d.promises.store.Drained()
 		if err == nil {
 			if drained {
-				d.log.Info("restoring the drain that was ordered before this start")
-				d.startDrain()
+				d.restoreDrainOrder()
 			}
 			d.recordVersions()
 			return
