Calls end if their server may have restarted and the list can't tell

Cause: a server that is reached again within SilenceTimeout (3 s) after failed dials counts as the same process. A network cut leaves its calls, a restart ends them without a word; the list tells of the restart, here too late.

Now the pool asks when discovery last answered. 7 s after the last message before the loss of contact, calls from before it are released at the server and reported as cut, if discovery has not answered since the server was reached again and the server has not reported the end of any of them.

TestCallsOfUnlistedRestartEnd: 'nothing known' failed before (no end in 8.05 s); the two cases in which the calls are kept pass either way.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -127,7 +127,8 @@
 	}
 	d.pool = trunk.NewPool(trunk.Config{OnSetUpSent: d.setUpSentHook(), ConnectTimeout: settings.Micros(cfg.info.Limits.ConnectTimeout),
 		Aim: cfg.info.ShortestAim(), Probes: cfg.info.Limits.Probes, Source: cfg.source, ExtraConnLimit: d.connLimits.extraServers, MaxConns: d.connLimits.servers,
-		Name: cfg.Name, OnSlotsChanged: func(ids []string, hasSlot bool) {
+		ListAnsweredAt: func() time.Time { return d.follower.AnsweredAt() },
+		Name:           cfg.Name, OnSlotsChanged: func(ids []string, hasSlot bool) {
 			d.core.WithSpread(func(_ policy.Time, s *spread.State) { s.SetConnected(ids, hasSlot) })
 		}, Log: log}, d.core)
 	d.core.SetBackend(d.pool)
--- a/internal/servers/bulletin/bulletin.go
+++ b/internal/servers/bulletin/bulletin.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/agent"
@@ -95,6 +96,8 @@
 	address       string
 	cancelRequest context.CancelFunc // cancels the request in progress
 
+	answeredAt atomic.Int64 // when the last call was answered, in Unix nanoseconds; 0: none was
+
 	lastEvent    int64 // number of the last event applied
 	missingEvent int64 // number of the event that was missing from the last answer; 0: none
 	conn         net.Conn
@@ -117,6 +120,9 @@
 	}
 }
 
+// AnsweredAt returns when the bulletin last answered a call. It is safe for concurrent use.
+func (f *Follower) AnsweredAt() time.Time { return time.Unix(0, f.answeredAt.Load()) }
+
 // nextRequest returns the address for the next request and a context that SetAddress cancels.
 func (f *Follower) nextRequest(ctx context.Context) (context.Context, context.CancelFunc, string) {
 	f.mu.Lock()
@@ -211,6 +217,7 @@
 				f.Log.Info("bulletin reached again", "after", failures)
 			}
 			failures = 0
+			f.answeredAt.Store(time.Now().UnixNano())
 		} else {
 			f.closeConn()
 			if failures++; failures == 1 && requestCtx.Err() == nil {
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -58,6 +58,8 @@
 	randomDelay  func(d time.Duration) time.Duration // returns a random duration of up to d
 	yieldTimeout time.Duration                       // how long a dial waits for the evicted connection to end
 	Dial         func(ctx context.Context, address string) (net.Conn, error)
+	// ListAnsweredAt returns when the list of servers was last known to be current; nil: it always is.
+	ListAnsweredAt func() time.Time
 	// OnSetUpSent is called for each completely written set-up, with its server's zone. It may be nil.
 	OnSetUpSent func(class, zone string)
 	// OnSlotsChanged is called with the servers that have lost their connection slot or got one, while
@@ -105,6 +107,9 @@
 	if c.yieldTimeout <= 0 {
 		c.yieldTimeout = defaultYieldTimeout
 	}
+	if c.ListAnsweredAt == nil {
+		c.ListAnsweredAt = time.Now
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			d := net.Dialer{LocalAddr: c.Source}
--- a/internal/servers/trunk/receive.go
+++ b/internal/servers/trunk/receive.go
@@ -88,6 +88,7 @@
 		sa.core.UnknownEnded(m.Call.String(), releaseFailure(sa.server.ID, cause, m.Text(isup.Note), true))
 		return nil
 	}
+	sa.confirmSameProcess(a)
 	failure := releaseFailure(sa.server.ID, cause, m.Text(isup.Note), a.stands)
 	if failure != nil && failure.Result == policy.Full {
 		if failure.Wait, err = parseWait(m); err != nil {
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -78,9 +78,10 @@
 	statedWaitAt    time.Time                 // when the server stated it
 	probes          map[isup.CallID]time.Time // start times of the probes in progress
 	lastProbe       isup.CallID
-	dialFailures    int           // consecutive failed dials
-	sentCount       *atomic.Int64 // the pool's count of completely written set-ups
-	connCount       *atomic.Int64 // the pool's count of connections, including dials in progress
+	dialFailures    int               // consecutive failed dials
+	suspected       *suspectedRestart // nil: the process is the same as far as is known
+	sentCount       *atomic.Int64     // the pool's count of completely written set-ups
+	connCount       *atomic.Int64     // the pool's count of connections, including dials in progress
 	slots           *slots
 	reportedUsage   usage           // usage last reported to slots
 	slotUsed        bool            // report the usage after this event even if it is unchanged
@@ -383,6 +384,7 @@
 	}
 	if sa.dialFailures > 0 {
 		sa.log.Info("setup server reached again", "after", sa.dialFailures)
+		sa.suspectRestart()
 	}
 	sa.dialFailures = 0
 	l := &link{conn: conn, lastReceived: time.Now(), readDone: make(chan struct{})}
--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -644,3 +644,55 @@
 	p.SetUp(newAttempt(secondCall, 3*time.Second))
 	assert.ErrorIs(t, c.awaitEnd(t, agent.Unwritten, policy.NotSent).err, errNotAccepting)
 }
+
+// TestCallsOfUnlistedRestartEnd guards against calls that are believed to stand at a server which vanished and came
+// back as another process, while the list could not tell of that. A server that reports the end of an earlier call,
+// or of which the list could tell, keeps its calls.
+func TestCallsOfUnlistedRestartEnd(t *testing.T) {
+	for _, tc := range []struct {
+		name                    string
+		listAnswers, reportsEnd bool
+		cut                     bool
+	}{
+		{"nothing known", false, false, true},
+		{"list answers", true, false, false},
+		{"server reports an end", false, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			const endWithin = 8050 * ms // of the end of a call whose release could not be sent
+			var vanished atomic.Bool
+			p, c := startPool(t, Config{Dial: func(_ context.Context, address string) (net.Conn, error) {
+				if vanished.Load() {
+					return nil, context.DeadlineExceeded
+				}
+				return net.Dial("tcp", address)
+			}, ListAnsweredAt: func() time.Time {
+				if tc.listAnswers {
+					return time.Now()
+				}
+				return time.Time{}
+			}})
+			s := standin.NewServer(t, "")
+			p.update(listedServer(s.Addr, policy.Up, time.Time{}))
+			standCall(t, p, c, s, firstCall)
+			standCall(t, p, c, s, secondCall)
+			vanished.Store(true)
+			s.Crash()
+			time.Sleep(time.Second)
+			again := standin.NewServer(t, s.Addr)
+			vanished.Store(false)
+			if tc.reportsEnd {
+				require.Eventually(t, func() bool { return len(again.Conns()) > 0 }, standin.WaitTimeout, ms)
+				again.Conns()[0].Send(isup.Message{Type: isup.Release, Call: 2}.WithCause(isup.Normal))
+				require.Equal(t, secondCall, c.awaitEvent(t).id)
+			}
+			select {
+			case event := <-c.events:
+				assert.True(t, tc.cut && !event.stands)
+			case <-time.After(endWithin):
+				assert.False(t, tc.cut, "the caller was not told that the call has ended")
+			}
+		})
+	}
+}
