--- a/internal/lab/emulator/deployment.go
+++ b/internal/lab/emulator/deployment.go
@@ -36,6 +36,7 @@
 	ClearWait                  time.Duration // least wait from a set-up's release to the call's next attempt
 	Repeat                     time.Duration // a set-up without an answer is sent again after this; 0: never
 	ConnectTimeout             time.Duration // of agents' connections to setup servers
+	DropBelow                  time.Duration // servers drop set-ups with less time left without a word; 0: none
 	Keepalive                  time.Duration // servers close connections that are idle this long; 0: never
 	Hold                       time.Duration // mean length of a call
 	Lines                      int           // of each setup server; 0: twice the mean in use at its full rate
--- a/internal/lab/emulator/server.go
+++ b/internal/lab/emulator/server.go
@@ -326,7 +326,7 @@
 	switch m.Type {
 	case isup.SetUp:
 		s.world.Check.checkSetUp(s, p.agent, m, now)
-		s.setUp(p, c, now)
+		s.setUp(p, c, m, now)
 	case isup.Release:
 		if u := s.calls[c]; u != nil {
 			if u.stands {
@@ -366,13 +366,16 @@
 }
 
 // setUp handles a set-up: it refuses it, or queues its work and then answers.
-func (s *Server) setUp(p *agentConn, c callKey, now time.Time) {
+func (s *Server) setUp(p *agentConn, c callKey, m isup.Message, now time.Time) {
 	s.countCapacity(now)
 	s.counts.SetUps++
 	s.counts.LastSetUp = now
 	if s.tipsOver(now) {
 		return
 	}
+	if left, err := m.Millis(isup.TimeLeft); err == nil && left < s.world.DropBelow {
+		return // without a word: the agent gives it up
+	}
 	wait := max(s.busyUntil.Sub(now), 0)
 	if wait > s.world.MaxQueueWait {
 		s.counts.TurnedAway++
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -105,7 +105,7 @@
 	all := deployments()
 	d := all[cfg.Seed%uint64(len(all))]
 	d.Hold, d.BulletinDelay, d.BulletinSpread = 700*time.Millisecond, 20*time.Millisecond, 60*time.Millisecond
-	d.Cold = 4 * time.Second
+	d.Cold, d.DropBelow = 4*time.Second, 15*time.Millisecond
 	if rng.IntN(3) == 0 {
 		d.Keepalive = 400 * time.Millisecond
 	}
