--- a/internal/servers/trunk/slots_test.go
+++ b/internal/servers/trunk/slots_test.go
@@ -371,8 +371,9 @@
 // server is being dialled.
 func TestUnknownReleaseDuringDial(t *testing.T) {
 	dialing, dialReturns := make(chan struct{}), make(chan struct{})
+	var firstDial sync.Once
 	p, _ := startPool(t, Config{Jitter: ms, ConnectTimeout: standin.WaitTimeout, Dial: func(_ context.Context, address string) (net.Conn, error) {
-		close(dialing)
+		firstDial.Do(func() { close(dialing) })
 		<-dialReturns
 		return net.Dial("tcp", address)
 	}})
