--- a/review/standin/bulletin.go
+++ b/review/standin/bulletin.go
@@ -66,7 +66,7 @@
 }
 
 func entry(s *setupServer, status string) endpoint {
-	return endpoint{Name: s.name, Address: s.addr, Zone: "campus", Type: "std", Group: s.group, Status: status, Weight: 1}
+	return endpoint{Name: s.name, Address: s.addr, Zone: s.zone, Type: "std", Group: s.group, Status: status, Weight: 1}
 }
 
 // known returns the events so far.
--- a/review/standin/list.go
+++ b/review/standin/list.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"time"
-
-	"woodrouter/internal/lab/emulator"
 )
 
 // Times of the case of the late list.
@@ -24,15 +22,15 @@
 // playLateList drains a setup server while the bulletin answers, but late, and checks that nothing new goes to that
 // server once it counts as told and the grace is over.
 func playLateList(record *recorder, trouble bool, cleanup *cleanups) (kept bool, err error) {
-	d := emulator.Campus()
-	d.Hold, d.DrainGrace, d.ClearWait, d.Repeat = listHold, listGrace, 200*time.Millisecond, 400*time.Millisecond
-	d.FallMultiple, d.TipAfter, d.Cold = 2.5, 1500*time.Millisecond, 12*time.Second
+	d := twoZones()
+	d.Hold = listHold
 	var servers []*setupServer
 	for i, name := range []string{"s-1", "s-2"} {
 		s, err := newSetupServer(name, i, listHold, record)
 		if err != nil {
 			return false, err
 		}
+		s.zone, s.figure = d.Zones[i], "allowed:100"
 		cleanup.add(s.stop)
 		servers = append(servers, s)
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -12,22 +12,26 @@
 
 // Times of a setup server.
 const (
-	setUpTime   = 10 * time.Millisecond // from a set-up to its answer
-	stateEvery  = time.Second           // between two unasked states of the group
-	repeatFor   = 8 * time.Second       // a release is repeated on the next connection within this time
-	totalLines  = 400
-	idleWaiting = "latency_ms:0.1"
+	setUpTime  = 10 * time.Millisecond // from a set-up to its answer, unless set otherwise
+	stateEvery = time.Second           // between two unasked states of the group
+	repeatFor  = 8 * time.Second       // a release is repeated on the next connection within this time
+	totalLines = 400
 )
 
 // setupServer is a sound setup server as one call agent reaches it. Its processor is idle, so that it answers
 // every set-up at once.
 type setupServer struct {
 	name   string
+	zone   string
+	figure string // what it reports of its processor when it is tested
 	group  int
 	hold   time.Duration // length of a call
+	delay  time.Duration // from a set-up to its answer
 	record *recorder
 
 	mu        sync.Mutex
+	off       chan struct{} // the machine is cut off until it is closed; nil: it is not
+	hole      *blackHole    // stands in for the listener meanwhile
 	ln        net.Listener
 	addr      string
 	conns     map[*serverConn]bool
@@ -36,7 +40,8 @@
 	lately    []ended // releases that were sent, for the next connection
 	setUps    []arrival
 	stood     map[isup.CallID]time.Time // calls that were answered
-	cut       map[isup.CallID]time.Time // calls that the agent released after the answer
+	over      map[isup.CallID]time.Time // when a call that stood ended or was released by the agent
+	openedAt  time.Time                 // when the first connection was opened, since the end of a cut if there was one
 	released  map[isup.CallID]ended     // the first time that the end of a call was written
 	connCount int
 }
@@ -55,8 +60,8 @@
 
 type serverConn struct {
 	net.Conn
-	no int
-	mu sync.Mutex
+	no   int
+	held [][]byte // what was written while the machine was cut off
 }
 
 type serverCall struct {
@@ -69,10 +74,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &setupServer{name: name, group: group, hold: hold, record: record, ln: ln, addr: ln.Addr().String(),
+	s := &setupServer{name: name, zone: "campus", figure: "latency_ms:0.1", group: group, hold: hold, delay: setUpTime, record: record, ln: ln, addr: ln.Addr().String(),
 		conns: map[*serverConn]bool{}, calls: map[isup.CallID]*serverCall{}, stood: map[isup.CallID]time.Time{},
-		cut: map[isup.CallID]time.Time{}, released: map[isup.CallID]ended{}}
-	go s.accept()
+		over: map[isup.CallID]time.Time{}, released: map[isup.CallID]ended{}}
+	go s.accept(ln)
 	return s, nil
 }
 
@@ -90,16 +95,18 @@
 	clear(s.calls)
 }
 
-func (s *setupServer) accept() {
+func (s *setupServer) accept(ln net.Listener) {
 	for {
-		conn, err := s.ln.Accept()
+		conn, err := ln.Accept()
 		if err != nil {
 			return
 		}
 		s.mu.Lock()
 		s.connCount++
 		c := &serverConn{Conn: conn, no: s.connCount}
-		s.record.add("server %s: connection %d opened", s.name, c.no)
+		if at := s.record.add("server %s: connection %d opened", s.name, c.no); s.openedAt.IsZero() {
+			s.openedAt = at
+		}
 		s.send(c, s.state())
 		s.conns[c] = true
 		again := s.unsent
@@ -144,8 +151,10 @@
 	if err != nil {
 		return false
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	if s.off != nil {
+		c.held = append(c.held, b)
+		return true
+	}
 	c.SetWriteDeadline(time.Now().Add(time.Second))
 	_, err = c.Write(b)
 	return err == nil
@@ -155,6 +164,7 @@
 	in := bufio.NewReader(c)
 	for {
 		m, err := isup.Read(in)
+		s.awaitLink()
 		if err != nil {
 			break
 		}
@@ -182,7 +192,7 @@
 		s.setUps = append(s.setUps, arrival{m.Call, at})
 		call := &serverCall{conn: c}
 		s.calls[m.Call] = call
-		time.AfterFunc(setUpTime, func() { s.answer(m.Call, call) })
+		time.AfterFunc(s.delay, func() { s.answer(m.Call, call) })
 	case isup.Release:
 		call := s.calls[m.Call]
 		if call == nil {
@@ -190,7 +200,7 @@
 		}
 		delete(s.calls, m.Call)
 		if call.stands {
-			s.cut[m.Call] = s.record.add("server %s: call %v released by the agent", s.name, m.Call)
+			s.over[m.Call] = s.record.add("server %s: call %v released by the agent", s.name, m.Call)
 		} else {
 			s.record.add("server %s: set-up %v given up by the agent", s.name, m.Call)
 		}
@@ -198,7 +208,7 @@
 	case isup.Test:
 		reply := isup.Message{Type: isup.TestResult, Call: m.Call}.WithCause(isup.Passed)
 		if cause, err := m.Cause(); err == nil && cause == isup.Passed {
-			reply = reply.WithText(isup.Report, fmt.Sprintf("spare:%d;total:%d;%s", totalLines-len(s.calls), totalLines, idleWaiting))
+			reply = reply.WithText(isup.Report, fmt.Sprintf("spare:%d;total:%d;%s", totalLines-len(s.calls), totalLines, s.figure))
 		}
 		s.send(c, reply)
 	}
@@ -217,6 +227,52 @@
 	time.AfterFunc(s.hold, func() { s.end(id, call) })
 }
 
+// awaitLink waits while the machine is cut off: nothing reaches it.
+func (s *setupServer) awaitLink() {
+	s.mu.Lock()
+	off := s.off
+	s.mu.Unlock()
+	if off != nil {
+		<-off
+	}
+}
+
+// cutOff cuts the machine off: open connections stay open and silent, new ones never come up. Its process goes on.
+func (s *setupServer) cutOff() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.add("server %s: cut off", s.name)
+	s.off = make(chan struct{})
+	s.ln.Close()
+	hole, err := newBlackHole(s.addr)
+	s.hole = hole
+	return err
+}
+
+// restore ends the cut. What was written meanwhile arrives where the connection is still open.
+func (s *setupServer) restore() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hole.close()
+	ln, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.record.add("server %s: reached again", s.name)
+	for c := range s.conns {
+		for _, b := range c.held {
+			c.SetWriteDeadline(time.Now().Add(time.Second))
+			c.Write(b)
+		}
+		c.held = nil
+	}
+	s.ln, s.openedAt = ln, time.Time{}
+	close(s.off)
+	s.off = nil
+	go s.accept(ln)
+	return nil
+}
+
 // end ends a call at its time. The release goes on the connection of its set-up, else on any open one, else on the
 // next, and it is repeated on the next one that is opened.
 func (s *setupServer) end(id isup.CallID, call *serverCall) {
@@ -226,6 +282,7 @@
 		return
 	}
 	delete(s.calls, id)
+	s.over[id] = time.Now()
 	if s.conns[call.conn] && s.writeEnd(call.conn, id, true) {
 		return
 	}
