--- a/review/standin/agent.go
+++ b/review/standin/agent.go
@@ -28,6 +28,9 @@
 	starts int
 }
 
+// memoryMB is the agent's memory limit, the highest of the scored days.
+const memoryMB = 192
+
 // freeAddress returns a loopback address that is free now.
 func freeAddress() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -46,7 +49,7 @@
 		return err
 	}
 	text, err := json.Marshal(map[string]any{"name": a.name, "listen": a.listen, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "bulletin": b.addr, "known": b.known(),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024}, "bulletin": b.addr, "known": b.known(),
 		"settings": a.deployment.Settings(0, 1, a.servers)})
 	if err != nil {
 		return err
