--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,7 +14,7 @@
 // play is one case; it returns whether the rule was kept.
 type play func(record *recorder, trouble bool, cleanup *cleanups) (kept bool, err error)
 
-var plays = map[string]play{"copies": playCopies, "ends": playEnds, "list": playLateList, "rude": playRude}
+var plays = map[string]play{"copies": playCopies, "ends": playEnds, "list": playLateList, "rude": playRude, "cross": playCross}
 
 // cleanups are run at the end of a case, however it ends.
 type cleanups struct{ all []func() }
