Have review case 1 record what its bad clients sent

Cause: the script could end before the bad clients had written their counts. Change: it waits for them; the report has the counts of the final runs.

--- a/review/standin/rude.go
+++ b/review/standin/rude.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"woodrouter/internal/lab/emulator"
@@ -58,13 +59,15 @@
 	}
 	time.Sleep(rudeBefore)
 	stop := make(chan struct{})
+	var clients sync.WaitGroup
 	if trouble {
 		for i := range rudeClients {
-			go beRude(i, listen, record, stop)
+			clients.Go(func() { beRude(i, listen, record, stop) })
 		}
 	}
 	kept, err = watchMemory(a, record, rudeLasts)
 	close(stop)
+	clients.Wait()
 	return kept, err
 }
 
