Keep the review's exit codes when its output is cut off

Cause: piped into head, a script ended by SIGPIPE and exited with 2 in place of 1. Change: the stand-ins ignore SIGPIPE. Result: piped into head, case 1 exits with 1.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -49,6 +49,7 @@
 	done := make(chan result, 1)
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	signal.Ignore(syscall.SIGPIPE) // whoever reads the output may leave before the end
 	go func() {
 		kept, err := plays[os.Args[1]](record, os.Getenv("TROUBLE") != "0", &cleanup)
 		done <- result{kept, err}
