Bound what a peer queues at the core: one message at a time for each connection

Cause: Agent.ReleaseUnknown posted each release to the core's mailbox past its limit. A heap profile 3 s into the flood showed 124 of 126 MB in queued releases (closure, id, queue slots). The limit of 200 a second applies only when the core takes the event out. What a caller withdraws, and what a server says of an attempt, is bounded by the open calls; a release of an unknown call is not, nor is a server's end of an unknown call or its unasked report, which were posted the same way.

Change: these three return once the core has handled them (postAndWait), so that the goroutine that reads a peer has one of them queued at most, and the peer is slowed down by its connection. Nothing is dropped that was passed on before. The core never waits for those goroutines, and a stopped agent handles what is queued, so none of them waits for ever.

TestMessagesOfPeersDoNotPileUp fails without the change in its three cases (10,000 queued events of 10 peers) and passes with it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -276,6 +276,21 @@
 // post queues work for the actor even if the mailbox is full, as events about open calls must not be lost.
 func (a *Agent) post(id string, do func()) { a.mailbox.Post(event{id, do}) }
 
+// postAndWait queues work for the actor and returns once it is done, or at once if the agent has stopped. It is for
+// messages that a peer may send without end: each goroutine that reads a peer has one of them in the queue at most,
+// so the peer is slowed down to the actor's pace and the queue is bounded by the number of connections. The actor's
+// own goroutine must not call it.
+func (a *Agent) postAndWait(id string, do func()) {
+	done := make(chan struct{})
+	queued := a.mailbox.Post(event{id, func() {
+		defer close(done)
+		do()
+	}})
+	if queued {
+		<-done
+	}
+}
+
 // now returns the module's time.
 func (a *Agent) now() policy.Time { return a.origin + time.Since(a.start) }
 
@@ -339,9 +354,9 @@
 // ReleaseUnknown reports that a caller released a call that its front does not know. A call from before a
 // restart still stands at some server and is released at all of them; a call that was handled here needs
 // nothing more. Each release costs every server a message, so callers that invent ids are limited to
-// unknownReleasesPerSecond.
+// unknownReleasesPerSecond. It blocks until the core has handled the release.
 func (a *Agent) ReleaseUnknown(id string) {
-	a.post(id, func() {
+	a.postAndWait(id, func() {
 		if a.calls[id] == nil && !a.recent.Has(id) && a.unknownReleases.allow(time.Now(), unknownReleasesPerSecond) {
 			a.backend.ReleaseUnknown(id)
 		}
@@ -364,9 +379,10 @@
 	a.post(id, func() { a.handleEnded(id, n, err, r) })
 }
 
-// UnknownEnded reports that a server ended a call that the backend does not know.
+// UnknownEnded reports that a server ended a call that the backend does not know. It blocks until the core has
+// handled the report.
 func (a *Agent) UnknownEnded(id string, err *Failure) {
-	a.post(id, func() {
+	a.postAndWait(id, func() {
 		if a.calls[id] == nil && !a.adoptedEnded(id, err) && !a.recent.Has(id) && a.unknownEnds.allow(time.Now(), unknownEndsPerSecond) {
 			a.recent.Add(id) // a server may report the end on several connections
 			a.cfg.OnUnknownEnded(id, failureOrNil(err))
@@ -374,9 +390,14 @@
 	})
 }
 
-// Reported passes on a report that did not come with an answer, or the outcome of a probe.
+// Reported passes on a report that did not come with an answer, or the outcome of a probe. It blocks until the core
+// has handled an unsolicited report; the number of the others is bounded by the probes.
 func (a *Agent) Reported(p policy.ReportReceived) {
-	a.post("", func() {
+	post := a.post
+	if !p.Solicited {
+		post = a.postAndWait
+	}
+	post("", func() {
 		a.observations.recordReport(p)
 		a.act(a.controller.Handle(a.now(), p))
 	})
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -261,6 +261,36 @@
 	})
 }
 
+// TestMessagesOfPeersDoNotPileUp guards the memory limit: while the core is busy, no peer may queue more than one
+// message that concerns no open call, however many it sends.
+func TestMessagesOfPeersDoNotPileUp(t *testing.T) {
+	const peers, messages = 10, 1000
+	for name, send := range map[string]func(a *Agent, id string){
+		"release of an unknown call": (*Agent).ReleaseUnknown,
+		"end of an unknown call":     func(a *Agent, id string) { a.UnknownEnded(id, nil) },
+		"unsolicited report":         func(a *Agent, _ string) { a.Reported(policy.ReportReceived{Server: "s"}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withAgent(t, func(a *Agent, _ *fakeSides) {
+				busy := make(chan struct{})
+				a.post("", func() { <-busy })
+				for peer := range peers {
+					go func() {
+						for i := range messages {
+							send(a, fmt.Sprint(peer, "/", i))
+						}
+					}()
+				}
+				synctest.Wait()
+				assert.LessOrEqual(t, a.mailbox.Len(), peers)
+				close(busy)
+				synctest.Wait()
+				assert.Zero(t, a.mailbox.Len(), "every peer goes on")
+			})
+		})
+	}
+}
+
 // TestUnusableCalls checks that a call that no setup server could use is rejected before anything of it is
 // stored.
 func TestUnusableCalls(t *testing.T) {
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -11,8 +11,8 @@
 const maxKeptCapacity = 32
 
 // Queue is a FIFO queue with many senders and one receiver. Its limit applies to messages from outside
-// (Offer, Put). Messages that an actor must not lose (Post) may exceed it; their number is bounded by the
-// open calls.
+// (Offer, Put). Messages that an actor must not lose (Post) may exceed it; whoever posts them bounds their number,
+// by the open calls or by waiting until each is handled.
 type Queue[T any] struct {
 	mu      sync.Mutex
 	changed sync.Cond
@@ -85,6 +85,13 @@
 	return v, true
 }
 
+// Len returns the number of items that wait.
+func (q *Queue[T]) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting()
+}
+
 // Close makes the queue refuse new items.
 func (q *Queue[T]) Close() {
 	q.mu.Lock()
