Pace connections that send messages without a call; the soak floods agents

By reading and by the latencies: a reader that always finds bytes runs for a whole time slice of 10 ms, and there are fifty of them on one core; the same holds for tests, progress, confirmations, and set-ups that are rejected.

Change: messages that concern no open call of the front are counted for each connection (x/time/rate).

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -128,6 +128,7 @@
 	case errors.Is(err, agent.ErrUnusableCall):
 		code = callproto.CodeParams
 	}
+	f.CountRejected(c.ID)
 	f.SendFinal(c.ID, replyError(&callproto.Error{Code: code, Message: err.Error(), Data: &callproto.ErrorData{ID: c.ID}}))
 }
 
@@ -185,7 +186,9 @@
 		case err != nil:
 			return err
 		case !ok || op == ws.Pong:
+			s.peer.CountIdleMessage()
 		case op == ws.Ping:
+			s.peer.CountIdleMessage()
 			s.peer.Send(connmgr.Message{Data: ws.AppendFrame(nil, ws.Pong, data)})
 		case op == ws.Binary:
 			return &ws.CloseError{Code: ws.StatusUnsupported, Reason: "text messages only"}
@@ -202,16 +205,22 @@
 		r.ID, rpcErr = nil, &callproto.Error{Code: callproto.CodeInvalid, Message: fmt.Sprintf("request id %s is in use", r.ID)}
 	}
 	if rpcErr != nil {
+		s.peer.CountIdleMessage()
 		f.Log.Warn("bad request", "method", r.Method, "error", rpcErr)
 		s.send(encodeError(r.ID, rpcErr))
 		return
 	}
 	result, e := f.dispatch(s, r)
-	if result == nil && e == nil || len(r.ID) == 0 { // answered later, or a notification
+	if result == nil && e == nil { // answered later
+		return
+	}
+	if len(r.ID) == 0 { // a notification
+		s.peer.CountIdleMessage()
 		return
 	}
 	s.removePending(r.ID)
 	if e != nil {
+		s.peer.CountIdleMessage()
 		s.send(encodeError(r.ID, e))
 		return
 	}
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -368,6 +368,15 @@
 	}
 }
 
+// CountRejected counts the message that placed a call which was not accepted.
+func (m *Manager) CountRejected(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if entry := m.calls[id]; entry != nil {
+		entry.peer.CountIdleMessage()
+	}
+}
+
 // ReleaseUnknown passes on the release of a call that this manager does not know.
 func (m *Manager) ReleaseUnknown(id string) { m.core.ReleaseUnknown(id) }
 
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"woodrouter/internal/mailbox"
 )
 
@@ -49,8 +51,13 @@
 	midMessage  atomic.Bool  // a message is partly received
 	lastUsed    atomic.Int64 // last use or receipt of bytes, in Unix nanoseconds
 	idleTimeout time.Duration
-	ready       atomic.Bool // it can be sent ends of calls
-	hadCalls    atomic.Bool // calls were placed or ended on it
+
+	idleMessages *rate.Limiter // limits messages that concern no open call
+	paced        atomic.Bool   // it is, or was lately, over that limit
+	pacedSince   time.Time     // since when it is paced; used by the reader alone
+
+	ready    atomic.Bool // it can be sent ends of calls
+	hadCalls atomic.Bool // calls were placed or ended on it
 
 	readDeadline time.Time // by when the awaited bytes must arrive; used by the reader alone
 	deadlineSet  bool      // readDeadline is set on the connection
@@ -80,7 +87,7 @@
 func newPeer(m *Manager, conn net.Conn) *Peer {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
 	p := &Peer{manager: m, conn: conn, opened: time.Now(), host: host, readDone: make(chan struct{}),
-		queue: mailbox.New[Message](m.MaxQueued)}
+		queue: mailbox.New[Message](m.MaxQueued), idleMessages: newIdleMessageLimiter()}
 	p.In = bufio.NewReaderSize(deadlineReader{p}, 4<<10)
 	p.touch()
 	return p
@@ -140,6 +147,9 @@
 // complete within FirstMessageTimeout of the accept: this tells a connection that is only held open from a
 // caller between two calls.
 func (p *Peer) AwaitMessage() error {
+	if err := p.pace(); err != nil {
+		return err
+	}
 	if !p.gotMessage.Load() {
 		p.setReadDeadline(p.opened.Add(p.manager.FirstMessageTimeout))
 		_, err := p.In.Peek(1)
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -75,6 +75,7 @@
 		return
 	}
 	f.Log.Warn("call rejected", "call", c.ID, "class", fmt.Sprintf("%.40s", c.Class), "error", err)
+	f.CountRejected(c.ID)
 	f.Failed(c, err)
 }
 
@@ -135,17 +136,21 @@
 		}
 		f.MarkCalls(p)
 		if known, _, _ := f.Withdraw(m.Call.String()); !known {
+			p.CountIdleMessage()
 			f.ReleaseUnknown(m.Call.String())
 		}
 	case isup.Test:
+		p.CountIdleMessage()
 		cause := isup.NotPassed
 		if f.ready() {
 			cause = isup.Passed
 		}
 		p.Send(connmgr.Message{Data: f.encode(isup.Message{Type: isup.TestResult, Call: m.Call}.WithCause(cause))})
 	case isup.Released:
+		p.CountIdleMessage()
 		p.ConfirmEnd(m.Call.String())
 	case isup.Progress:
+		p.CountIdleMessage()
 	default:
 		return errors.New("unexpected type")
 	}
--- a/internal/lab/soaklab/callers.go
+++ b/internal/lab/soaklab/callers.go
@@ -76,9 +76,7 @@
 func (c *callers) listen() {
 	for {
 		if k := c.connect(rand.New(rand.NewPCG(c.trial.Seed, 7))); k != nil {
-			if b, err := (isup.Message{Type: isup.Test, Call: 1}).WithCause(isup.NotPassed).Append(nil); err == nil {
-				k.write(b, false)
-			}
+			k.write(encoded(isup.Message{Type: isup.Test, Call: 1}.WithCause(isup.NotPassed)), false)
 			select {
 			case <-k.ended:
 			case <-c.trial.settled:
@@ -208,17 +206,17 @@
 
 // setUp encodes a set-up with a tenant and a first choice drawn at random.
 func (t *trial) setUp(id isup.CallID, class string, left time.Duration, rng *rand.Rand) []byte {
+	return t.setUpDescribed(id, class, left, "offer "+id.String(), rng)
+}
+
+func (t *trial) setUpDescribed(id isup.CallID, class string, left time.Duration, description string, rng *rand.Rand) []byte {
 	m := isup.Message{Type: isup.SetUp, Call: id}.WithText(isup.Class, class).WithMillis(isup.TimeLeft, left).
 		WithText(isup.Number, fmt.Sprintf("%016x", rng.Uint64())).WithText(isup.Figures, fmt.Sprintf("dest:%d;width:1;via:-1", rng.IntN(t.Servers))).
-		WithText(isup.Description, "offer "+id.String())
+		WithText(isup.Description, description)
 	if tenants := t.Deployment.Tenants; len(tenants) > 0 {
 		m = m.WithText(isup.Tenant, tenants[rng.IntN(len(tenants))].Name)
 	}
-	b, err := m.Append(nil)
-	if err != nil {
-		panic(fmt.Sprintf("a set-up of short texts: %v", err))
-	}
-	return b
+	return encoded(m)
 }
 
 // write writes a message, in pieces if asked for.
@@ -252,9 +250,7 @@
 }
 
 func (k *client) release(id isup.CallID) {
-	if b, err := (isup.Message{Type: isup.Release, Call: id}).WithCause(isup.Normal).Append(nil); err == nil {
-		k.write(b, false)
-	}
+	k.write(encoded(isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal)), false)
 }
 
 // read records what comes on the connection until it ends.
@@ -374,9 +370,7 @@
 		lab.Sleep(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
 	case 4:
 		for range 30 {
-			if b, err := (isup.Message{Type: isup.Release, Call: unknown}).WithCause(isup.Normal).Append(nil); err == nil {
-				conn.Write(b)
-			}
+			conn.Write(encoded(isup.Message{Type: isup.Release, Call: unknown}.WithCause(isup.Normal)))
 		}
 	case 5:
 		lab.Sleep(ctx, time.Duration(rng.IntN(1500))*time.Millisecond)
--- a/internal/lab/soaklab/faults.go
+++ b/internal/lab/soaklab/faults.go
@@ -31,6 +31,9 @@
 // its agents have replaced.
 const RemoveStalled = "remove stalled"
 
+// Flood is the name of the fault of bad clients that send at full speed.
+const Flood = "flood"
+
 var faults = []fault{
 	{"stops", (*trial).stopSeries},
 	{"stops", (*trial).stopSeries},
@@ -54,6 +57,7 @@
 	{"slow", (*trial).slowServer},
 	{"pieces", (*trial).splitLinks},
 	{"burst", (*trial).burst},
+	{Flood, (*trial).floodAgent},
 }
 
 // injectFaults begins faults of the trial's kinds at drawn times until ctx ends.
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -74,6 +74,7 @@
 	loadEnded chan struct{}
 	settled   chan struct{}
 	underWay  sync.WaitGroup // faults
+	flooding  atomic.Bool    // bad clients flood an agent
 
 	mu          sync.Mutex
 	faults      []string
