Give ends of calls to connections on which a call has stood, not to bad clients

Logs at debug: the end went to, or was kept and copied to, connections of the flood.

Cause: a connection counted as one of a caller with calls once it had offered any call or released any id, so that a rejected set-up or an invented release was enough; and of those, as of the idle ones, the latest used came first, which a bad client always is.

Change: what counts is a call that stood: its answer was sent on the connection, or its release came there. Others get a copy after idlePeerDelay as before, those near their limit of idle messages last, and half of the eight copies go to the connections that are open for longest.

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -154,7 +154,7 @@
 		return err
 	}
 	f.MarkReady(p)
-	f.MarkCalls(p) // a client that has made the handshake places calls
+	f.MarkStanding(p) // a client that has made the handshake places calls
 	err = f.readAll(&session{peer: p, pending: map[string]bool{}}, opts.maxMessageBytes)
 	var closed *ws.CloseError
 	if errors.As(err, &closed) {
--- a/internal/front/connmgr/ends.go
+++ b/internal/front/connmgr/ends.go
@@ -10,7 +10,7 @@
 type pendingEnd struct {
 	message Message
 	host    string  // "": any host
-	idle    []*Peer // connections without a call on which copies were sent
+	idle    []*Peer // connections on which no call has stood and copies were sent
 }
 
 // Bounds on how long, and how many, ends are kept that could not be sent.
@@ -19,11 +19,11 @@
 	maxPendingEnds     = 4096
 )
 
-// idlePeerDelay is how long an end waits for a connection on which a caller has placed or ended a call. After that
-// it goes to others, so that it is in time if a caller merely listens there.
+// idlePeerDelay is how long an end waits for a connection on which a call has stood. After that it goes to others, so
+// that it is in time if a caller merely listens there.
 const idlePeerDelay = 400 * time.Millisecond
 
-// maxIdlePeers limits on how many connections without a call an end is sent.
+// maxIdlePeers limits on how many connections on which no call has stood an end is sent.
 const maxIdlePeers = 8
 
 // SendEnd reports the end of a call that stood, on the call's connection or another one of its caller.
@@ -41,8 +41,8 @@
 	return Message{ID: id, Kind: KindEnd, Data: data, endedAt: time.Now()}
 }
 
-// deliverEnd sends an end on the connection first, or on another one on which calls were placed or ended. If there
-// is none it is kept.
+// deliverEnd sends an end on the connection first, or on another one on which a call has stood. If there is none it is
+// kept.
 func (m *Manager) deliverEnd(end Message, host string, first *Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -62,20 +62,28 @@
 	}
 }
 
-// peersOf returns the connections of a host, or of any host if it is "", that can be sent ends: those on which calls
-// were placed or ended, or the others. The latest used come first.
-func (m *Manager) peersOf(host string, withCalls bool) (peers []*Peer) {
+// peersOf returns the connections of a host, or of any host if it is "", that can be sent ends: those on which a call
+// has stood, or the others. Anybody can place calls and release invented ones, so neither shows that the caller reads
+// ends. Those that are near their limit of idle messages come last, and the latest used come first.
+func (m *Manager) peersOf(host string, hadStanding bool) []*Peer {
+	var inLimit, overLimit []*Peer
 	for p := range m.peers {
-		if p.ready.Load() && p.hadCalls.Load() == withCalls && (p.host == host || host == "") {
-			peers = append(peers, p)
+		switch {
+		case !p.ready.Load() || p.hadStanding.Load() != hadStanding || p.host != host && host != "":
+		case p.sendsIdly():
+			overLimit = append(overLimit, p)
+		default:
+			inLimit = append(inLimit, p)
 		}
 	}
-	slices.SortFunc(peers, func(a, b *Peer) int { return cmp.Compare(b.lastUsed.Load(), a.lastUsed.Load()) })
-	return peers
+	latestFirst := func(a, b *Peer) int { return cmp.Compare(b.lastUsed.Load(), a.lastUsed.Load()) }
+	slices.SortFunc(inLimit, latestFirst)
+	slices.SortFunc(overLimit, latestFirst)
+	return append(inLimit, overLimit...)
 }
 
-// deliverToIdle sends the ends that have waited for idlePeerDelay on connections without a call. Nobody may read
-// these, so an end goes to several of them once, and is kept for a connection with calls.
+// deliverToIdle sends the ends that have waited for idlePeerDelay on connections on which no call has stood. Nobody may
+// read these, so an end goes to several of them once, and is kept for another connection.
 func (m *Manager) deliverToIdle() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -87,13 +95,20 @@
 	}
 }
 
-// sendToIdle sends copies of an end on connections without a call and returns these.
+// sendToIdle sends copies of an end on connections on which no call has stood and returns these: half of them are the
+// latest used, and the others the longest open, as many callers may come and go beside one that listens.
 func (m *Manager) sendToIdle(end pendingEnd) (sent []*Peer) {
-	for _, p := range m.peersOf(end.host, false) {
-		if len(sent) < maxIdlePeers && p.Send(Message{ID: end.message.ID, Data: end.message.Data}) {
-			sent = append(sent, p)
+	latestUsed := m.peersOf(end.host, false)
+	longestOpen := slices.SortedFunc(slices.Values(latestUsed), func(a, b *Peer) int { return a.opened.Compare(b.opened) })
+	send := func(candidates []*Peer, limit int) {
+		for _, p := range candidates {
+			if len(sent) < limit && !slices.Contains(sent, p) && p.Send(Message{ID: end.message.ID, Data: end.message.Data}) {
+				sent = append(sent, p)
+			}
 		}
 	}
+	send(latestUsed, maxIdlePeers/2)
+	send(longestOpen, maxIdlePeers)
 	return sent
 }
 
@@ -103,9 +118,10 @@
 	m.deliverToIdle()
 }
 
-// MarkCalls records that a call was placed or ended on a connection. It is sent the ends that are kept for its host.
-func (m *Manager) MarkCalls(p *Peer) {
-	if p.hadCalls.Swap(true) {
+// MarkStanding records that a call that stood was answered or released on a connection. It is sent the ends that are
+// kept for its host.
+func (m *Manager) MarkStanding(p *Peer) {
+	if p.hadStanding.Swap(true) {
 		return
 	}
 	m.mu.Lock()
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -267,7 +267,6 @@
 	case duplicate:
 		return agent.ErrDuplicate
 	}
-	m.MarkCalls(p)
 	if !m.core.Offer(m.front, c) {
 		m.front.Refused(c, m.RetryAfter)
 	}
@@ -350,7 +349,9 @@
 	}
 	if !entry.peer.Send(Message{ID: id, Kind: KindAnswer, Data: data(entry.tag)}) {
 		m.releaseUndelivered(id)
+		return
 	}
+	m.MarkStanding(entry.peer)
 }
 
 // releaseUndelivered ends a call whose answer could not be written.
--- a/internal/front/connmgr/pace.go
+++ b/internal/front/connmgr/pace.go
@@ -27,6 +27,11 @@
 // CountIdleMessage counts a message that concerns no open call of this front.
 func (p *Peer) CountIdleMessage() { p.idleMessages.ReserveN(time.Now(), 1) }
 
+// sendsIdly reports whether the connection is near its limit of idle messages, or was over it lately.
+func (p *Peer) sendsIdly() bool {
+	return p.paced.Load() || p.idleMessages.Tokens() < idleMessageBurst/2
+}
+
 // pace keeps a connection from taking the processor from the others: it lets other goroutines run between two
 // messages that have already come, and pauses if the connection is over its limit of idle messages. It returns an
 // error once that has gone on for too long. Only the reader calls it.
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -56,8 +56,8 @@
 	paced        atomic.Bool   // it is, or was lately, over that limit
 	pacedSince   time.Time     // since when it is paced; used by the reader alone
 
-	ready    atomic.Bool // it can be sent ends of calls
-	hadCalls atomic.Bool // calls were placed or ended on it
+	ready       atomic.Bool // it can be sent ends of calls
+	hadStanding atomic.Bool // a call that stood was answered or released on it
 
 	readDeadline time.Time // by when the awaited bytes must arrive; used by the reader alone
 	deadlineSet  bool      // readDeadline is set on the connection
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -134,10 +134,13 @@
 		if _, err := m.Cause(); err != nil {
 			return err
 		}
-		f.MarkCalls(p)
-		if known, _, _ := f.Withdraw(m.Call.String()); !known {
+		known, by, _ := f.Withdraw(m.Call.String())
+		switch {
+		case !known:
 			p.CountIdleMessage()
 			f.ReleaseUnknown(m.Call.String())
+		case by == nil: // the call stood
+			f.MarkStanding(p)
 		}
 	case isup.Test:
 		p.CountIdleMessage()
--- a/internal/lab/soaklab/soak_test.go
+++ b/internal/lab/soaklab/soak_test.go
@@ -48,3 +48,11 @@
 		}
 	})
 }
+
+// TestFloodsOfBadClients guards the memory limit and the callers' answers and ends against bad clients that send at full
+// speed.
+func TestFloodsOfBadClients(t *testing.T) {
+	for _, seed := range []uint64{2, 5} {
+		playSeed(t, seed, []string{Flood})
+	}
+}
