Keep the releases that are due at a server that is cut off until it is reached again

Cause: after 3 s of silence serverDied took the server's process for ended, and dropped the releases that were due there.

A refused connection still proves the end of a process (processEnded); silence does not (presumeDead): due releases stay, and the calls that it cuts get one. All are bounded, each id is kept once, they come before any set-up, and a later attempt of the same call is spared.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -16,15 +16,16 @@
 	// received is set once a message has come. A server sends its group state first; for a hung server only
 	// its kernel accepts the connection.
 	received        bool
-	unanswered      int         // number of set-ups sent on it and not yet answered
-	unansweredSince time.Time   // since when there have been unanswered set-ups
-	retired         bool        // replaced by another connection; closed after its last set-up
-	retiredAt       time.Time   // when it was replaced
-	falseAlarm      bool        // a message has come since it was replaced
-	lastGroupState  time.Time   // when the server last sent its group state
-	firstCheck      time.Time   // time of the first check
-	nextCheck       time.Time   // time of the next check; zero: none is scheduled
-	checkTimer      *time.Timer // fires at nextCheck
+	unanswered      int              // number of set-ups sent on it and not yet answered
+	unansweredSince time.Time        // since when there have been unanswered set-ups
+	retired         bool             // replaced by another connection; closed after its last set-up
+	retiredAt       time.Time        // when it was replaced
+	falseAlarm      bool             // a message has come since it was replaced
+	lastGroupState  time.Time        // when the server last sent its group state
+	firstCheck      time.Time        // time of the first check
+	nextCheck       time.Time        // time of the next check; zero: none is scheduled
+	checkTimer      *time.Timer      // fires at nextCheck
+	writtenReleases []writtenRelease // releases that the server has not certainly received
 }
 
 // stalled reports whether the connection has had unanswered set-ups, and no message, for at least timeout.
@@ -60,7 +61,11 @@
 // before it knows that its answer has arrived considers the set-up given up, and cuts the call.
 func (sa *serverActor) linger(l *link) {
 	time.AfterFunc(sa.cfg.Linger, func() {
-		if !sa.mailbox.Post(func() { sa.discard(l) }) { // the actor has stopped meanwhile
+		closeLink := func() {
+			sa.discard(l)
+			sa.resendReleases(l)
+		}
+		if !sa.mailbox.Post(closeLink) { // the actor has stopped meanwhile
 			l.conn.Close()
 		}
 	})
@@ -139,7 +144,7 @@
 		sa.dialFailed(errNoFirstMessage)
 		return
 	case !l.received || len(sa.retiredLinks) >= maxRetiredLinks || time.Since(sa.lastExtraDial) < sa.cfg.RedialInterval:
-	case l.stalled(sa.stallTimeout()), len(sa.open) > 0 && silent >= sa.cfg.SilenceTimeout:
+	case l.stalled(sa.stallTimeout()), len(sa.open)+len(l.writtenReleases) > 0 && silent >= sa.cfg.SilenceTimeout:
 		sa.log.Info("setup server silent: trying a new connection", "for", silent, "out", l.unanswered)
 		sa.lastExtraDial = time.Now()
 		sa.dial()
@@ -164,7 +169,7 @@
 		wait = min(sa.cfg.FirstMessageTimeout, wait)
 	case !l.received:
 		wait = sa.cfg.FirstMessageTimeout
-	case len(sa.open) == 0:
+	case len(sa.open)+len(l.writtenReleases) == 0:
 		return
 	}
 	step, elapsed := max(sa.cfg.StallTimeout/4, 1), now.Sub(l.firstCheck)
--- a/internal/servers/trunk/pool.go
+++ b/internal/servers/trunk/pool.go
@@ -209,9 +209,6 @@
 	}
 }
 
-// maxUnknownReleases limits the releases of unknown calls that wait for a server's next connection.
-const maxUnknownReleases = 64
-
 // ReleaseUnknown releases a call at every server, because it is not known which one holds the call. A server
 // without a connection gets the release on its next one. A server that does not hold the call has nothing to do.
 func (p *Pool) ReleaseUnknown(id string) {
@@ -220,14 +217,7 @@
 		return
 	}
 	for _, actor := range p.actors {
-		actor.post(func() {
-			switch {
-			case actor.link != nil:
-				actor.sendRelease(actor.link, n)
-			case actor.server.State != policy.Gone && len(actor.unknownReleases) < maxUnknownReleases:
-				actor.unknownReleases = append(actor.unknownReleases, n)
-			}
-		})
+		actor.post(func() { actor.releaseUnknown(n) })
 	}
 }
 
--- a/internal/servers/trunk/receive.go
+++ b/internal/servers/trunk/receive.go
@@ -20,6 +20,7 @@
 		sa.cfg.adaptive.recordFalseAlarm()
 	}
 	sa.lastReceived = l.lastReceived
+	l.confirmReleases(sa.releaseConfirmedAfter())
 	report, err := parseReport(m)
 	if err == nil && report.WaitSeconds >= 0 {
 		sa.statedWait, sa.statedWaitAt = time.Duration(report.WaitSeconds*float64(time.Second)), l.lastReceived
@@ -47,7 +48,9 @@
 		sa.handleAnswer(l, m)
 	case isup.Release:
 		return sa.handleRelease(m, report)
-	case isup.Progress, isup.Released:
+	case isup.Released:
+		sa.handleReleased(l, m.Call)
+	case isup.Progress:
 	default:
 		return fmt.Errorf("message of type %d", m.Type)
 	}
--- a/internal/servers/trunk/slots.go
+++ b/internal/servers/trunk/slots.go
@@ -232,7 +232,8 @@
 
 // reportUsage reports to the table what the current event has changed.
 func (sa *serverActor) reportUsage() {
-	u := usage{Use: subset.Use{Pinned: len(sa.open)+len(sa.unsentReleases)+len(sa.waiting) > 0 || sa.dialing || len(sa.retiredLinks) > 0, Failed: sa.dialFailures > 0},
+	releasing := len(sa.dueReleases.ids) > 0 && sa.dialFailures == 0
+	u := usage{Use: subset.Use{Pinned: len(sa.open)+len(sa.waiting) > 0 || releasing || sa.dialing || len(sa.retiredLinks) > 0, Failed: sa.dialFailures > 0},
 		linked: sa.link != nil, extraConns: len(sa.retiredLinks)}
 	if sa.dialing && sa.link != nil {
 		u.extraConns++
@@ -279,12 +280,9 @@
 		sa.connCount.Add(-1)
 		return false
 	}
-	purpose := subset.Standby
-	if len(sa.waiting)+len(sa.unsentReleases)+len(sa.open) > 0 {
-		purpose = subset.ForCall
-	}
+	purpose := sa.dialPurpose()
 	if !sa.acquireSlot(purpose) {
-		if purpose == subset.ForCall || sa.slots.preferred(sa) {
+		if purpose == subset.ForCall || len(sa.dueReleases.ids) > 0 || sa.slots.preferred(sa) {
 			sa.retryLater()
 		}
 		return false
@@ -293,6 +291,21 @@
 	return true
 }
 
+// dialPurpose returns what a slot for a first connection is needed for. Releases for a server that can't be reached take
+// another server's slot only now and then.
+func (sa *serverActor) dialPurpose() subset.Purpose {
+	switch {
+	case len(sa.waiting)+len(sa.open) > 0:
+		return subset.ForCall
+	case len(sa.dueReleases.ids) == 0:
+		return subset.Standby
+	case sa.dialFailures > 0 && time.Since(sa.lastReleaseDial) < releaseRedialInterval:
+		return subset.Standby
+	}
+	sa.lastReleaseDial = time.Now()
+	return subset.ForCall
+}
+
 // retryLater schedules another dial when no slot was free.
 func (sa *serverActor) retryLater() {
 	if !sa.retryScheduled {
@@ -306,7 +319,7 @@
 // slotTimedOut fails the set-ups of a dial whose slot was not freed in time.
 func (sa *serverActor) slotTimedOut() {
 	sa.failWaiting(agent.Unwritten, policy.NotSent, errNoSlot)
-	if len(sa.unsentReleases)+len(sa.open) > 0 || sa.slots.preferred(sa) {
+	if len(sa.dueReleases.ids)+len(sa.open) > 0 || sa.slots.preferred(sa) {
 		sa.retryLater()
 	}
 }
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -70,8 +70,10 @@
 	waiting         []agent.Attempt    // set-ups that wait for a connection
 	open            map[isup.CallID]*attempt
 	unconfirmed     recent.Set[isup.CallID]   // attempts that ended without a message from the server
-	unsentReleases  []isup.CallID             // releases to send on the next connection
-	unknownReleases []isup.CallID             // releases of unknown calls for the next connection; they cause no dial
+	dueReleases     releaseQueue              // releases to send on the next connection
+	unknownReleases releaseQueue              // the same of unknown calls; they cause no dial
+	acknowledges    bool                      // the server acknowledges releases
+	lastReleaseDial time.Time                 // when a dial for releases alone last took a slot
 	lastReceived    time.Time                 // time of the latest message on any connection
 	answerDelay     time.Duration             // moving average of the server's answer delay
 	statedWait      time.Duration             // processor wait that the server stated last
@@ -104,7 +106,8 @@
 func newServerActor(cfg Config, core Core, s agent.Server, sent, conns *atomic.Int64, connSlots *slots) *serverActor {
 	return &serverActor{connCount: conns, slots: connSlots, cfg: cfg, core: core, log: cfg.Log.With("server", s.ID), serverID: s.ID, server: s, sentCount: sent,
 		mailbox: mailbox.New[func()](cfg.Mailbox), open: map[isup.CallID]*attempt{}, retiredLinks: map[*link]struct{}{},
-		probes: map[isup.CallID]time.Time{}, lastReceived: time.Now()}
+		probes: map[isup.CallID]time.Time{}, lastReceived: time.Now(),
+		dueReleases: releaseQueue{limit: maxDueReleases}, unknownReleases: releaseQueue{limit: maxUnknownReleases}}
 }
 
 func (sa *serverActor) post(f func()) { sa.mailbox.Post(f) }
@@ -168,7 +171,8 @@
 	sa.failWaiting(agent.Unwritten, policy.NotSent, errNotAccepting)
 	sa.closeAllLinks(errDied)
 	sa.cutCallsBefore(time.Now())
-	sa.unsentReleases, sa.unknownReleases = nil, nil
+	sa.dueReleases.takeAll()
+	sa.unknownReleases.takeAll()
 	sa.finished.Store(true)
 }
 
@@ -301,20 +305,6 @@
 	}
 }
 
-// sendRelease writes a release, or keeps it for the next connection: a call that stands is not tied to a
-// connection.
-func (sa *serverActor) sendRelease(on *link, id isup.CallID) {
-	if on == nil || !sa.pinSlot() {
-		sa.unsentReleases = append(sa.unsentReleases, id)
-		sa.connect()
-		return
-	}
-	if _, err := sa.send(on, isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal)); err != nil {
-		sa.unsentReleases = append(sa.unsentReleases, id)
-		sa.linkLost(on, err)
-	}
-}
-
 // connectSoon opens a connection after a random delay of up to Config.Jitter. All processes of a fleet learn
 // of a new server, or come back from a restart, at the same moment, and must not dial together. A set-up does
 // not wait for this delay.
@@ -403,12 +393,9 @@
 		sa.probe()
 	}
 	sa.checkLink(l)
-	unsent, waiting := sa.unsentReleases, sa.waiting
-	sa.unsentReleases, sa.waiting = nil, nil
-	unsent, sa.unknownReleases = append(unsent, sa.unknownReleases...), nil
-	for _, id := range unsent {
-		sa.sendRelease(sa.link, id)
-	}
+	sa.sendDueReleases()
+	waiting := sa.waiting
+	sa.waiting = nil
 	for _, a := range waiting {
 		sa.setUp(a)
 	}
@@ -434,18 +421,33 @@
 	}
 	switch {
 	case refused:
-		time.AfterFunc(sa.cfg.CutGrace, func() { sa.post(sa.serverDied) })
+		time.AfterFunc(sa.cfg.CutGrace, func() { sa.post(sa.processEnded) })
 	case time.Since(sa.lastReceived) > sa.cfg.SilenceTimeout:
-		sa.serverDied()
+		sa.presumeDead()
 	}
 	time.AfterFunc(sa.cfg.RedialInterval/2+sa.cfg.randomDelay(sa.cfg.RedialInterval), func() { sa.post(sa.reconnect) })
 }
 
-// serverDied ends the calls of a process that is presumed dead, unless a connection has come up meanwhile.
-func (sa *serverActor) serverDied() {
+// processEnded ends the calls of a process that no longer exists, unless a connection has come up meanwhile. Nothing is
+// left to release.
+func (sa *serverActor) processEnded() {
 	if sa.link == nil {
 		sa.cutCallsBefore(time.Now())
-		sa.unsentReleases = nil
+		sa.dueReleases.takeAll()
+	}
+}
+
+// presumeDead ends the calls at a server that has been silent for long, unless a connection has come up meanwhile. It
+// may merely be cut off, and go on with its calls: they are released once it is reached again.
+func (sa *serverActor) presumeDead() {
+	if sa.link != nil {
+		return
+	}
+	for id, a := range sa.open {
+		if a.stands {
+			sa.endAttempt(id, a, newFailure(sa.server.ID, agent.Stood, policy.Cut, errDied), policy.EmptyReport())
+			sa.dueReleases.add(id)
+		}
 	}
 }
 
@@ -454,7 +456,7 @@
 // hold calls of an earlier process.
 func (sa *serverActor) reconnect() {
 	firstOfDraining := sa.server.State == policy.Draining && !sa.connectedBefore
-	if sa.server.State == policy.Up || firstOfDraining || len(sa.open) > 0 || len(sa.unsentReleases) > 0 {
+	if sa.server.State == policy.Up || firstOfDraining || len(sa.open) > 0 || len(sa.dueReleases.ids) > 0 {
 		sa.connect()
 	}
 }
@@ -538,6 +540,7 @@
 	if sa.link == l {
 		sa.link = nil
 	}
+	sa.resendReleases(l)
 	for id, a := range sa.open {
 		if a.link == l && !a.stands {
 			sa.endAttempt(id, a, newFailure(sa.server.ID, agent.Written, policy.Cut, err), policy.EmptyReport())
