TestBothFronts: no channel is closed under the servers that still receive

Cause: the test's cleanup closed the servers' channels of received messages while the agent was still connected. A release that is sent again as a replaced connection is closed, 1 s after the last set-up on it, then met a closed channel (panic: send on closed channel). The test's own loops now end with its context; its checks are the same.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -114,7 +114,13 @@
 
 // serve makes a server react to each set-up by the last three bits of its call id.
 func (s *testSite) serve(server *standin.Server) {
-	for g := range server.Received {
+	for {
+		var g standin.Received
+		select {
+		case <-s.t.Context().Done(): // the servers may still receive
+			return
+		case g = <-server.Received:
+		}
 		if g.Type == isup.Release {
 			s.attempts.recordEnd(g.Call, true)
 		}
@@ -208,7 +214,6 @@
 	s := newTestSite(t)
 	for _, server := range s.servers {
 		go s.serve(server)
-		t.Cleanup(func() { close(server.Received) })
 	}
 	api, _ := s.webSocketCaller(t)
 	for _, round := range []struct {
