Stand-in server: a connection accepted during a crash is reset too; a test waits for its servers

Traced with the actors' state at the failure: the three servers were linked and none had failed, so the crash had met no connection. Cause: the stand-in's accept had taken the connection and not recorded it when Crash went through its list.

--- a/internal/servers/trunk/slots_test.go
+++ b/internal/servers/trunk/slots_test.go
@@ -116,6 +116,16 @@
 	return connected, others
 }
 
+// awaitLinked waits until the pool counts n servers as connected.
+func (w *cluster) awaitLinked(t *testing.T, n int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		w.slots.mu.Lock()
+		defer w.slots.mu.Unlock()
+		return w.slots.linkedServers == n
+	}, standin.WaitTimeout, ms)
+}
+
 // call passes a set-up for a server to the pool and returns its id.
 func (w *cluster) call(server string, n int) string {
 	a := newAttempt(isup.CallID(n).String(), 3*time.Second)
@@ -311,6 +321,7 @@
 	w := newCluster(t, 20, Config{MaxConns: 8, Jitter: ms, Linger: 50 * ms, SilenceTimeout: time.Hour, RedialInterval: 20 * ms})
 	w.Servers(w.list, true)
 	connected, _ := w.awaitDialled(t, 3)
+	w.awaitLinked(t, 3)
 	w.servers[connected[0]].Crash()
 	require.Eventually(t, func() bool { n, _ := w.dialled(); return n == 4 && w.connCount.Load() >= 3 }, standin.WaitTimeout, ms)
 	assert.True(t, w.Serves())
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -56,6 +56,7 @@
 	ln      net.Listener
 	conns   []*Conn
 	history []Received // all messages so far
+	crashed bool
 }
 
 // NewServer starts a setup server on a free port, or on addr if it is not "".
@@ -79,14 +80,34 @@
 			return
 		}
 		c := &Conn{conn, bufio.NewReader(conn)}
-		s.mu.Lock()
-		s.conns = append(s.conns, c)
-		s.mu.Unlock()
+		if !s.add(c) {
+			continue
+		}
 		c.Send(isup.Message{Type: isup.GroupState}.WithText(isup.Report, "x0:900;x1:1000"))
 		go s.serve(c)
 	}
 }
 
+// add records a connection. One that was accepted just before a crash is reset like the others.
+func (s *Server) add(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashed {
+		c.reset()
+		return false
+	}
+	s.conns = append(s.conns, c)
+	return true
+}
+
+// reset closes the connection as the end of its process does.
+func (c *Conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func (s *Server) serve(c *Conn) {
 	for {
 		m, err := isup.Read(c.Reader)
@@ -148,11 +169,11 @@
 // Crash closes the listener and resets all connections, as when a process is killed.
 func (s *Server) Crash() {
 	s.ln.Close()
-	for _, c := range s.Conns() {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			tcp.SetLinger(0)
-		}
-		c.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed = true
+	for _, c := range s.conns {
+		c.reset()
 	}
 }
 
