Read a replaced connection to its end before closing it

Cause, by reading and by the test: a replaced connection was closed at once a second after its last answer, unread bytes and all. Servers send the end of a call on the connection of its set-up, so an end that crossed the close was lost, and is repeated only on a connection that nothing asks for.

Change: the sending side is closed first, and the connection read until the server closes its side, for 0.5 s at most.

Measured: TestEndCrossesCloseOfReplacedConnection fails without the change.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -20,6 +20,7 @@
 	unansweredSince time.Time        // since when there have been unanswered set-ups
 	retired         bool             // replaced by another connection; closed after its last set-up
 	retiredAt       time.Time        // when it was replaced
+	closing         bool             // its sending side is closed
 	falseAlarm      bool             // a message has come since it was replaced
 	lastGroupState  time.Time        // when the server last sent its group state
 	firstCheck      time.Time        // time of the first check
@@ -57,15 +58,42 @@
 // there are at most four.
 const maxRetiredLinks = 2
 
+// closeTimeout is how long the close of a retired connection waits for the server to close its side.
+const closeTimeout = 500 * time.Millisecond
+
 // linger closes a retired connection some time after its last answer. A server that sees the connection end
 // before it knows that its answer has arrived considers the set-up given up, and cuts the call.
 func (sa *serverActor) linger(l *link) {
-	time.AfterFunc(sa.cfg.Linger, func() {
-		closeLink := func() {
-			sa.discard(l)
-			sa.resendReleases(l)
-		}
-		if !sa.mailbox.Post(closeLink) { // the actor has stopped meanwhile
+	sa.afterOrClose(sa.cfg.Linger, l, func() { sa.closeRetired(l) })
+}
+
+// closeRetired ends the sending side of a retired connection. The end of a call may be on its way on it, so it is read
+// until the server has closed its side.
+func (sa *serverActor) closeRetired(l *link) {
+	if !l.retired {
+		return // it has ended meanwhile
+	}
+	l.closing = true
+	conn, ok := l.conn.(*countedConn)
+	if !ok || conn.CloseWrite() != nil {
+		sa.dropRetired(l)
+		return
+	}
+	sa.afterOrClose(closeTimeout, l, func() { sa.dropRetired(l) })
+}
+
+// dropRetired closes a retired connection.
+func (sa *serverActor) dropRetired(l *link) {
+	if l.retired {
+		sa.discard(l)
+		sa.resendReleases(l)
+	}
+}
+
+// afterOrClose runs do on the actor after a delay, or closes the connection then if the actor has stopped.
+func (sa *serverActor) afterOrClose(delay time.Duration, l *link, do func()) {
+	time.AfterFunc(delay, func() {
+		if !sa.mailbox.Post(do) {
 			l.conn.Close()
 		}
 	})
--- a/internal/servers/trunk/releases_test.go
+++ b/internal/servers/trunk/releases_test.go
@@ -185,3 +185,22 @@
 		return <-due == 0
 	}, standin.WaitTimeout, 5*ms)
 }
+
+// TestEndCrossesCloseOfReplacedConnection guards against the end of a call being lost because its server writes it on a
+// replaced connection just as that is closed.
+func TestEndCrossesCloseOfReplacedConnection(t *testing.T) {
+	p, c := startPool(t, Config{Aim: 400 * ms, FirstMessageTimeout: standin.WaitTimeout, SilenceTimeout: time.Hour, Linger: 50 * ms})
+	s := standin.NewServer(t, "")
+	p.update(listedServer(s.Addr, policy.Up, time.Time{}))
+	p.SetUp(newAttempt(firstCall, 30*time.Second))
+	g := s.Await(t, isup.SetUp)
+	standin.Next(t, c.reports) // group state on the first connection
+	standin.Next(t, c.reports) // group state on the second connection: it has replaced the first
+	g.Answer("")
+	require.True(t, c.awaitEvent(t).stands)
+	require.Same(t, g.Conn, standin.Next(t, s.Closed))
+	g.Release(isup.Normal, "")
+	event := c.awaitEvent(t)
+	assert.Equal(t, firstCall, event.id)
+	assert.Nil(t, event.err)
+}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -536,6 +536,9 @@
 // dial shows whether their server is alive.
 func (sa *serverActor) linkLost(l *link, err error) {
 	sa.logLinkLost(l, err)
+	if l.closing && errors.Is(err, io.EOF) { // the server has read all that was sent
+		l.writtenReleases = nil
+	}
 	sa.discard(l)
 	if sa.link == l {
 		sa.link = nil
@@ -554,6 +557,8 @@
 func (sa *serverActor) logLinkLost(l *link, err error) {
 	text := "connection to setup server ended"
 	switch {
+	case l.closing:
+		return
 	case l.retired:
 		text = "replaced connection to setup server ended"
 	case sa.link != l:
