--- a/internal/lab/soaklab/callers.go
+++ b/internal/lab/soaklab/callers.go
@@ -249,8 +249,8 @@
 	}
 }
 
-func (k *client) release(id isup.CallID) {
-	k.write(encoded(isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal)), false)
+func (k *client) release(id isup.CallID) error {
+	return k.write(encoded(isup.Message{Type: isup.Release, Call: id}.WithCause(isup.Normal)), false)
 }
 
 // read records what comes on the connection until it ends.
@@ -322,7 +322,15 @@
 			return
 		}
 		k.callers.trial.recorder.with(id, func(c *record) { c.released = time.Now() })
-		k.release(id)
+		if k.release(id) != nil {
+			k.callers.trial.recorder.with(id, func(c *record) { c.released = time.Time{} })
+			return
+		}
+		time.AfterFunc(crossingWithin, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.callers.trial.recorder.with(id, func(c *record) { c.releaseTaken = !k.closed })
+		})
 	})
 }
 
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -53,6 +53,7 @@
 	crowdFactor    = 3    // calls in a crowd, as a multiple
 	crowdConns     = 100  // idle connections of a crowd at each agent
 	maxSettle      = 10 * time.Second
+	longHold       = 3 * time.Second        // mean length of calls in some trials
 	faultGap       = 350 * time.Millisecond // mean time between the beginnings of faults
 )
 
@@ -107,6 +108,9 @@
 	d := all[cfg.Seed%uint64(len(all))]
 	d.Hold, d.BulletinDelay, d.BulletinSpread = 700*time.Millisecond, 20*time.Millisecond, 60*time.Millisecond
 	d.Cold, d.DropBelow = 4*time.Second, 15*time.Millisecond
+	if rng.IntN(3) == 0 {
+		d.Hold = longHold
+	}
 	if rng.IntN(3) == 0 {
 		d.Keepalive = 400 * time.Millisecond
 	}
@@ -194,6 +198,7 @@
 	close(t.loadEnded)
 	t.underWay.Wait()
 	lab.Sleep(ctx, t.settleTime())
+	t.recorder.settledAt = time.Now()
 	close(t.settled)
 	load.Wait()
 }
