Ask a server to repeat the ends that may be lost with a replaced connection

The replaced connection was closed during the cut; the one in use outlived it, so that no connection was opened, and the caller was told 10.9 s after the end (8 s are allowed).

Cause: servers send the end of a call on the connection of its set-up and repeat it on the next one that is opened. Nothing opened one.

Change: if a replaced connection, on which calls stand, is dropped because its server has not closed its side in time, another connection is opened.

TestEndCrossesCloseOfReplacedConnection has the case, and fails in it without the change.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -82,12 +82,28 @@
 	sa.afterOrClose(closeTimeout, l, func() { sa.dropRetired(l) })
 }
 
-// dropRetired closes a retired connection.
+// dropRetired closes a retired connection whose server has not closed its side. Ends of calls may have been lost on it;
+// the server repeats them on the next connection that is opened.
 func (sa *serverActor) dropRetired(l *link) {
-	if l.retired {
-		sa.discard(l)
-		sa.resendReleases(l)
+	if !l.retired {
+		return // it has ended meanwhile
+	}
+	sa.discard(l)
+	sa.resendReleases(l)
+	if sa.standsOn(l) {
+		sa.lastExtraDial = time.Now()
+		sa.dial()
+	}
+}
+
+// standsOn reports whether a call stands that was set up on a connection.
+func (sa *serverActor) standsOn(l *link) bool {
+	for _, a := range sa.open {
+		if a.stands && a.link == l {
+			return true
+		}
 	}
+	return false
 }
 
 // afterOrClose runs do on the actor after a delay, or closes the connection then if the actor has stopped.
--- a/internal/servers/trunk/releases_test.go
+++ b/internal/servers/trunk/releases_test.go
@@ -187,20 +187,27 @@
 }
 
 // TestEndCrossesCloseOfReplacedConnection guards against the end of a call being lost because its server writes it on a
-// replaced connection just as that is closed.
+// replaced connection just as that is closed. A server that does not close its side may be cut off, and the end be lost
+// there: it is asked to repeat it, by another connection.
 func TestEndCrossesCloseOfReplacedConnection(t *testing.T) {
-	p, c := startPool(t, Config{Aim: 400 * ms, FirstMessageTimeout: standin.WaitTimeout, SilenceTimeout: time.Hour, Linger: 50 * ms})
-	s := standin.NewServer(t, "")
-	p.update(listedServer(s.Addr, policy.Up, time.Time{}))
-	p.SetUp(newAttempt(firstCall, 30*time.Second))
-	g := s.Await(t, isup.SetUp)
-	standin.Next(t, c.reports) // group state on the first connection
-	standin.Next(t, c.reports) // group state on the second connection: it has replaced the first
-	g.Answer("")
-	require.True(t, c.awaitEvent(t).stands)
-	require.Same(t, g.Conn, standin.Next(t, s.Closed))
-	g.Release(isup.Normal, "")
-	event := c.awaitEvent(t)
-	assert.Equal(t, firstCall, event.id)
-	assert.Nil(t, event.err)
+	for _, cutOff := range []bool{false, true} {
+		p, c := startPool(t, Config{Aim: 400 * ms, FirstMessageTimeout: standin.WaitTimeout, SilenceTimeout: time.Hour, Linger: 50 * ms})
+		s := standin.NewServer(t, "")
+		p.update(listedServer(s.Addr, policy.Up, time.Time{}))
+		p.SetUp(newAttempt(firstCall, 30*time.Second))
+		g := s.Await(t, isup.SetUp)
+		standin.Next(t, c.reports) // group state on the first connection
+		standin.Next(t, c.reports) // group state on the second connection: it has replaced the first
+		g.Answer("")
+		require.True(t, c.awaitEvent(t).stands)
+		require.Same(t, g.Conn, standin.Next(t, s.Closed))
+		if cutOff {
+			require.Eventually(t, func() bool { return len(s.Conns()) == 3 }, standin.WaitTimeout, ms)
+			g.Conn = s.Conns()[2]
+		}
+		g.Release(isup.Normal, "")
+		event := c.awaitEvent(t)
+		assert.Equal(t, firstCall, event.id)
+		assert.Nil(t, event.err)
+	}
 }
