A release is written three times at most on connections on which its server speaks

Change: a server that closes a connection in order has read all but what crossed its close (0.25 s); a release is written at most three times on connections on which its server has sent something. Connections on which it has not don't count: it may be cut off.

--- a/internal/servers/trunk/link.go
+++ b/internal/servers/trunk/link.go
@@ -16,17 +16,17 @@
 	// received is set once a message has come. A server sends its group state first; for a hung server only
 	// its kernel accepts the connection.
 	received        bool
-	unanswered      int              // number of set-ups sent on it and not yet answered
-	unansweredSince time.Time        // since when there have been unanswered set-ups
-	retired         bool             // replaced by another connection; closed after its last set-up
-	retiredAt       time.Time        // when it was replaced
-	closing         bool             // its sending side is closed
-	falseAlarm      bool             // a message has come since it was replaced
-	lastGroupState  time.Time        // when the server last sent its group state
-	firstCheck      time.Time        // time of the first check
-	nextCheck       time.Time        // time of the next check; zero: none is scheduled
-	checkTimer      *time.Timer      // fires at nextCheck
-	writtenReleases []writtenRelease // releases that the server has not certainly received
+	unanswered      int         // number of set-ups sent on it and not yet answered
+	unansweredSince time.Time   // since when there have been unanswered set-ups
+	retired         bool        // replaced by another connection; closed after its last set-up
+	retiredAt       time.Time   // when it was replaced
+	closing         bool        // its sending side is closed
+	falseAlarm      bool        // a message has come since it was replaced
+	lastGroupState  time.Time   // when the server last sent its group state
+	firstCheck      time.Time   // time of the first check
+	nextCheck       time.Time   // time of the next check; zero: none is scheduled
+	checkTimer      *time.Timer // fires at nextCheck
+	writtenReleases []release   // releases that the server has not certainly received
 }
 
 // stalled reports whether the connection has had unanswered set-ups, and no message, for at least timeout.
@@ -89,7 +89,7 @@
 		return // it has ended meanwhile
 	}
 	sa.discard(l)
-	sa.resendReleases(l)
+	sa.resendReleases(l, errNotClosed)
 	if sa.standsOn(l) {
 		sa.lastExtraDial = time.Now()
 		sa.dial()
--- a/internal/servers/trunk/releases_test.go
+++ b/internal/servers/trunk/releases_test.go
@@ -138,9 +138,9 @@
 func TestReleaseQueue(t *testing.T) {
 	q := releaseQueue{limit: 3}
 	for _, id := range []isup.CallID{1, 2, 1, 3, 4} {
-		q.add(id)
+		q.add(release{id: id})
 	}
-	assert.Equal(t, []isup.CallID{2, 3, 4}, q.takeAll())
+	assert.Equal(t, []release{{id: 2}, {id: 3}, {id: 4}}, q.takeAll())
 	assert.Empty(t, q.takeAll())
 }
 
@@ -181,7 +181,7 @@
 	c.awaitEnd(t, agent.Written, policy.Cut)
 	require.Eventually(t, func() bool {
 		due := make(chan int)
-		p.actors["s"].post(func() { due <- len(p.actors["s"].dueReleases.ids) })
+		p.actors["s"].post(func() { due <- len(p.actors["s"].dueReleases.releases) })
 		return <-due == 0
 	}, standin.WaitTimeout, 5*ms)
 }
@@ -211,3 +211,28 @@
 		assert.Nil(t, event.err)
 	}
 }
+
+// TestResentReleasesEnd guards servers that end their idle connections against being dialled for ever for a release
+// which they have read and don't acknowledge.
+func TestResentReleasesEnd(t *testing.T) {
+	for name, endIdle := range map[string]func(c *standin.Conn){
+		"closed": func(c *standin.Conn) { c.Close() },
+		"reset":  func(c *standin.Conn) { c.Reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p, c := startPool(t, Config{SilenceTimeout: time.Hour, Jitter: ms})
+			s := standin.NewServer(t, "")
+			p.update(listedServer(s.Addr, policy.Draining, time.Time{})) // dialled for its releases alone
+			standin.Next(t, c.reports)
+			p.ReleaseUnknown(firstCall)
+			for range maxReleaseWrites + 2 {
+				time.Sleep(crossingTime + 100*ms) // it is idle
+				endIdle(s.Conns()[len(s.Conns())-1])
+			}
+			time.Sleep(100 * ms)
+			assert.LessOrEqual(t, s.Count(isup.Release, 1), maxReleaseWrites)
+			assert.LessOrEqual(t, len(s.Conns()), maxReleaseWrites)
+		})
+	}
+}
--- a/internal/servers/trunk/slots.go
+++ b/internal/servers/trunk/slots.go
@@ -232,7 +232,7 @@
 
 // reportUsage reports to the table what the current event has changed.
 func (sa *serverActor) reportUsage() {
-	releasing := len(sa.dueReleases.ids) > 0 && sa.dialFailures == 0
+	releasing := len(sa.dueReleases.releases) > 0 && sa.dialFailures == 0
 	u := usage{Use: subset.Use{Pinned: len(sa.open)+len(sa.waiting) > 0 || releasing || sa.dialing || len(sa.retiredLinks) > 0, Failed: sa.dialFailures > 0},
 		linked: sa.link != nil, extraConns: len(sa.retiredLinks)}
 	if sa.dialing && sa.link != nil {
@@ -282,7 +282,7 @@
 	}
 	purpose := sa.dialPurpose()
 	if !sa.acquireSlot(purpose) {
-		if purpose == subset.ForCall || len(sa.dueReleases.ids) > 0 || sa.slots.preferred(sa) {
+		if purpose == subset.ForCall || len(sa.dueReleases.releases) > 0 || sa.slots.preferred(sa) {
 			sa.retryLater()
 		}
 		return false
@@ -297,7 +297,7 @@
 	switch {
 	case len(sa.waiting)+len(sa.open) > 0:
 		return subset.ForCall
-	case len(sa.dueReleases.ids) == 0:
+	case len(sa.dueReleases.releases) == 0:
 		return subset.Standby
 	case sa.dialFailures > 0 && time.Since(sa.lastReleaseDial) < releaseRedialInterval:
 		return subset.Standby
@@ -319,7 +319,7 @@
 // slotTimedOut fails the set-ups of a dial whose slot was not freed in time.
 func (sa *serverActor) slotTimedOut() {
 	sa.failWaiting(agent.Unwritten, policy.NotSent, errNoSlot)
-	if len(sa.dueReleases.ids)+len(sa.open) > 0 || sa.slots.preferred(sa) {
+	if len(sa.dueReleases.releases)+len(sa.open) > 0 || sa.slots.preferred(sa) {
 		sa.retryLater()
 	}
 }
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -36,6 +36,7 @@
 	errNoFirstMessage = errors.New("connected, but the server says nothing")
 	errTruncated      = errors.New("a message stopped half-way")
 	errStalled        = errors.New("the server answers on another connection, and not on this one")
+	errNotClosed      = errors.New("the server has not closed its side")
 	errStopped        = errors.New("the agent stops")
 )
 
@@ -446,7 +447,7 @@
 	for id, a := range sa.open {
 		if a.stands {
 			sa.endAttempt(id, a, newFailure(sa.server.ID, agent.Stood, policy.Cut, errDied), policy.EmptyReport())
-			sa.dueReleases.add(id)
+			sa.dueReleases.add(release{id: id})
 		}
 	}
 }
@@ -456,7 +457,7 @@
 // hold calls of an earlier process.
 func (sa *serverActor) reconnect() {
 	firstOfDraining := sa.server.State == policy.Draining && !sa.connectedBefore
-	if sa.server.State == policy.Up || firstOfDraining || len(sa.open) > 0 || len(sa.dueReleases.ids) > 0 {
+	if sa.server.State == policy.Up || firstOfDraining || len(sa.open) > 0 || len(sa.dueReleases.releases) > 0 {
 		sa.connect()
 	}
 }
@@ -536,14 +537,11 @@
 // dial shows whether their server is alive.
 func (sa *serverActor) linkLost(l *link, err error) {
 	sa.logLinkLost(l, err)
-	if l.closing && errors.Is(err, io.EOF) { // the server has read all that was sent
-		l.writtenReleases = nil
-	}
 	sa.discard(l)
 	if sa.link == l {
 		sa.link = nil
 	}
-	sa.resendReleases(l)
+	sa.resendReleases(l, err)
 	for id, a := range sa.open {
 		if a.link == l && !a.stands {
 			sa.endAttempt(id, a, newFailure(sa.server.ID, agent.Written, policy.Cut, err), policy.EmptyReport())
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -93,15 +93,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashed {
-		c.reset()
+		c.Reset()
 		return false
 	}
 	s.conns = append(s.conns, c)
 	return true
 }
 
-// reset closes the connection as the end of its process does.
-func (c *Conn) reset() {
+// Reset closes the connection as the end of its process does.
+func (c *Conn) Reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetLinger(0)
 	}
@@ -173,7 +173,7 @@
 	defer s.mu.Unlock()
 	s.crashed = true
 	for _, c := range s.conns {
-		c.reset()
+		c.Reset()
 	}
 }
 
