--- a/review/standin2/caller.go
+++ b/review/standin2/caller.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// foreignReleases returns how many releases came of calls that this caller never placed.
+func (c *caller) foreignReleases() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.foreign)
+}
+
 // call returns what became of a call; ok is false if this caller did not place it.
 func (c *caller) call(id isup.CallID) (p placedCall, ok bool) {
 	c.mu.Lock()
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -91,7 +91,7 @@
 		played <- outcome{breaches, err}
 	}()
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	var o outcome
 	select {
 	case o = <-played:
