Review case 8: moved to a site whose reports hold no wait

Change: the answer to a test has the figures that the settings name; case 8 is played with the settings of semak-kl-penang, whose reports have no wait. Nothing of the program.

--- a/review/standin2/api.go
+++ b/review/standin2/api.go
@@ -34,7 +34,7 @@
 
 // settingsChanged (case 8): the call API's settings change while a call over it waits for an answer that never comes.
 func settingsChanged(w *world) (breaches []string, err error) {
-	servers, list, err := w.startServers("hsinchu-main", constantHold(8*time.Second), "s-a", "s-b")
+	servers, list, err := w.startServers("klang-valley", constantHold(8*time.Second), "s-a", "s-b")
 	if err != nil {
 		return nil, err
 	}
@@ -50,7 +50,7 @@
 	if err := w.applyAPI(state, listen, 30); err != nil {
 		return nil, err
 	}
-	agent, err := w.newAgent("n1", taipei(2, 0, 2), "WOODROUTER_STATE="+state)
+	agent, err := w.newAgent("n1", semak(2, 0, 2), "WOODROUTER_STATE="+state)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +60,7 @@
 	defer agent.keepLog()
 	for _, s := range servers {
 		s.mu.Lock()
+		s.figures = ";qps:30"
 		s.onSetUp = func(id isup.CallID, c *serverConn) bool { return true }
 		s.mu.Unlock()
 	}
@@ -71,7 +72,7 @@
 	defer conn.Close()
 	id := w.newID().String()
 	sent := time.Now()
-	if err := conn.writeFrame(opText, apiSetUp(id)); err != nil {
+	if err := conn.writeFrame(opText, apiSetUp(id, "standard-check", "lembah-realty")); err != nil {
 		return nil, err
 	}
 	w.note("api-client", "set-up %s", id)
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -74,11 +74,12 @@
 // hold. What concerns a call goes to the connection of its set-up, else to any open one; its release also goes to the
 // next connection that is opened.
 type setupServer struct {
-	w      *world
-	name   string
-	addr   string
-	answer time.Duration
-	hold   func(class string) time.Duration
+	w       *world
+	name    string
+	addr    string
+	answer  time.Duration
+	hold    func(class string) time.Duration
+	figures string // of its processor, in the answer to a test: those that the settings name
 
 	mu      sync.Mutex
 	ln      net.Listener
@@ -101,7 +102,7 @@
 			return nil, err
 		}
 	}
-	s := &setupServer{w: w, name: name, addr: ln.Addr().String(), answer: 30 * time.Millisecond, hold: hold, ln: ln,
+	s := &setupServer{w: w, name: name, addr: ln.Addr().String(), answer: 30 * time.Millisecond, hold: hold, figures: ";latency_ms:1", ln: ln,
 		calls: map[isup.CallID]*serverCall{}}
 	w.note(name, "listens on %s", s.addr)
 	w.atEnd(s.stop)
@@ -235,7 +236,7 @@
 	case isup.Test:
 		result := isup.Message{Type: isup.TestResult, Call: m.Call}.WithCause(isup.Passed)
 		if cause, err := m.Cause(); err == nil && cause == isup.Passed {
-			result = result.WithText(isup.Report, s.report()+";latency_ms:1")
+			result = result.WithText(isup.Report, s.report()+s.figures)
 		}
 		c.send(result)
 	}
--- a/review/standin2/trials.go
+++ b/review/standin2/trials.go
@@ -113,7 +113,7 @@
 			return err
 		}
 		w.atEnd(func() { conn.Close() })
-		if err := conn.writeFrame(opText, apiSetUp(id)); err != nil {
+		if err := conn.writeFrame(opText, apiSetUp(id, "group-lesson", "east-gate-english")); err != nil {
 			return err
 		}
 		go func() {
@@ -163,9 +163,9 @@
 }
 
 // apiSetUp returns a request for a call over the call API, with the class's full time.
-func apiSetUp(id string) []byte {
-	text, _ := json.Marshal(object{"jsonrpc": "2.0", "id": 1, "method": "call.setUp", "params": object{"id": id, "class": "group-lesson",
-		"tenant": "east-gate-english", "number": "7f3a9c21e0b4d655", "first_choice": 0, "deadline_ms": 9000, "description": []byte("offer")}})
+func apiSetUp(id, class, tenant string) []byte {
+	text, _ := json.Marshal(object{"jsonrpc": "2.0", "id": 1, "method": "call.setUp", "params": object{"id": id, "class": class,
+		"tenant": tenant, "number": "7f3a9c21e0b4d655", "first_choice": 0, "deadline_ms": 9000, "description": []byte("offer")}})
 	return text
 }
 
