Lab: clients that misbehave, on both fronts: crowds, floods, departures

Cause: operators report memory over the limit with crowds of slow clients, late answers beside one that floods, and requests sent on after their client has left. Nothing in the laboratory played these with figures, and the soak plays no client of the call API.

--- a/internal/faultnet/proc.go
+++ b/internal/faultnet/proc.go
@@ -36,6 +36,8 @@
 	Args []string
 	Data string   // its data directory, for WipeData
 	Env  []string // nil: this process's environment
+	// Files are open files that the process inherits, as descriptors from 3 on.
+	Files []*os.File
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -54,7 +56,7 @@
 	p.starts++
 	fmt.Fprintf(&p.log, "--- %s, start %d\n", p.Name, p.starts)
 	cmd := exec.Command(p.Bin, p.Args...)
-	cmd.Env = p.Env
+	cmd.Env, cmd.ExtraFiles = p.Env, p.Files
 	cmd.Stdout, cmd.Stderr = &lockedLog{p}, &lockedLog{p}
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/lab/labcli/labcli.go
+++ b/internal/lab/labcli/labcli.go
@@ -33,6 +33,7 @@
 	Rollout  rolloutCommand  `cmd:"" help:"Distribution of configuration (docs/rollout.md)."`
 	Fleet    fleetCommand    `cmd:"" help:"Play hundreds of call agents with faults between them; exit 1 if a rule is broken (docs/spread.md)."`
 	Soak     soakCommand     `cmd:"" help:"Play short, dense fault trials of a few agents; exit 1 if a rule is broken (docs/soak.md)."`
+	Clients  clientsCommand  `cmd:"" help:"Play clients that misbehave against one call agent, and measure its memory and the delay of others (docs/soak.md)."`
 	Chain    chainCommand    `cmd:"" help:"Measure chains of call agents between servers without work of their own (docs/CAPACITY.md)."`
 	Scale    scaleCommand    `cmd:"" help:"Measure what control costs a fleet at size, with hollow agents (docs/CAPACITY.md)."`
 }
@@ -134,6 +135,8 @@
 			err = cli.Demo.run(ctx, cli.Bin, dir, out)
 		case "soak":
 			err = cli.Soak.run(ctx, cli.Bin, dir, out)
+		case "clients":
+			err = cli.Clients.run(ctx, cli.Bin, dir, out)
 		case "fleet":
 			err = cli.Fleet.run(ctx, cli.Bin, dir, out)
 		case "chain path", "chain ramp", "chain memory", "chain lists":
