Unfinished requests take no more memory than what has come of them

Operators saw processes killed for their memory with hundreds of clients that wrote slowly, stopped half way or sent heads of very many short fields.

Cause: an upgrade request was parsed as it came (ws.Endpoint.Upgrade, http.ReadRequest), so that its fields lay in a map, some 500 KB for 16 KiB, for as long as its client did not end it. A frame was allocated by its announced length, and a message in fragments had a second copy. A binary message of 16 KiB could have 5,458 parameters.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,9 @@
 // callMemoryDivisor limits the memory of calls without a final answer to this fraction of the memory limit.
 const callMemoryDivisor = 8
 
+// heldMemoryDivisor limits the memory of the call API's unfinished large messages to this fraction of the memory limit.
+const heldMemoryDivisor = 16
+
 // Daemon is a call agent with all its parts.
 type Daemon struct {
 	cfg          Config
@@ -134,7 +137,7 @@
 	d.core.SetBackend(d.pool)
 	d.retryAfter = min(maxBusyRetryAfter, policySettings.Limits.MaxRetryAfter)
 	d.front = isupfront.New(connmgr.Config{MaxPeers: d.connLimits.callers, RetryAfter: d.retryAfter, Log: log}, d.core, d.ready)
-	d.api = apiServer{daemon: d, front: callapi.New(connmgr.Config{RetryAfter: d.retryAfter, Log: log}, d.core)}
+	d.api = apiServer{daemon: d, front: callapi.New(connmgr.Config{RetryAfter: d.retryAfter, MaxHeldBytes: cfg.Limits.MemoryMB << 20 / heldMemoryDivisor, Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, PollWait: pollWait, Grace: pollGrace,
 		RetryDelay: pollRetryDelay, Source: cfg.source}
 	d.follower.SetAddress(cfg.Bulletin)
--- a/internal/front/callapi/callapi_test.go
+++ b/internal/front/callapi/callapi_test.go
@@ -327,3 +327,27 @@
 	idle.send(`{}`)
 	assert.Contains(t, idle.receive(), "error")
 }
+
+// TestUnfinishedMessagesLimited guards the memory limit against clients that each send a part of a large message and stop: the
+// parts of all connections are limited together. A sound set-up is taken all the same.
+func TestUnfinishedMessagesLimited(t *testing.T) {
+	const largest = 1 << 20
+	f, core, url := startFront(t, connmgr.Config{MaxHeldBytes: 2 * largest})
+	f.Configure(ws.Endpoint{Path: "/calls"}, largest)
+	ended := make(chan error, 5)
+	for range cap(ended) {
+		c := dial(t, url)
+		w, err := c.Writer(c.ctx, websocket.MessageText)
+		require.NoError(t, err)
+		go func() {
+			_, _, err := c.Read(c.ctx)
+			ended <- err
+		}()
+		w.Write(make([]byte, largest*9/10)) // it fails once the agent has closed the connection
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Len(t, ended, 3)
+	c := dial(t, url)
+	c.send(setUp)
+	standin.Next(t, core.Offered)
+}
--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -169,7 +169,7 @@
 // readAll reads messages until the connection ends. A silent client is pinged, and its connection is closed
 // if it does not answer, as a client that has vanished does not close it.
 func (f *Front) readAll(s *session, maxMessageBytes int) error {
-	in, pinged := ws.Reader{In: s.peer.In, MaxMessageBytes: maxMessageBytes}, false
+	in, pinged := ws.Reader{In: s.peer.In, MaxMessageBytes: maxMessageBytes, Hold: s.hold}, false
 	for {
 		switch err := s.peer.AwaitMessage(); {
 		case errors.Is(err, connmgr.ErrIdle) && !pinged:
@@ -194,10 +194,19 @@
 			return &ws.CloseError{Code: ws.StatusUnsupported, Reason: "text messages only"}
 		default:
 			f.handle(s, data)
+			s.peer.HoldBytes(0)
 		}
 	}
 }
 
+// hold records the size of an unfinished message.
+func (s *session) hold(bytes int) error {
+	if err := s.peer.HoldBytes(bytes); err != nil {
+		return &ws.CloseError{Code: ws.StatusTryLater, Reason: err.Error()}
+	}
+	return nil
+}
+
 // handle answers one message. An invalid request gets an error, and the connection and its calls continue.
 func (f *Front) handle(s *session, text []byte) {
 	r, rpcErr := parseRequest(text)
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -11,6 +11,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"woodrouter/agent"
@@ -34,6 +35,7 @@
 	IdleTimeout         time.Duration // AwaitMessage returns ErrIdle after this long without a message
 	LingerTimeout       time.Duration // time for a caller to notice that its connection is closing
 	RetryAfter          time.Duration // sent when the agent is too busy; 0: callers ignore it, none is sent
+	MaxHeldBytes        int64         // of unfinished messages of all connections, each beyond freeHeldBytes
 	NoOpMessage         []byte        // without effect, to find out whether a caller's connection was reset
 	CloseMessage        []byte        // sent last on a connection that the manager closes
 	Log                 *slog.Logger
@@ -51,6 +53,7 @@
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, 2*time.Minute)
 	// by the protocol, a set-up may cross the close for 50 ms
 	c.LingerTimeout = cmp.Or(c.LingerTimeout, 100*time.Millisecond)
+	c.MaxHeldBytes = cmp.Or(c.MaxHeldBytes, 16<<20)
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
@@ -79,6 +82,7 @@
 	pendingEnds []pendingEnd
 	closed      bool
 	goroutines  sync.WaitGroup
+	heldBytes   atomic.Int64 // of unfinished messages, as far as they are counted
 }
 
 // New returns a Manager; handler reads one connection until it ends.
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -67,6 +67,8 @@
 	callerLeft  bool         // reading has ended
 	readError   error        // why it has
 
+	heldBytes int64 // counted in manager.heldBytes; used by the reader alone
+
 	linger atomic.Bool // closeWrite waits for the caller to see the close
 
 	openSetUps, calls int // set-ups without an answer, and all calls; guarded by manager.mu
@@ -200,6 +202,7 @@
 	p.manager.Log.Debug("caller's connection closed", "caller", p.conn.RemoteAddr(), "reason", err)
 	p.setReadError(err)
 	p.midMessage.Store(false)
+	p.HoldBytes(0)
 	p.manager.removePeer(p)
 	p.queue.Close() // the writer sends what is queued, then closes the connection
 	if p.linger.Load() {
--- a/internal/front/ws/frame.go
+++ b/internal/front/ws/frame.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"slices"
 	"unicode/utf8"
 )
 
@@ -32,6 +33,7 @@
 	StatusNoCode      = 1005
 	StatusInvalid     = 1007
 	StatusTooBig      = 1009
+	StatusTryLater    = 1013 // registered with IANA after the RFC
 )
 
 // CloseError is the reason why a connection ends, with its status code.
@@ -47,13 +49,6 @@
 	return &CloseError{Code: StatusProtocol, Reason: fmt.Sprintf(format, args...)}
 }
 
-// Frame is one frame.
-type Frame struct {
-	Final   bool
-	Opcode  Opcode
-	Payload []byte
-}
-
 func (o Opcode) control() bool { return o >= CloseFrame }
 
 // header is a decoded frame header.
@@ -110,25 +105,6 @@
 	return err
 }
 
-// ReadFrame reads one frame of a client; a data frame may have at most maxPayload bytes of payload.
-func ReadFrame(r io.Reader, maxPayload int) (Frame, error) {
-	h, err := readHeader(r)
-	if err != nil {
-		return Frame{}, err
-	}
-	if !h.opcode.control() && h.length > uint64(maxPayload) {
-		return Frame{}, &CloseError{Code: StatusTooBig, Reason: fmt.Sprintf("more than %d bytes", maxPayload)}
-	}
-	f := Frame{h.final, h.opcode, make([]byte, h.length)}
-	if _, err := io.ReadFull(r, f.Payload); err != nil {
-		return Frame{}, unexpectedEOF(err)
-	}
-	for i := range f.Payload {
-		f.Payload[i] ^= h.mask[i%4]
-	}
-	return f, nil
-}
-
 // AppendFrame appends a server's frame, which is unfragmented and unmasked.
 func AppendFrame(b []byte, op Opcode, payload []byte) []byte {
 	b = append(b, 0x80|byte(op))
@@ -179,6 +155,9 @@
 type Reader struct {
 	In              *bufio.Reader
 	MaxMessageBytes int // maximum size of a message
+	// Hold is told how many bytes of an unfinished message there are going to be, before they are read. Its error ends
+	// the connection. It may be nil.
+	Hold func(bytes int) error
 
 	op   Opcode // of the message being assembled; 0: none
 	data []byte
@@ -187,24 +166,25 @@
 // Next reads one frame. It returns a complete message, or a single ping or pong; otherwise ok is false and
 // the caller reads the next frame. A close frame is returned as a *CloseError.
 func (r *Reader) Next() (op Opcode, data []byte, ok bool, err error) {
-	f, err := ReadFrame(r.In, r.MaxMessageBytes-len(r.data))
-	switch {
-	case err != nil:
+	h, err := readHeader(r.In)
+	if err != nil {
 		return 0, nil, false, err
-	case f.Opcode == CloseFrame:
-		return 0, nil, false, parseClose(f.Payload)
-	case f.Opcode.control():
-		return f.Opcode, f.Payload, true, nil
-	case f.Opcode == Continuation && r.op == 0:
+	}
+	if h.opcode.control() {
+		return r.readControl(h)
+	}
+	switch {
+	case h.length > uint64(r.MaxMessageBytes-len(r.data)):
+		return 0, nil, false, &CloseError{Code: StatusTooBig, Reason: fmt.Sprintf("more than %d bytes", r.MaxMessageBytes)}
+	case h.opcode == Continuation && r.op == 0:
 		return 0, nil, false, protocolError("continuation of nothing")
-	case f.Opcode != Continuation && r.op != 0:
+	case h.opcode != Continuation && r.op != 0:
 		return 0, nil, false, protocolError("a message inside another")
-	case f.Opcode != Continuation:
-		r.op = f.Opcode
+	case h.opcode != Continuation:
+		r.op = h.opcode
 	}
-	r.data = append(r.data, f.Payload...)
-	if !f.Final {
-		return 0, nil, false, nil
+	if err := r.readData(h); err != nil || !h.final {
+		return 0, nil, false, err
 	}
 	op, data = r.op, r.data
 	r.op, r.data = 0, nil
@@ -213,3 +193,45 @@
 	}
 	return op, data, true, nil
 }
+
+// readControl reads the payload of a control frame.
+func (r *Reader) readControl(h header) (op Opcode, data []byte, ok bool, err error) {
+	payload, err := appendPart(nil, r.In, h, 0, int(h.length))
+	if err == nil && h.opcode == CloseFrame {
+		err = parseClose(payload)
+	}
+	return h.opcode, payload, err == nil, err
+}
+
+// payloadPart is how much of a payload is read at a time: a message takes memory for what has come of it, not for what
+// its header announces.
+const payloadPart = 4 << 10
+
+// readData adds a data frame's payload to the message.
+func (r *Reader) readData(h header) (err error) {
+	length := int(h.length)
+	for read := 0; read < length && err == nil; {
+		part := min(length-read, payloadPart)
+		if r.Hold != nil {
+			if err := r.Hold(len(r.data) + part); err != nil {
+				return err
+			}
+		}
+		r.data, err = appendPart(r.data, r.In, h, read, part)
+		read += part
+	}
+	return err
+}
+
+// appendPart reads a part of a frame's payload, which begins at offset, and appends it to b, unmasked.
+func appendPart(b []byte, in io.Reader, h header, offset, length int) ([]byte, error) {
+	b = slices.Grow(b, length)
+	next := b[len(b) : len(b)+length]
+	if _, err := io.ReadFull(in, next); err != nil {
+		return b, unexpectedEOF(err)
+	}
+	for i := range next {
+		next[i] ^= h.mask[(offset+i)%4]
+	}
+	return b[:len(b)+length], nil
+}
--- a/internal/front/ws/upgrade.go
+++ b/internal/front/ws/upgrade.go
@@ -2,18 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/sha1"
 	"encoding/base64"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 )
 
-// maxRequestBytes bounds the size of the upgrade request.
-const maxRequestBytes = 16 << 10
-
 // Endpoint says which requests a server upgrades.
 type Endpoint struct {
 	Path        string
@@ -36,8 +34,14 @@
 // Upgrade reads an upgrade request. It always returns the response to write, and an error if the connection
 // must be closed after it.
 func (e Endpoint) Upgrade(in *bufio.Reader) (response []byte, err error) {
-	limited := bufio.NewReaderSize(&io.LimitedReader{R: byteReader{in}, N: maxRequestBytes}, 16)
-	req, err := http.ReadRequest(limited)
+	head, err := readHead(in)
+	if errors.Is(err, errHeadTooLong) {
+		return respond(http.StatusRequestHeaderFieldsTooLarge), fmt.Errorf("upgrade request: %w", err)
+	}
+	var req *http.Request
+	if err == nil {
+		req, err = http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	}
 	if err != nil {
 		return respond(http.StatusBadRequest), fmt.Errorf("upgrade request: %w", err)
 	}
@@ -53,22 +57,6 @@
 	return []byte(r + "\r\n"), nil
 }
 
-// byteReader returns one byte per read, so that the request's buffered reader does not consume what follows
-// the request: a client may send its first frames with it.
-type byteReader struct{ in *bufio.Reader }
-
-func (b byteReader) Read(p []byte) (int, error) {
-	if len(p) == 0 {
-		return 0, nil
-	}
-	c, err := b.in.ReadByte()
-	if err != nil {
-		return 0, err
-	}
-	p[0] = c
-	return 1, nil
-}
-
 // check returns why a request is not upgraded; nil if it is.
 func (e Endpoint) check(req *http.Request) *refusal {
 	key, err := base64.StdEncoding.DecodeString(req.Header.Get("Sec-Websocket-Key"))
--- a/internal/front/ws/ws_test.go
+++ b/internal/front/ws/ws_test.go
@@ -85,7 +85,7 @@
 func TestEndInsideAFrame(t *testing.T) {
 	complete := clientFrame(0x81, strings.Repeat("z", 200))
 	for n := 1; n < len(complete); n++ {
-		_, err := ReadFrame(strings.NewReader(complete[:n]), 1000)
+		_, _, _, err := (&Reader{In: bufio.NewReader(strings.NewReader(complete[:n])), MaxMessageBytes: 1000}).Next()
 		require.ErrorIs(t, err, io.ErrUnexpectedEOF, "%d bytes", n)
 	}
 }
@@ -114,6 +114,9 @@
 		{"other version", strings.Replace(good, "13", "8", 1), "426 "},
 		{"short key", strings.Replace(good, "dGhlIHNhbXBsZSBub25jZQ==", "dGhl", 1), "400 "},
 		{"not HTTP", "hello\r\n", "400 "},
+		{"many fields", good + strings.Repeat("a: b\r\n", maxHeadLines-10), "101 "},
+		{"too many fields", good + strings.Repeat("a: b\r\n", maxHeadLines), "431 "},
+		{"line feeds alone", strings.ReplaceAll(good, "\r", ""), "101 "},
 		{"endless", "GET /calls HTTP/1.1\r\nA: " + strings.Repeat("a", 2*maxRequestBytes), "400 "},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/isup/isup.go
+++ b/isup/isup.go
@@ -13,8 +13,11 @@
 	"time"
 )
 
-// MaxMessageBytes is the maximum value of a message's length field.
-const MaxMessageBytes = 16 << 10
+// Limits of a message. The length field may be MaxMessageBytes at most.
+const (
+	MaxMessageBytes = 16 << 10
+	MaxParameters   = 256 // no message has more than a dozen
+)
 
 // Type is a message's type.
 type Type byte
@@ -105,6 +108,7 @@
 	ErrOversized = errors.New("message over 16 KiB")
 	ErrShort     = errors.New("message too short for its type and call")
 	ErrParameter = errors.New("parameter runs over the end of the message")
+	ErrTooMany   = fmt.Errorf("more than %d parameters", MaxParameters)
 )
 
 const minBodyBytes = 9 // type and call id
@@ -144,16 +148,36 @@
 	return Type(b[2]), hex.EncodeToString(b[3:min(len(b), HeaderBytes)]), true
 }
 
+// parameterHeadBytes is the size of a parameter's code and length.
+const parameterHeadBytes = 3
+
+// countParameters checks the parameters of a message and returns their number.
+func countParameters(rest []byte) (n int, err error) {
+	for ; len(rest) > 0; n++ {
+		if len(rest) < parameterHeadBytes || int(binary.BigEndian.Uint16(rest[1:])) > len(rest)-parameterHeadBytes {
+			return n, ErrParameter
+		}
+		if n == MaxParameters {
+			return n, ErrTooMany
+		}
+		rest = rest[parameterHeadBytes+int(binary.BigEndian.Uint16(rest[1:])):]
+	}
+	return n, nil
+}
+
 // parse decodes a message without its length field.
 func parse(body []byte) (Message, error) {
 	m := Message{Type: Type(body[0]), Call: CallID(binary.BigEndian.Uint64(body[1:]))}
-	for rest := body[minBodyBytes:]; len(rest) > 0; {
-		if len(rest) < 3 || int(binary.BigEndian.Uint16(rest[1:])) > len(rest)-3 {
-			return m, ErrParameter
-		}
-		code, n := Param(rest[0]), int(binary.BigEndian.Uint16(rest[1:]))
-		m.Values = append(m.Values, Value{code, rest[3 : 3+n : 3+n]})
-		rest = rest[3+n:]
+	rest := body[minBodyBytes:]
+	n, err := countParameters(rest)
+	if err != nil || n == 0 {
+		return m, err
+	}
+	m.Values = make([]Value, 0, n)
+	for len(rest) > 0 {
+		end := parameterHeadBytes + int(binary.BigEndian.Uint16(rest[1:]))
+		m.Values = append(m.Values, Value{Param(rest[0]), rest[parameterHeadBytes:end:end]})
+		rest = rest[end:]
 	}
 	return m, nil
 }
--- a/isup/isup_test.go
+++ b/isup/isup_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,6 +35,9 @@
 		{"too short for a call", frame("\x01\x02"), Message{}, ErrShort},
 		{"oversized", "\x40\x01" + strings.Repeat("x", MaxMessageBytes+1), Message{}, ErrOversized},
 		{"parameter over the end", frame("\x01" + id + "\x10\x00\x06voice"), Message{}, ErrParameter},
+		{"as many parameters as may be", frame("\x06" + id + strings.Repeat("\xee\x00\x00", MaxParameters)), Message{Type: Progress, Call: 0x7f3a9c21e0b4d655,
+			Values: slices.Repeat([]Value{{0xee, []byte{}}}, MaxParameters)}, nil},
+		{"more parameters", frame("\x06" + id + strings.Repeat("\xee\x00\x00", MaxParameters+1)), Message{}, ErrTooMany},
 		{"half a parameter head", frame("\x01" + id + "\x10\x00"), Message{}, ErrParameter},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
