Callers' messages are handled in turns, and calls that stand are limited

Callers saw: beside hundreds of clients that sent at full speed, answers came 3 to 6 s late, on both fronts, or most of them not within 8 s. One client whose calls stood in ever larger numbers took 75 MB of 64.

Cause: each reader with data was runnable all the time (250 to 380 goroutines, by schedtrace and stacks), and each of the steps of a caller's call waited for a round of all of them. A reader could also have as many calls in the core's queue as it read. Nothing limited the calls that stand.

Change: connmgr.Turns, shared by both fronts: one message at a time for each processor, in line, connections on which a call was served first, and after all else that can run. agent.Offer waits until the core has handled the call. Large messages without a call count as several. Standing calls take a quarter of the memory limit at most, and one connection's calls half of that.

One client's sound set-ups still delay others by 0.7 s at their beginning: they wait in the module.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,8 +32,11 @@
 	AnswerSlack  time.Duration // a final answer still counts this long after the deadline
 	MailboxSize  int           // maximum number of queued events; 0: 8192
 	MaxOpenCalls int           // maximum number of calls without an answer, as each holds memory; 0: 4096
-	MaxCallBytes int64         // approximate maximum memory of these and the queued calls in bytes; 0: 16 MiB
-	Log          *slog.Logger
+	// MaxStandingCalls is the maximum number of calls that stand, as each holds memory until its end: while there are as
+	// many, new calls are refused; 0: 65536.
+	MaxStandingCalls int
+	MaxCallBytes     int64 // approximate maximum memory of these and the queued calls in bytes; 0: 16 MiB
+	Log              *slog.Logger
 	// OnUnknownEnded is called when a setup server ends a call that is unknown to this agent: the call stood
 	// before a restart, and its caller still has to be told. err is as for Front.Ended.
 	OnUnknownEnded func(id string, err error)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,6 +55,14 @@
 // callMemoryDivisor limits the memory of calls without a final answer to this fraction of the memory limit.
 const callMemoryDivisor = 8
 
+// Calls that stand may take a standingMemoryDivisor-th of the memory limit, at standingCallBytes each in all tables of the
+// agent.
+const (
+	standingMemoryDivisor = 4
+	standingCallBytes     = 1 << 10
+	peerCallsDivisor      = 2 // one caller's connection may have this fraction of them
+)
+
 // heldMemoryDivisor limits the memory of the call API's unfinished large messages to this fraction of the memory limit.
 const heldMemoryDivisor = 16
 
@@ -110,7 +118,8 @@
 	}
 	d.core, err = agent.New(agent.Config{Promises: promiseStore, ObserveServers: cfg.Failover != "", Settings: policySettings, Seed: cfg.seed,
 		AnswerSlack: settings.Micros(cfg.info.Guarantees.AnswerSlack), Log: log, MaxCallBytes: cfg.Limits.MemoryMB << 20 / callMemoryDivisor,
-		OnUnknownEnded: func(id string, err error) { d.front.UnknownEnded(id, err) }})
+		MaxStandingCalls: maxStandingCalls(cfg.Limits),
+		OnUnknownEnded:   func(id string, err error) { d.front.UnknownEnded(id, err) }})
 	if err != nil {
 		return nil, fmt.Errorf("configuration: field settings: %w", err)
 	}
@@ -136,8 +145,9 @@
 		}, Log: log}, d.core)
 	d.core.SetBackend(d.pool)
 	d.retryAfter = min(maxBusyRetryAfter, policySettings.Limits.MaxRetryAfter)
-	d.front = isupfront.New(connmgr.Config{MaxPeers: d.connLimits.callers, RetryAfter: d.retryAfter, Log: log}, d.core, d.ready)
-	d.api = apiServer{daemon: d, front: callapi.New(connmgr.Config{RetryAfter: d.retryAfter, MaxHeldBytes: cfg.Limits.MemoryMB << 20 / heldMemoryDivisor, Log: log}, d.core)}
+	turns := connmgr.NewTurns(processors(cfg.Limits))
+	d.front = isupfront.New(connmgr.Config{Turns: turns, MaxPeerCalls: maxStandingCalls(cfg.Limits) / peerCallsDivisor, MaxPeers: d.connLimits.callers, RetryAfter: d.retryAfter, Log: log}, d.core, d.ready)
+	d.api = apiServer{daemon: d, front: callapi.New(connmgr.Config{Turns: turns, MaxPeerCalls: maxStandingCalls(cfg.Limits) / peerCallsDivisor, RetryAfter: d.retryAfter, MaxHeldBytes: cfg.Limits.MemoryMB << 20 / heldMemoryDivisor, Log: log}, d.core)}
 	d.follower = &bulletin.Follower{Core: d.core, Log: log, PollWait: pollWait, Grace: pollGrace,
 		RetryDelay: pollRetryDelay, Source: cfg.source}
 	d.follower.SetAddress(cfg.Bulletin)
@@ -168,9 +178,17 @@
 	return c
 }
 
+// maxStandingCalls returns how many calls may stand.
+func maxStandingCalls(l Limits) int {
+	return int(l.MemoryMB << 20 / standingMemoryDivisor / standingCallBytes)
+}
+
+// processors returns how many processors the limits allow, at least one.
+func processors(l Limits) int { return max(1, int(math.Ceil(l.Cores))) }
+
 // Limit sets the Go runtime's limits to those of the machine.
 func Limit(l Limits) {
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	runtime.GOMAXPROCS(processors(l))
 	debug.SetMemoryLimit(int64(gcMemoryShare * float64(l.MemoryMB<<20)))
 }
 
--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -147,8 +147,13 @@
 		return err
 	}
 	opts := f.options.Load()
-	response, err := opts.endpoint.Upgrade(p.In)
+	head, err := ws.ReadHead(p.In)
 	p.MessageRead()
+	var response []byte
+	err = p.InTurn(func() (refused error) {
+		response, refused = opts.endpoint.Upgrade(head, err)
+		return refused
+	})
 	p.Send(connmgr.Message{Data: response})
 	if err != nil {
 		return err
@@ -186,14 +191,14 @@
 		case err != nil:
 			return err
 		case !ok || op == ws.Pong:
-			s.peer.CountIdleMessage()
+			s.peer.CountIdleMessage(len(data))
 		case op == ws.Ping:
-			s.peer.CountIdleMessage()
+			s.peer.CountIdleMessage(len(data))
 			s.peer.Send(connmgr.Message{Data: ws.AppendFrame(nil, ws.Pong, data)})
 		case op == ws.Binary:
 			return &ws.CloseError{Code: ws.StatusUnsupported, Reason: "text messages only"}
 		default:
-			f.handle(s, data)
+			s.peer.InTurn(func() error { f.handle(s, data); return nil })
 			s.peer.HoldBytes(0)
 		}
 	}
@@ -214,7 +219,7 @@
 		r.ID, rpcErr = nil, &callproto.Error{Code: callproto.CodeInvalid, Message: fmt.Sprintf("request id %s is in use", r.ID)}
 	}
 	if rpcErr != nil {
-		s.peer.CountIdleMessage()
+		s.peer.CountIdleMessage(len(text))
 		f.Log.Warn("bad request", "method", r.Method, "error", rpcErr)
 		s.send(encodeError(r.ID, rpcErr))
 		return
@@ -224,12 +229,12 @@
 		return
 	}
 	if len(r.ID) == 0 { // a notification
-		s.peer.CountIdleMessage()
+		s.peer.CountIdleMessage(len(text))
 		return
 	}
 	s.removePending(r.ID)
 	if e != nil {
-		s.peer.CountIdleMessage()
+		s.peer.CountIdleMessage(len(text))
 		s.send(encodeError(r.ID, e))
 		return
 	}
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -19,6 +19,7 @@
 
 // Core is what a front needs of the agent; *agent.Agent implements it.
 type Core interface {
+	// Offer passes on a call and waits until it is handled, so that a connection has one call at most in the core's queue.
 	Offer(f agent.Front, c agent.Call) bool
 	Withdraw(f agent.Front, id string)
 	ReleaseUnknown(id string)
@@ -27,6 +28,7 @@
 // Config configures a Manager; zero values get defaults.
 type Config struct {
 	MaxPeers            int           // maximum number of connections
+	MaxPeerCalls        int           // maximum number of calls of one connection, open and standing; 0: no limit
 	MaxQueued           int           // maximum number of messages queued for one slow caller
 	WriteTimeout        time.Duration // a caller that takes no data for this long is disconnected
 	FirstMessageTimeout time.Duration // a new connection's first message must be complete within this
@@ -36,6 +38,7 @@
 	LingerTimeout       time.Duration // time for a caller to notice that its connection is closing
 	RetryAfter          time.Duration // sent when the agent is too busy; 0: callers ignore it, none is sent
 	MaxHeldBytes        int64         // of unfinished messages of all connections, each beyond freeHeldBytes
+	Turns               *Turns        // shared by managers; nil: one of its own, of one message at a time
 	NoOpMessage         []byte        // without effect, to find out whether a caller's connection was reset
 	CloseMessage        []byte        // sent last on a connection that the manager closes
 	Log                 *slog.Logger
@@ -54,6 +57,9 @@
 	// by the protocol, a set-up may cross the close for 50 ms
 	c.LingerTimeout = cmp.Or(c.LingerTimeout, 100*time.Millisecond)
 	c.MaxHeldBytes = cmp.Or(c.MaxHeldBytes, 16<<20)
+	if c.Turns == nil {
+		c.Turns = NewTurns(1)
+	}
 	if c.Log == nil {
 		c.Log = slog.New(slog.DiscardHandler)
 	}
@@ -252,11 +258,12 @@
 }
 
 // Offer records a call and passes it to the core. It fails if a call with this id is open at this front. If
-// the core is too busy to accept the call, the front refuses it.
+// the core is too busy to accept the call, or its connection has too many, the front refuses it.
 func (m *Manager) Offer(p *Peer, c agent.Call, tag any) error {
 	m.mu.Lock()
 	_, registered := m.peers[p]
 	duplicate := m.calls[c.ID] != nil
+	tooMany := m.MaxPeerCalls > 0 && p.calls >= m.MaxPeerCalls
 	if registered && !duplicate {
 		entry := &callEntry{peer: p, tag: tag}
 		c.CallerContext, entry.cancelCaller = context.WithCancel(context.Background())
@@ -271,7 +278,7 @@
 	case duplicate:
 		return agent.ErrDuplicate
 	}
-	if !m.core.Offer(m.front, c) {
+	if tooMany || !m.core.Offer(m.front, c) {
 		m.front.Refused(c, m.RetryAfter)
 	}
 	return nil
@@ -355,6 +362,7 @@
 		m.releaseUndelivered(id)
 		return
 	}
+	entry.peer.served.Store(true)
 	m.MarkStanding(entry.peer)
 }
 
@@ -378,7 +386,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if entry := m.calls[id]; entry != nil {
-		entry.peer.CountIdleMessage()
+		entry.peer.CountIdleMessage(0)
 	}
 }
 
--- a/internal/front/connmgr/pace.go
+++ b/internal/front/connmgr/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"runtime"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -24,17 +23,22 @@
 
 func newIdleMessageLimiter() *rate.Limiter { return rate.NewLimiter(maxIdleMessages, idleMessageBurst) }
 
-// CountIdleMessage counts a message that concerns no open call of this front.
-func (p *Peer) CountIdleMessage() { p.idleMessages.ReserveN(time.Now(), 1) }
+// idleMessageUnit is the size up to which a message counts as one; a larger one counts as several, as it costs more to read
+// and to parse.
+const idleMessageUnit = 1 << 10
+
+// CountIdleMessage counts a message of this many bytes that concerns no open call of this front.
+func (p *Peer) CountIdleMessage(bytes int) {
+	p.idleMessages.ReserveN(time.Now(), min(1+bytes/idleMessageUnit, idleMessageBurst))
+}
 
 // sendsIdly reports whether the connection is near its limit of idle messages, or was over it lately.
 func (p *Peer) sendsIdly() bool {
 	return p.paced.Load() || p.idleMessages.Tokens() < idleMessageBurst/2
 }
 
-// pace keeps a connection from taking the processor from the others: it lets other goroutines run between two
-// messages that have already come, and pauses if the connection is over its limit of idle messages. It returns an
-// error once that has gone on for too long. Only the reader calls it.
+// pace keeps a connection from taking the processor from the others: it pauses if the connection is over its limit of idle
+// messages. It returns an error once that has gone on for too long. Only the reader calls it.
 func (p *Peer) pace() error {
 	tokens := p.idleMessages.Tokens()
 	switch {
@@ -43,9 +47,6 @@
 	case tokens >= idleMessageBurst/2:
 		p.paced.Store(false)
 	}
-	if p.In.Buffered() > 0 {
-		runtime.Gosched()
-	}
 	return nil
 }
 
--- a/internal/front/connmgr/pace_test.go
+++ b/internal/front/connmgr/pace_test.go
@@ -16,7 +16,7 @@
 		read := func(messages int) (took time.Duration, err error) {
 			began := time.Now()
 			for i := 0; i < messages && err == nil; i++ {
-				p.CountIdleMessage()
+				p.CountIdleMessage(100)
 				err = p.pace()
 			}
 			return time.Since(began), err
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -115,7 +115,7 @@
 			return err
 		}
 		p.MessageRead()
-		if err := f.handle(p, m); err != nil {
+		if err := p.InTurn(func() error { return f.handle(p, m) }); err != nil {
 			return fmt.Errorf("message of type %d, call %v: %w", m.Type, m.Call, err)
 		}
 	}
@@ -137,23 +137,23 @@
 		known, by, _ := f.Withdraw(m.Call.String())
 		switch {
 		case !known:
-			p.CountIdleMessage()
+			p.CountIdleMessage(0)
 			f.ReleaseUnknown(m.Call.String())
 		case by == nil: // the call stood
 			f.MarkStanding(p)
 		}
 	case isup.Test:
-		p.CountIdleMessage()
+		p.CountIdleMessage(0)
 		cause := isup.NotPassed
 		if f.ready() {
 			cause = isup.Passed
 		}
 		p.Send(connmgr.Message{Data: f.encode(isup.Message{Type: isup.TestResult, Call: m.Call}.WithCause(cause))})
 	case isup.Released:
-		p.CountIdleMessage()
+		p.CountIdleMessage(0)
 		p.ConfirmEnd(m.Call.String())
 	case isup.Progress:
-		p.CountIdleMessage()
+		p.CountIdleMessage(0)
 	default:
 		return errors.New("unexpected type")
 	}
--- a/internal/front/ws/head.go
+++ b/internal/front/ws/head.go
@@ -20,9 +20,9 @@
 	errHeadTooLong  = fmt.Errorf("head over %d lines", maxHeadLines)
 )
 
-// readHead reads the head of a request, to the empty line that ends it. What follows it is left unread. A head that has
-// not come completely takes no more memory than its bytes: it is parsed once it is there.
-func readHead(in *bufio.Reader) (head []byte, err error) {
+// ReadHead reads the head of a request, to the empty line that ends it, for Upgrade. What follows it is left unread. A head
+// that has not come completely takes no more memory than its bytes: it is parsed once it is there.
+func ReadHead(in *bufio.Reader) (head []byte, err error) {
 	for lines := 0; ; {
 		part, err := in.ReadSlice('\n')
 		head = append(head, part...)
--- a/internal/front/ws/upgrade.go
+++ b/internal/front/ws/upgrade.go
@@ -31,10 +31,9 @@
 	return fmt.Sprintf("upgrade refused with %d: %s", r.status, r.reason)
 }
 
-// Upgrade reads an upgrade request. It always returns the response to write, and an error if the connection
-// must be closed after it.
-func (e Endpoint) Upgrade(in *bufio.Reader) (response []byte, err error) {
-	head, err := readHead(in)
+// Upgrade handles an upgrade request, given what ReadHead returned. It always returns the response to write, and an error
+// if the connection must be closed after it.
+func (e Endpoint) Upgrade(head []byte, err error) (response []byte, refused error) {
 	if errors.Is(err, errHeadTooLong) {
 		return respond(http.StatusRequestHeaderFieldsTooLarge), fmt.Errorf("upgrade request: %w", err)
 	}
@@ -45,8 +44,8 @@
 	if err != nil {
 		return respond(http.StatusBadRequest), fmt.Errorf("upgrade request: %w", err)
 	}
-	if refused := e.check(req); refused != nil {
-		return respond(refused.status), refused
+	if refusal := e.check(req); refusal != nil {
+		return respond(refusal.status), refusal
 	}
 	h := sha1.Sum([]byte(req.Header.Get("Sec-Websocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
 	r := "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" +
--- a/internal/lab/clientlab/clientlab_test.go
+++ b/internal/lab/clientlab/clientlab_test.go
@@ -35,6 +35,47 @@
 	}
 }
 
+// TestCallersBesideCrowds guards callers against hundreds of clients that send what costs much to read at full speed: every
+// call has its answer within its time.
+func TestCallersBesideCrowds(t *testing.T) {
+	for _, name := range []string{"objects of many short fields", "large set-ups of unknown classes"} {
+		t.Run(name, func(t *testing.T) {
+			report, err := PlayCrowd(t.Context(), testConfig(t, 300, 192), crowdNamed(t, name))
+			require.NoError(t, err)
+			requireAnsweredInTime(t, report)
+		})
+	}
+}
+
+// requireAnsweredInTime checks that every call of the gateways has its answer, within the time that they allow.
+func requireAnsweredInTime(t *testing.T, report Report) {
+	t.Helper()
+	assert.Empty(t, report.GatewayErrs)
+	for front, delays := range report.Gateways {
+		assert.Equal(t, delays.Placed, delays.Answered, front)
+		assert.LessOrEqual(t, delays.Most, callTime, front)
+	}
+}
+
+// TestFloodKeepsMemoryLimit guards the memory limit against one client whose calls stand in ever larger numbers.
+func TestFloodKeepsMemoryLimit(t *testing.T) {
+	const memoryMB = 32
+	for _, kind := range Floods {
+		if kind.Name != "set-ups to new numbers" {
+			continue
+		}
+		t.Run(string(kind.Front), func(t *testing.T) {
+			cfg := testConfig(t, 1, memoryMB)
+			cfg.Span = 6 * time.Second
+			report, err := PlayFlood(t.Context(), cfg, kind)
+			require.NoError(t, err)
+			assert.False(t, report.Ended, report.Log)
+			assert.Less(t, report.MostMB, float64(memoryMB))
+			requireAnsweredInTime(t, report.Report)
+		})
+	}
+}
+
 func crowdNamed(t *testing.T, name string) Crowd {
 	for _, kind := range Crowds {
 		if kind.Name == name {
