A set-up is not passed on once its client's close or reset has arrived

Callers saw: requests that were unread as their client left were sent on to setup servers afterwards, and ran twice where the client came again with them, also at the second process of an upgrade.

Cause: a reader learned of the departure at the end of what the client had sent, and handled all that was unread before as if the client waited. The calls that it had passed on were withdrawn only then, too.

Change: a set-up is not passed on without a look at the connection's state (TCP_INFO), which the kernel changes when the close or the reset arrives; a reader looks every 20 ms at the latest while there is more to read, and the calls without an answer are withdrawn at once. Releases that were unread are handled as before.

TestDepartures, on real processes, plays the ten ways.

--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -257,9 +257,13 @@
 	m.goroutines.Wait()
 }
 
-// Offer records a call and passes it to the core. It fails if a call with this id is open at this front. If
+// Offer records a call and passes it to the core, unless its caller has left. It fails if a call with this id is open at this front. If
 // the core is too busy to accept the call, or its connection has too many, the front refuses it.
 func (m *Manager) Offer(p *Peer, c agent.Call, tag any) error {
+	if p.callerHasLeft() {
+		p.ignored.Add(c.ID)
+		return nil
+	}
 	m.mu.Lock()
 	_, registered := m.peers[p]
 	duplicate := m.calls[c.ID] != nil
@@ -332,6 +336,13 @@
 func (m *Manager) removePeer(p *Peer) {
 	m.mu.Lock()
 	delete(m.peers, p)
+	m.mu.Unlock()
+	m.withdrawUnanswered(p)
+}
+
+// withdrawUnanswered withdraws the unanswered calls of a connection whose caller has left.
+func (m *Manager) withdrawUnanswered(p *Peer) {
+	m.mu.Lock()
 	var unanswered []string
 	for id, entry := range m.calls {
 		if entry.peer == p && !entry.answered {
@@ -390,8 +401,12 @@
 	}
 }
 
-// ReleaseUnknown passes on the release of a call that this manager does not know.
-func (m *Manager) ReleaseUnknown(id string) { m.core.ReleaseUnknown(id) }
+// ReleaseUnknown passes on the release of a call that this manager does not know, unless it was not passed on itself.
+func (m *Manager) ReleaseUnknown(p *Peer, id string) {
+	if !p.ignored.Has(id) {
+		m.core.ReleaseUnknown(id)
+	}
+}
 
 // FailCall closes the connection of a call, if the call is known.
 func (m *Manager) FailCall(id string, err error) {
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"woodrouter/internal/mailbox"
+	"woodrouter/internal/recent"
 )
 
 // Kind says what to do about a message that can't be written.
@@ -68,6 +69,10 @@
 	callerLeft  bool         // reading has ended
 	readError   error        // why it has
 
+	departed bool               // the caller has closed the connection; used by the reader alone
+	lookedAt time.Time          // when the reader last looked whether it has
+	ignored  recent.Set[string] // calls that came from it after that
+
 	heldBytes int64 // counted in manager.heldBytes; used by the reader alone
 
 	linger atomic.Bool // closeWrite waits for the caller to see the close
@@ -150,6 +155,7 @@
 // complete within FirstMessageTimeout of the accept: this tells a connection that is only held open from a
 // caller between two calls.
 func (p *Peer) AwaitMessage() error {
+	p.noticeDeparture()
 	if err := p.pace(); err != nil {
 		return err
 	}
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -138,7 +138,7 @@
 		switch {
 		case !known:
 			p.CountIdleMessage(0)
-			f.ReleaseUnknown(m.Call.String())
+			f.ReleaseUnknown(p, m.Call.String())
 		case by == nil: // the call stood
 			f.MarkStanding(p)
 		}
--- a/internal/lab/clientlab/clientlab_test.go
+++ b/internal/lab/clientlab/clientlab_test.go
@@ -85,3 +85,17 @@
 	require.FailNow(t, "no such crowd", name)
 	return Crowd{}
 }
+
+// TestDepartures guards against requests that are sent on after their client has left, and run twice if it comes again with
+// them, also at the second process of an upgrade.
+func TestDepartures(t *testing.T) {
+	for _, kind := range Departures {
+		t.Run(string(kind.Front)+" "+kind.Name, func(t *testing.T) {
+			t.Parallel()
+			report, err := PlayDeparture(t.Context(), testConfig(t, 300, 64), kind)
+			require.NoError(t, err)
+			assert.Zero(t, report.SentOn, "sent on")
+			assert.Zero(t, report.SentTwice, "sent twice")
+		})
+	}
+}
