A reset connection is a suspected restart also where the next dial succeeds at once

Cause: a loss of contact counted as one only after a failed dial (trunk, dialDone). A new process that listens at once is connected at once, and was taken for the old one. A second loss of contact replaced the first, and its 7 s began anew.

Change: a connection that ends by a reset, as it does when a process dies, makes the next one a suspected restart; a server that is alive closes in order. Each loss of contact is decided by itself, 7 s after it, unless the server has shown that it knows an earlier call or the list was read.

--- a/internal/daemon/restart_test.go
+++ b/internal/daemon/restart_test.go
@@ -58,3 +58,20 @@
 		}
 	}
 }
+
+// TestCallsAtReplacedServerEnd guards against calls that go on standing for their caller after their server's process has
+// ended and another has taken its address at once, while discovery is out of reach: the new process is not the old one.
+func TestCallsAtReplacedServerEnd(t *testing.T) {
+	const toldWithin = 8050 * time.Millisecond // of the end of a call whose release could not be sent
+	p := startProcess(t, freeAddress(t))
+	p.configure(t)
+	caller := standin.NewCaller(t, p.address)
+	caller.SetUp(1, "voice", 9*time.Second, 0)
+	p.server.Await(t, isup.SetUp).Answer("there")
+	caller.Await(t, isup.Answer, 1)
+	replaced := time.Now()
+	next := p.server.Replace(t)
+	caller.Await(t, isup.Release, 1)
+	require.Less(t, time.Since(replaced), toldWithin)
+	require.Eventually(t, func() bool { return next.Count(isup.Release, 1) == 1 }, standin.WaitTimeout, time.Millisecond, "it is released at the new process, which may be the old one")
+}
--- a/internal/servers/trunk/trunk.go
+++ b/internal/servers/trunk/trunk.go
@@ -81,10 +81,11 @@
 	statedWaitAt    time.Time                 // when the server stated it
 	probes          map[isup.CallID]time.Time // start times of the probes in progress
 	lastProbe       isup.CallID
-	dialFailures    int               // consecutive failed dials
-	suspected       *suspectedRestart // nil: the process is the same as far as is known
-	sentCount       *atomic.Int64     // the pool's count of completely written set-ups
-	connCount       *atomic.Int64     // the pool's count of connections, including dials in progress
+	dialFailures    int                 // consecutive failed dials
+	resetAt         time.Time           // when a connection was reset since the latest one came up; zero: none was
+	suspected       []*suspectedRestart // losses of contact after which the process may be another
+	sentCount       *atomic.Int64       // the pool's count of completely written set-ups
+	connCount       *atomic.Int64       // the pool's count of connections, including dials in progress
 	slots           *slots
 	reportedUsage   usage           // usage last reported to slots
 	slotUsed        bool            // report the usage after this event even if it is unchanged
@@ -377,8 +378,8 @@
 	}
 	if sa.dialFailures > 0 {
 		sa.log.Info("setup server reached again", "after", sa.dialFailures)
-		sa.suspectRestart()
 	}
+	sa.suspectRestart()
 	sa.dialFailures = 0
 	l := &link{conn: conn, openedAt: time.Now(), lastReceived: time.Now(), readDone: make(chan struct{})}
 	if old := sa.link; old != nil {
@@ -543,6 +544,9 @@
 // dial shows whether their server is alive.
 func (sa *serverActor) linkLost(l *link, err error) {
 	sa.logLinkLost(l, err)
+	if resetByServer(err) {
+		sa.resetAt = time.Now()
+	}
 	sa.discard(l)
 	if sa.link == l {
 		sa.link = nil
--- a/internal/servers/trunk/trunk_test.go
+++ b/internal/servers/trunk/trunk_test.go
@@ -651,12 +651,18 @@
 func TestCallsOfUnlistedRestartEnd(t *testing.T) {
 	for _, tc := range []struct {
 		name                    string
+		absent                  time.Duration // between the end of the one process and the start of the other
+		lostAgain               bool          // the connection is reset again 4 s later
 		listAnswers, reportsEnd bool
 		cut                     bool
 	}{
-		{"nothing known", false, false, true},
-		{"list answers", true, false, false},
-		{"server reports an end", false, true, false},
+		{"nothing known", time.Second, false, false, false, true},
+		{"list answers", time.Second, false, true, false, false},
+		{"server reports an end", time.Second, false, false, true, false},
+		{"at once, nothing known", 0, false, false, false, true},
+		{"at once, and lost again", 0, true, false, false, true},
+		{"at once, list answers", 0, false, true, false, false},
+		{"at once, server reports an end", 0, false, false, true, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -677,11 +683,14 @@
 			p.update(listedServer(s.Addr, policy.Up, time.Time{}))
 			standCall(t, p, c, s, firstCall)
 			standCall(t, p, c, s, secondCall)
-			vanished.Store(true)
-			s.Crash()
-			time.Sleep(time.Second)
-			again := standin.NewServer(t, s.Addr)
+			vanished.Store(tc.absent > 0)
+			stopped, addr := time.Now(), s.Addr
+			again := replaceAt(t, s, tc.absent)
+			require.Equal(t, addr, again.Addr)
 			vanished.Store(false)
+			if tc.lostAgain {
+				time.AfterFunc(4*time.Second, func() { again.Conns()[0].Reset() })
+			}
 			if tc.reportsEnd {
 				require.Eventually(t, func() bool { return len(again.Conns()) > 0 }, standin.WaitTimeout, ms)
 				again.Conns()[0].Send(isup.Message{Type: isup.Release, Call: 2}.WithCause(isup.Normal))
@@ -690,9 +699,20 @@
 			select {
 			case event := <-c.events:
 				assert.True(t, tc.cut && !event.stands)
-			case <-time.After(endWithin):
+			case <-time.After(time.Until(stopped.Add(endWithin))):
 				assert.False(t, tc.cut, "the caller was not told that the call has ended")
 			}
 		})
 	}
 }
+
+// replaceAt ends a server's process and starts another at its address. Without a pause, dials wait in the socket's queue
+// meanwhile, as the address never stops listening.
+func replaceAt(t *testing.T, s *standin.Server, absent time.Duration) *standin.Server {
+	if absent == 0 {
+		return s.Replace(t)
+	}
+	s.Crash()
+	time.Sleep(absent)
+	return standin.NewServer(t, s.Addr)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -67,6 +67,25 @@
 	}
 	ln, err := net.Listen("tcp", addr)
 	require.NoError(t, err)
+	return serveOn(t, ln)
+}
+
+// Replace ends the process as Crash does and starts another on the same listening socket, so that no connection is
+// refused between the two.
+func (s *Server) Replace(t testing.TB) *Server {
+	t.Helper()
+	file, err := s.ln.(*net.TCPListener).File()
+	require.NoError(t, err)
+	defer file.Close()
+	ln, err := net.FileListener(file)
+	require.NoError(t, err)
+	next := serveOn(t, ln)
+	s.Crash()
+	return next
+}
+
+// serveOn starts a setup server on a listening socket.
+func serveOn(t testing.TB, ln net.Listener) *Server {
 	s := &Server{Addr: ln.Addr().String(), Received: make(chan Received, 1000), Closed: make(chan *Conn, 1000), ln: ln}
 	go s.accept()
 	t.Cleanup(s.Crash)
