Soak: idle connections end, a restart that discovery does not see, clients that leave unread

Change: three kinds of faults, drawn apart so that the other kinds keep the courses of their seeds; two rules: no call of a client that left unread arrives, and an undisturbed server has a connection for the end of a call.

--- a/internal/faultnet/wrappedlink.go
+++ b/internal/faultnet/wrappedlink.go
@@ -112,6 +112,14 @@
 }
 
 // Close closes the connection. Data that is still held back on it is lost.
+// Reset closes the connection as the end of its process does.
+func (c *wrappedConn) Reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 func (c *wrappedConn) Close() error {
 	c.once.Do(func() { close(c.done) })
 	c.link.mu.Lock()
--- a/internal/lab/emulator/faults.go
+++ b/internal/lab/emulator/faults.go
@@ -13,6 +13,8 @@
 // Observer is told of the calls that stand at setup servers, for rules that are checked after a run. Its methods
 // are called with the server's lock held and must not block.
 type Observer interface {
+	// SetUpReceived reports a set-up that has arrived whole.
+	SetUpReceived(id isup.CallID)
 	// CallStood reports an answer that is about to be written.
 	CallStood(id isup.CallID, agent int, server, description string)
 	// CallEnded reports that a call which stood has ended at its server.
@@ -27,6 +29,7 @@
 // noObserver is an Observer that ignores everything.
 type noObserver struct{}
 
+func (noObserver) SetUpReceived(isup.CallID)                  {}
 func (noObserver) CallStood(isup.CallID, int, string, string) {}
 func (noObserver) CallEnded(isup.CallID, string)              {}
 func (noObserver) CallReleased(isup.CallID, string)           {}
@@ -64,6 +67,43 @@
 	s.hungUntil = time.Now().Add(d)
 }
 
+// IdleEnd is a way in which a server ends an idle connection.
+type IdleEnd int
+
+// The ways to end an idle connection. A forgotten one stays open, and its server neither reads nor writes it any more.
+const (
+	IdleClosed IdleEnd = iota
+	IdleReset
+	IdleForgotten
+	IdleEnds // their number
+)
+
+// EndIdle ends the connections on which no set-up waits.
+func (s *Server) EndIdle(how IdleEnd) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	waiting := map[*agentConn]bool{}
+	for _, u := range s.calls {
+		if !u.stands {
+			waiting[u.peer] = true
+		}
+	}
+	for p := range s.conns {
+		if waiting[p] {
+			continue
+		}
+		delete(s.conns, p)
+		switch how {
+		case IdleClosed:
+			go p.Close()
+		case IdleReset:
+			go p.reset()
+		case IdleForgotten:
+			p.forgotten = true
+		}
+	}
+}
+
 // GreetLate delays the first message on connections that are accepted from now on; 0 ends it.
 func (s *Server) GreetLate(d time.Duration) {
 	s.mu.Lock()
--- a/internal/lab/soaklab/records.go
+++ b/internal/lab/soaklab/records.go
@@ -96,10 +96,13 @@
 
 	disturbances []*disturbance // in the order of their beginnings
 	settledAt    time.Time      // callers listen until then
+
+	departed map[isup.CallID]time.Time // calls whose client left before the agent could read them, and when
+	sentOn   []isup.CallID             // those of them that reached a server later
 }
 
 func newRecorder(agents int) *recorder {
-	return &recorder{began: time.Now(), records: map[isup.CallID]*record{}, lives: make([][]*life, agents)}
+	return &recorder{began: time.Now(), records: map[isup.CallID]*record{}, departed: map[isup.CallID]time.Time{}, lives: make([][]*life, agents)}
 }
 
 // with runs do with the record of a call, if there is one.
@@ -111,6 +114,15 @@
 	}
 }
 
+// SetUpReceived implements emulator.Observer.
+func (r *recorder) SetUpReceived(id isup.CallID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if left, departed := r.departed[id]; departed && time.Since(left) > crossingWithin {
+		r.sentOn = append(r.sentOn, id)
+	}
+}
+
 // CallStood implements emulator.Observer.
 func (r *recorder) CallStood(id isup.CallID, _ int, server, description string) {
 	r.with(id, func(c *record) {
@@ -175,6 +187,9 @@
 	defer r.mu.Unlock()
 	r.slack = slack + 50*time.Millisecond
 	out := slices.Clone(r.problems)
+	if len(r.sentOn) > 0 {
+		out = append(out, Violation{"sent on after its client had left", fmt.Sprint(r.sentOn)})
+	}
 	for agent, lives := range r.lives {
 		for i, l := range lives {
 			out = append(out, r.checkLife(fmt.Sprintf("a%d, start %d", agent, i+1), l)...)
@@ -262,6 +277,9 @@
 	if s == nil || s.endedAt.IsZero() {
 		return nil
 	}
+	if due := s.endedAt.Add(connectedWithin + r.slack); r.connectionOwed(c.agent, server, s, due) {
+		return []Violation{{"no connection for an end", fmt.Sprintf("ended at %s at %s, its release not written by %s", server, r.seconds(s.endedAt), r.seconds(due))}}
+	}
 	since := c.answers[served].at
 	if s.endedAt.After(since) {
 		since = s.endedAt
@@ -273,6 +291,30 @@
 	return []Violation{{"end not reported", fmt.Sprintf("ended at %s at %s, by the agent: %t, its release written %s, read %s, owed by %s", server, r.seconds(s.endedAt), s.agentEnded, r.seconds(s.endsWritten...), r.seconds(c.endsRead...), r.seconds(owed))}}
 }
 
+// connectedWithin is how long after the end of a call a server that was not disturbed must have had a connection for its
+// release, settledFor how long before the end nothing may have disturbed it, and runningFor how long the agent's process
+// must have been ready.
+const (
+	connectedWithin = 1500 * time.Millisecond
+	settledFor      = 4 * time.Second
+	runningFor      = time.Second
+)
+
+// connectionOwed reports whether a server had no connection from an agent for the release of a call that ended by itself,
+// although neither was disturbed.
+func (r *recorder) connectionOwed(agent int, server string, s *standing, due time.Time) bool {
+	from := s.endedAt.Add(-settledFor)
+	if s.agentEnded || due.After(r.settledAt) || !r.livedThrough(agent, s.endedAt.Add(-runningFor), due) {
+		return false
+	}
+	if slices.ContainsFunc(s.endsWritten, func(at time.Time) bool { return !at.After(due) }) {
+		return false
+	}
+	return !slices.ContainsFunc(r.disturbances, func(d *disturbance) bool {
+		return d.server == server && (d.agent == allAgents || d.agent == agent) && !d.from.After(due) && (d.to.IsZero() || !d.to.Before(from))
+	})
+}
+
 // endOwed returns by when the caller of a call that has ended must have read its release. ok is false if no process
 // lived long enough to report it.
 func (r *recorder) endOwed(c *record, s *standing, since time.Time) (owed time.Time, ok bool) {
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -55,6 +55,7 @@
 	maxSettle      = 10 * time.Second
 	longHold       = 3 * time.Second        // mean length of calls in some trials
 	faultGap       = 350 * time.Millisecond // mean time between the beginnings of faults
+	reviewFaultGap = 1500 * time.Millisecond
 )
 
 // trial is a trial that is being played.
@@ -193,7 +194,10 @@
 			load.Go(func() { c.crowd(loadCtx, crowdConns) })
 		}
 	}
-	t.injectFaults(loadCtx)
+	load.Go(func() {
+		t.injectFaults(loadCtx, reviewFaults, rand.New(rand.NewPCG(t.Seed, 0x726576)), reviewFaultGap)
+	})
+	t.injectFaults(loadCtx, faults, t.rng, faultGap)
 	<-loadCtx.Done()
 	close(t.loadEnded)
 	t.underWay.Wait()
