Only connections that send messages without a call take turns

Cause: let every message take a turn, and all else run before it. A set-up was sent on before the release that followed it at once was read, so that such floods loaded the servers and the links.

Change: only connections that have sent messages without a call of late take turns; rejected calls count by size. Others are handled as they come, as before.

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -128,7 +128,7 @@
 	case errors.Is(err, agent.ErrUnusableCall):
 		code = callproto.CodeParams
 	}
-	f.CountRejected(c.ID)
+	f.CountRejected(c)
 	f.SendFinal(c.ID, replyError(&callproto.Error{Code: code, Message: err.Error(), Data: &callproto.ErrorData{ID: c.ID}}))
 }
 
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -393,11 +393,11 @@
 }
 
 // CountRejected counts the message that placed a call which was not accepted.
-func (m *Manager) CountRejected(id string) {
+func (m *Manager) CountRejected(c agent.Call) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if entry := m.calls[id]; entry != nil {
-		entry.peer.CountIdleMessage(0)
+	if entry := m.calls[c.ID]; entry != nil {
+		entry.peer.CountIdleMessage(len(c.Description))
 	}
 }
 
--- a/internal/front/connmgr/pace.go
+++ b/internal/front/connmgr/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"runtime"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -37,8 +38,9 @@
 	return p.paced.Load() || p.idleMessages.Tokens() < idleMessageBurst/2
 }
 
-// pace keeps a connection from taking the processor from the others: it pauses if the connection is over its limit of idle
-// messages. It returns an error once that has gone on for too long. Only the reader calls it.
+// pace keeps a connection from taking the processor from the others: it lets other goroutines run between two
+// messages that have already come, and pauses if the connection is over its limit of idle messages. It returns an
+// error once that has gone on for too long. Only the reader calls it.
 func (p *Peer) pace() error {
 	tokens := p.idleMessages.Tokens()
 	switch {
@@ -47,6 +49,9 @@
 	case tokens >= idleMessageBurst/2:
 		p.paced.Store(false)
 	}
+	if p.In.Buffered() > 0 && !p.takesTurns() {
+		runtime.Gosched()
+	}
 	return nil
 }
 
--- a/internal/front/connmgr/turns.go
+++ b/internal/front/connmgr/turns.go
@@ -75,9 +75,21 @@
 	close(next.Remove(next.Front()).(chan struct{}))
 }
 
-// InTurn handles a message of the connection once its turn has come. What handle waits for must not be a message of a
-// caller.
+// idleMessagesInTurn is how many messages without a call a connection may have sent of late before it waits for turns.
+const idleMessagesInTurn = 32
+
+// takesTurns reports whether the connection's messages wait for their turns.
+func (p *Peer) takesTurns() bool {
+	return p.paced.Load() || p.idleMessages.Tokens() < idleMessageBurst-idleMessagesInTurn
+}
+
+// InTurn handles a message of the connection, of one that sends many messages without a call once its turn has come. The
+// messages of others are handled as they come, so that a release which follows its set-up at once is seen before that is
+// sent on. What handle waits for must not be a message of a caller.
 func (p *Peer) InTurn(handle func() error) error {
+	if !p.takesTurns() {
+		return handle()
+	}
 	turns := p.manager.Turns
 	turns.acquire(p.priority())
 	defer turns.release()
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -75,7 +75,7 @@
 		return
 	}
 	f.Log.Warn("call rejected", "call", c.ID, "class", fmt.Sprintf("%.40s", c.Class), "error", err)
-	f.CountRejected(c.ID)
+	f.CountRejected(c)
 	f.Failed(c, err)
 }
 
