An answer is queued before its set-up stops counting as open

Callers saw: a set-up is resolved, and its connection closes without the answer.

Cause: SendAnswer and SendFinal took the set-up out of its connection's count, let the lock go, and then encoded and queued the answer. A connection without open set-ups may be closed (drain, upgrade, change of settings), and a close in between made the queue refuse the answer. A cancel of the call API did the same.

Change: a call that is taken from the table stays in the counts of its connection until its last message is queued (takeCall, settle). Withdraw gets the encoder of the final message and sends it itself. This closes the gap whatever closes the connection, as every close checks the count under the same lock.

TestAnswerBeforeClose forces the order; on the former code it fails for the answer and for the final message (the queue holds no answer).

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -271,12 +271,9 @@
 	if rpcErr := parseParams(r.Params, &p); rpcErr != nil {
 		return nil, rpcErr
 	}
-	known, by, tag := f.Withdraw(p.ID)
-	if !known {
+	cancelled := replyError(&callproto.Error{Code: callproto.CodeCancelled, Message: "given up by the caller", Data: &callproto.ErrorData{ID: p.ID}})
+	if known, _ := f.Withdraw(p.ID, cancelled); !known {
 		return nil, &callproto.Error{Code: callproto.CodeUnknownCall, Message: "no such call", Data: &callproto.ErrorData{ID: p.ID}}
 	}
-	if by != nil {
-		by.Send(connmgr.Message{Data: replyError(&callproto.Error{Code: callproto.CodeCancelled, Message: "given up by the caller", Data: &callproto.ErrorData{ID: p.ID}})(tag)})
-	}
 	return struct{}{}, nil
 }
--- a/internal/front/connmgr/callerleft_test.go
+++ b/internal/front/connmgr/callerleft_test.go
@@ -31,9 +31,9 @@
 	}{
 		{"waits", func(*Manager, *Peer) {}, false},
 		{"closes", func(m *Manager, p *Peer) { m.removePeer(p) }, true},
-		{"gives up", func(m *Manager, p *Peer) { m.Withdraw("1") }, true},
+		{"gives up", func(m *Manager, p *Peer) { m.Withdraw("1", nil) }, true},
 		{"closes, the call stands", func(m *Manager, p *Peer) { m.SendAnswer("1", noData); m.removePeer(p) }, false},
-		{"releases the call that stands", func(m *Manager, p *Peer) { m.SendAnswer("1", noData); m.Withdraw("1") }, true},
+		{"releases the call that stands", func(m *Manager, p *Peer) { m.SendAnswer("1", noData); m.Withdraw("1", nil) }, true},
 		{"has its final answer", func(m *Manager, p *Peer) { m.SendFinal("1", noData) }, true},
 	} {
 		c := &recordingCore{}
--- a/internal/front/connmgr/ends.go
+++ b/internal/front/connmgr/ends.go
@@ -28,7 +28,8 @@
 
 // SendEnd reports the end of a call that stood, on the call's connection or another one of its caller.
 func (m *Manager) SendEnd(id string, data []byte) {
-	if entry := m.removeCall(id); entry != nil {
+	if entry := m.takeCall(id); entry != nil {
+		m.settle(entry)
 		m.deliverEnd(newEnd(id, data), entry.peer.host, entry.peer)
 	}
 }
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -283,35 +283,46 @@
 	return nil
 }
 
-// Withdraw ends a call for its caller, on any connection. It reports whether the call was known, and the
-// front's tag and the connection if the call had no answer yet.
-func (m *Manager) Withdraw(id string) (known bool, by *Peer, tag any) {
-	entry := m.removeCall(id)
+// Withdraw ends a call for its caller, on any connection, and reports whether the call was known and had no answer yet. In
+// that case the final message goes to the connection of its set-up; a nil final sends none.
+func (m *Manager) Withdraw(id string, final func(tag any) []byte) (known, unanswered bool) {
+	entry := m.takeCall(id)
 	if entry == nil {
-		return false, nil, nil
+		return false, false
 	}
+	defer m.settle(entry)
 	m.core.Withdraw(m.front, id)
 	if entry.answered {
-		return true, nil, nil
+		return true, false
 	}
-	return true, entry.peer, entry.tag
+	if final != nil {
+		entry.peer.Send(Message{ID: id, Data: final(entry.tag)})
+	}
+	return true, true
 }
 
-// removeCall removes a call from the table and returns its entry; nil if it is unknown.
-func (m *Manager) removeCall(id string) *callEntry {
+// takeCall removes a call from the table and returns its entry; nil if it is unknown. The call counts as open on its
+// connection until settle is called, so that the connection is not closed before the call's last message is queued.
+func (m *Manager) takeCall(id string) *callEntry {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	entry := m.calls[id]
 	if entry != nil {
-		m.removeLocked(id, entry)
+		delete(m.calls, id)
+		entry.cancelCaller()
 	}
 	return entry
 }
 
-// removeLocked removes a call from the table and from its connection's counts. The caller holds m.mu.
-func (m *Manager) removeLocked(id string, entry *callEntry) {
-	delete(m.calls, id)
-	entry.cancelCaller()
+// settle removes a call that was taken from the counts of its connection.
+func (m *Manager) settle(entry *callEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settleLocked(entry)
+}
+
+// settleLocked does what settle does. The caller holds m.mu.
+func (m *Manager) settleLocked(entry *callEntry) {
 	entry.peer.calls--
 	if !entry.answered {
 		entry.peer.openSetUps--
@@ -341,7 +352,9 @@
 	var unanswered []string
 	for id, entry := range m.calls {
 		if entry.peer == p && !entry.answered {
-			m.removeLocked(id, entry)
+			delete(m.calls, id)
+			entry.cancelCaller()
+			m.settleLocked(entry)
 			unanswered = append(unanswered, id)
 		}
 	}
@@ -355,25 +368,34 @@
 func (m *Manager) SendAnswer(id string, data func(tag any) []byte) {
 	m.mu.Lock()
 	entry := m.calls[id]
-	if entry != nil && !entry.answered {
-		entry.answered = true
-		entry.peer.openSetUps--
-		entry.peer.touch()
-	}
-	m.mu.Unlock()
-	if entry == nil { // the caller has just left; its withdrawal is on the way
+	if entry == nil || entry.answered { // the caller has just left, and its withdrawal is on the way; or a second answer
+		m.mu.Unlock()
 		return
 	}
-	if !entry.peer.Send(Message{ID: id, Kind: KindAnswer, Data: data(entry.tag)}) {
+	entry.answered = true
+	m.mu.Unlock()
+	sent := entry.peer.Send(Message{ID: id, Kind: KindAnswer, Data: data(entry.tag)})
+	m.settleAnswer(entry.peer)
+	if !sent {
 		m.releaseUndelivered(id)
 		return
 	}
 	m.MarkStanding(entry.peer)
 }
 
+// settleAnswer counts a set-up as answered. Until its answer is queued it counts as open, as its connection must not be
+// closed before.
+func (m *Manager) settleAnswer(p *Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p.openSetUps--
+	p.touch()
+}
+
 // releaseUndelivered ends a call whose answer could not be written.
 func (m *Manager) releaseUndelivered(id string) {
-	if m.removeCall(id) != nil {
+	if entry := m.takeCall(id); entry != nil {
+		m.settle(entry)
 		m.Log.Info("answer not delivered: call released", "call", id)
 		m.core.Withdraw(m.front, id)
 	}
@@ -381,8 +403,9 @@
 
 // SendFinal sends the final message of a call that did not come to stand.
 func (m *Manager) SendFinal(id string, data func(tag any) []byte) {
-	if entry := m.removeCall(id); entry != nil {
+	if entry := m.takeCall(id); entry != nil {
 		entry.peer.Send(Message{ID: id, Data: data(entry.tag)})
+		m.settle(entry)
 	}
 }
 
@@ -404,7 +427,8 @@
 
 // FailCall closes the connection of a call, if the call is known.
 func (m *Manager) FailCall(id string, err error) {
-	if entry := m.removeCall(id); entry != nil {
+	if entry := m.takeCall(id); entry != nil {
+		m.settle(entry)
 		entry.peer.Fail(err)
 	}
 }
--- a/internal/front/connmgr/manager_test.go
+++ b/internal/front/connmgr/manager_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"woodrouter/agent"
 )
@@ -69,6 +70,29 @@
 	assert.ErrorIs(t, m.Offer(p, agent.Call{ID: "1"}, nil), errClosing)
 }
 
+// TestAnswerBeforeClose guards the answer of a set-up against a close at that moment: the set-up counts as open until its
+// answer is queued.
+func TestAnswerBeforeClose(t *testing.T) {
+	for name, answer := range map[string]func(m *Manager, data func(any) []byte){
+		"answer": func(m *Manager, data func(any) []byte) { m.SendAnswer("1", data) },
+		"final":  func(m *Manager, data func(any) []byte) { m.SendFinal("1", data) },
+		"cancel": func(m *Manager, data func(any) []byte) { m.Withdraw("1", data) },
+	} {
+		m := New(Config{}, nullCore{}, nil, nil)
+		p := addPeer(t, m)
+		require.NoError(t, m.Offer(p, agent.Call{ID: "1"}, nil))
+		answer(m, func(any) []byte {
+			m.CloseIdle(Exempt{})
+			return []byte("answer")
+		})
+		p.queue.Close()
+		message, ok := p.queue.Take()
+		assert.True(t, ok, name)
+		assert.Equal(t, "answer", string(message.Data), name)
+		m.Close()
+	}
+}
+
 // countingConn is a connection that returns one-byte messages, one or several per read, and counts the
 // deadlines that are set.
 type countingConn struct {
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -134,12 +134,12 @@
 		if _, err := m.Cause(); err != nil {
 			return err
 		}
-		known, by, _ := f.Withdraw(m.Call.String())
+		known, unanswered := f.Withdraw(m.Call.String(), nil)
 		switch {
 		case !known:
 			p.CountIdleMessage(0)
 			f.ReleaseUnknown(p, m.Call.String())
-		case by == nil: // the call stood
+		case !unanswered: // the call stood
 			f.MarkStanding(p)
 		}
 	case isup.Test:
