A change of the call API's settings keeps open set-ups; withdrawn clients place no calls

Listing what the same lines do to others: a client whose token had been withdrawn could place calls for 5 s more.

Cause: CloseExisting closed connections with open set-ups after replacedCloseTimeout, 5 s, for any change of the state file. The bound was there for clients that never pause; it hit all, and is shorter than the classes' deadlines (9 s). Ruled out: the idle time that the case changes (other fields do the same), and a lost answer (the call is open at the close).

Change: Manager.Retire closes a connection at the first moment at which no set-up is open on it, without a bound on that time. Bounded is the acceptance of further set-ups, by what the new settings say to the client's own upgrade request: accepted until it pauses (still admitted), refused from 5 s on (other address or path, above max_connections), refused at once (token or origin withdrawn, API off). Set-ups that are open then have the longest deadline and 0.5 s before they fail. The former listener's last connections are admitted before clients are retired, so that none escapes.

CloseExisting is gone.

--- a/internal/daemon/apiserver.go
+++ b/internal/daemon/apiserver.go
@@ -20,9 +20,11 @@
 	"woodrouter/internal/plan"
 )
 
-// replacedCloseTimeout is how long a connection made under former settings may wait for the answers to its
-// set-ups before it is closed.
-const replacedCloseTimeout = 5 * time.Second
+// The times of a change of the settings.
+const (
+	movedClientGrace = 5 * time.Second        // clients that must connect elsewhere may place calls for so long
+	openSetUpMargin  = 500 * time.Millisecond // beyond the longest deadline, for set-ups that are open then
+)
 
 // apiServer serves the call-control API, which operators enable by the state file. The same front is kept
 // through all changes of the settings, so that the ends of standing calls are still reported after a change.
@@ -31,9 +33,10 @@
 	front  *callapi.Front
 
 	mu      sync.Mutex
-	applied *plan.Front  // the settings in force; nil or not enabled: off
-	ln      net.Listener // nil: off
-	closed  bool         // no further settings are applied
+	applied *plan.Front   // the settings in force; nil or not enabled: off
+	ln      net.Listener  // nil: off
+	served  chan struct{} // closed once no connection of ln is admitted any more
+	closed  bool          // no further settings are applied
 }
 
 // configure applies settings. On an error the former settings stay in force.
@@ -61,12 +64,11 @@
 	}
 	if rebind && s.ln != nil {
 		s.ln.Close()
+		<-s.served
 	}
-	if s.ln != nil { // who may connect may have changed, so clients must reconnect
-		go s.front.CloseExisting(replacedCloseTimeout)
-	}
+	s.retireClients(ln)
 	if rebind && enabled {
-		go s.front.Serve(ln)
+		s.serve(ln)
 	}
 	s.applied, s.ln = next, ln
 	if enabled {
@@ -77,6 +79,25 @@
 	return nil
 }
 
+// serve accepts clients until the listener is closed.
+func (s *apiServer) serve(ln net.Listener) {
+	served := make(chan struct{})
+	s.served = served
+	go func() {
+		s.front.Serve(ln)
+		close(served)
+	}()
+}
+
+// retireClients closes the connections that were made under former settings. ln is the listener in force; nil: the API is off.
+func (s *apiServer) retireClients(ln net.Listener) {
+	change := callapi.Change{Grace: movedClientGrace, Longest: s.daemon.longestDeadline() + openSetUpMargin}
+	if ln != nil {
+		change.Address = ln.Addr()
+	}
+	s.front.RetireClients(change)
+}
+
 // reload reads the state file and applies its settings.
 func (s *apiServer) reload(path string) error {
 	state, err := plan.ReadState(path)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -319,11 +319,15 @@
 
 // stopTimeout returns how long after SIGTERM every call must have its answer.
 func (d *Daemon) stopTimeout() time.Duration {
-	longest := time.Duration(0)
+	return max(min(d.longestDeadline(), maxKillDeadline)+killGrace-stopMargin, stopServePeriod)
+}
+
+// longestDeadline returns the longest deadline of the settings' classes.
+func (d *Daemon) longestDeadline() (longest time.Duration) {
 	for _, p := range d.cfg.info.Profiles {
 		longest = max(longest, settings.Micros(p.Deadline))
 	}
-	return max(min(longest, maxKillDeadline)+killGrace-stopMargin, stopServePeriod)
+	return longest
 }
 
 // shutDown serves until the open calls, and those that still arrive, have their answers, or the stop times
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -83,6 +83,17 @@
 	return s
 }
 
+// applyAPI changes the call API's settings as an operator does: plan, apply, SIGHUP.
+func (s *testSite) applyAPI(change func(*plan.Front)) {
+	state, err := plan.ReadState(s.daemon.cfg.State)
+	require.NoError(s.t, err)
+	change(state.Front)
+	p, err := plan.Make(s.daemon.cfg.State, *state.Front)
+	require.NoError(s.t, err)
+	require.NoError(s.t, p.Apply())
+	s.daemon.Reload()
+}
+
 // attemptChecker checks over all servers that a call never has two attempts out at the same time, and that
 // after a broken attempt the next one is sent no sooner than 300 ms later.
 type attemptChecker struct {
@@ -352,19 +363,10 @@
 	outcome := make(chan string, 1)
 	go func() { outcome <- api(0x10, 3*time.Second) }()
 	g := s.servers[0].Await(t, isup.SetUp)
-	apply := func(change func(*plan.Front)) {
-		state, err := plan.ReadState(s.daemon.cfg.State)
-		require.NoError(t, err)
-		change(state.Front)
-		p, err := plan.Make(s.daemon.cfg.State, *state.Front)
-		require.NoError(t, err)
-		require.NoError(t, p.Apply())
-		s.daemon.Reload()
-	}
 	was := s.daemon.api.address()
-	apply(func(f *plan.Front) { f.Listen = s.addr }) // in use by the other front
+	s.applyAPI(func(f *plan.Front) { f.Listen = s.addr }) // in use by the other front
 	assert.Equal(t, was, s.daemon.api.address())
-	apply(func(f *plan.Front) { f.Enabled = false })
+	s.applyAPI(func(f *plan.Front) { f.Enabled = false })
 	assert.Nil(t, s.daemon.api.address())
 	_, err := net.Dial("tcp", was.String())
 	assert.Error(t, err)
@@ -374,7 +376,7 @@
 		_, answered := callrpc.AsError(err)
 		return err != nil && !answered
 	}, standin.WaitTimeout, time.Millisecond)
-	apply(func(f *plan.Front) { f.Enabled, f.Listen = true, "127.0.0.1:0" })
+	s.applyAPI(func(f *plan.Front) { f.Enabled, f.Listen = true, "127.0.0.1:0" })
 	again, _ := s.webSocketCaller(t)
 	go again(0x20, 3*time.Second)
 	s.servers[0].Await(t, isup.SetUp).Release(isup.UserBusy, "lines_busy")
--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -7,8 +7,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"woodrouter/agent"
@@ -17,10 +17,13 @@
 	"woodrouter/internal/front/ws"
 )
 
-// Front serves clients of the API; Serve, SetLimits, CloseExisting and Close come from its Manager.
+// Front serves clients of the API; Serve, SetLimits and Close come from its Manager.
 type Front struct {
 	*connmgr.Manager
-	options atomic.Pointer[options]
+
+	mu       sync.Mutex // guards the fields below; connmgr's lock may be held when it is taken, not the reverse
+	options  options
+	admitted map[*connmgr.Peer]*http.Request // the clients that were upgraded, as ws.Endpoint.Admits takes them
 }
 
 // options apply to connections that are accepted from now on.
@@ -31,7 +34,7 @@
 
 // New returns a front that passes calls to core.
 func New(cfg connmgr.Config, core connmgr.Core) *Front {
-	f := &Front{}
+	f := &Front{admitted: map[*connmgr.Peer]*http.Request{}}
 	f.Configure(ws.Endpoint{}, 0)
 	cfg.CloseMessage = ws.AppendClose(nil, ws.StatusGoingAway, "the agent stops or its settings change")
 	f.Manager = connmgr.New(cfg, core, f, f.serveConn)
@@ -41,7 +44,28 @@
 // Configure sets which requests are upgraded, and the maximum size of a message in bytes; 0: 64 KiB.
 func (f *Front) Configure(e ws.Endpoint, maxMessageBytes int) {
 	e.Subprotocol = callproto.Subprotocol
-	f.options.Store(&options{e, cmp.Or(maxMessageBytes, 64<<10)})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.options = options{e, cmp.Or(maxMessageBytes, 64<<10)}
+}
+
+// upgrade handles the upgrade request of a connection and records its client. It returns the options that apply to the
+// connection.
+func (f *Front) upgrade(p *connmgr.Peer, head []byte, err error) (options, []byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	response, client, err := f.options.endpoint.Upgrade(head, err)
+	if err == nil {
+		f.admitted[p] = client
+	}
+	return f.options, response, err
+}
+
+// forget removes a connection that has ended.
+func (f *Front) forget(p *connmgr.Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.admitted, p)
 }
 
 // session is one client's connection, with the ids of the requests that wait for their answers.
@@ -146,14 +170,14 @@
 	if err := p.AwaitMessage(); err != nil {
 		return err
 	}
-	opts := f.options.Load()
 	head, err := ws.ReadHead(p.In)
 	p.MessageRead()
-	response, err := opts.endpoint.Upgrade(head, err)
+	opts, response, err := f.upgrade(p, head, err)
 	p.Send(connmgr.Message{Data: response})
 	if err != nil {
 		return err
 	}
+	defer f.forget(p)
 	f.MarkReady(p)
 	f.MarkStanding(p) // a client that has made the handshake places calls
 	err = f.readAll(&session{peer: p, pending: map[string]bool{}}, opts.maxMessageBytes)
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -9,7 +9,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,6 +81,7 @@
 	calls       map[string]*callEntry
 	pendingEnds []pendingEnd
 	closed      bool
+	retiring    bool // closeRetired runs
 	goroutines  sync.WaitGroup
 	heldBytes   atomic.Int64 // of unfinished messages, as far as they are counted
 }
@@ -216,29 +216,6 @@
 	m.MaxPeers, m.IdleTimeout = maxPeers, idle
 }
 
-// CloseExisting closes the present connections, each once no set-up is open on it, at the latest after
-// maxWait.
-func (m *Manager) CloseExisting(maxWait time.Duration) {
-	m.mu.Lock()
-	var open []*Peer
-	for p := range m.peers {
-		open = append(open, p)
-	}
-	m.mu.Unlock()
-	for deadline := time.Now().Add(maxWait); len(open) > 0; time.Sleep(20 * time.Millisecond) {
-		late := time.Now().After(deadline)
-		open = slices.DeleteFunc(open, func(p *Peer) bool {
-			m.mu.Lock() // no set-up may be added between the check and the close
-			defer m.mu.Unlock()
-			if !late && (p.openSetUps > 0 || p.midMessage.Load()) {
-				return false
-			}
-			m.startClosing(p, true)
-			return true
-		})
-	}
-}
-
 // Close closes all connections once their queued messages are written. A set-up that is read from now on is
 // not accepted, as its caller could not be answered.
 func (m *Manager) Close() {
@@ -253,7 +230,7 @@
 }
 
 // Offer records a call and passes it to the core, unless its caller has left. It fails if a call with this id is open at this front. If
-// the core is too busy to accept the call, or its connection has too many, the front refuses it.
+// the core is too busy to accept the call, or its connection has too many or accepts none any more, the front refuses it.
 func (m *Manager) Offer(p *Peer, c agent.Call, tag any) error {
 	if p.callerHasLeft() {
 		p.ignored.Add(c.ID)
@@ -263,6 +240,7 @@
 	_, registered := m.peers[p]
 	duplicate := m.calls[c.ID] != nil
 	tooMany := m.MaxPeerCalls > 0 && p.calls >= m.MaxPeerCalls
+	refused := tooMany || p.retirement.refuses(time.Now())
 	if registered && !duplicate {
 		entry := &callEntry{peer: p, tag: tag}
 		c.CallerContext, entry.cancelCaller = context.WithCancel(context.Background())
@@ -277,7 +255,7 @@
 	case duplicate:
 		return agent.ErrDuplicate
 	}
-	if tooMany || !m.core.Offer(m.front, c) {
+	if refused || !m.core.Offer(m.front, c) {
 		m.front.Refused(c, m.RetryAfter)
 	}
 	return nil
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -76,7 +76,8 @@
 
 	linger atomic.Bool // closeWrite waits for the caller to see the close
 
-	openSetUps, calls int // set-ups without an answer, and all calls; guarded by manager.mu
+	openSetUps, calls int         // set-ups without an answer, and all calls; guarded by manager.mu
+	retirement        *Retirement // how it is served until it is closed; nil: it stays; guarded by manager.mu
 }
 
 // evictBefore orders connections without a call for eviction: those that never received a message go before
@@ -117,6 +118,9 @@
 	return n, err
 }
 
+// LocalAddr returns the address at which the caller has connected.
+func (p *Peer) LocalAddr() net.Addr { return p.conn.LocalAddr() }
+
 // Send queues a message. A caller that is too slow to take its messages is disconnected.
 func (p *Peer) Send(message Message) bool {
 	if p.queue.Offer(message) {
--- a/internal/front/ws/upgrade.go
+++ b/internal/front/ws/upgrade.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 )
@@ -32,20 +33,20 @@
 }
 
 // Upgrade handles an upgrade request, given what ReadHead returned. It always returns the response to write, and an error
-// if the connection must be closed after it.
-func (e Endpoint) Upgrade(head []byte, err error) (response []byte, refused error) {
+// if the connection must be closed after it. Otherwise admitted is the part of the request that Admits checks.
+func (e Endpoint) Upgrade(head []byte, err error) (response []byte, admitted *http.Request, refused error) {
 	if errors.Is(err, errHeadTooLong) {
-		return respond(http.StatusRequestHeaderFieldsTooLarge), fmt.Errorf("upgrade request: %w", err)
+		return respond(http.StatusRequestHeaderFieldsTooLarge), nil, fmt.Errorf("upgrade request: %w", err)
 	}
 	var req *http.Request
 	if err == nil {
 		req, err = http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	}
 	if err != nil {
-		return respond(http.StatusBadRequest), fmt.Errorf("upgrade request: %w", err)
+		return respond(http.StatusBadRequest), nil, fmt.Errorf("upgrade request: %w", err)
 	}
 	if refusal := e.check(req); refusal != nil {
-		return respond(refusal.status), refusal
+		return respond(refusal.status), nil, refusal
 	}
 	h := sha1.Sum([]byte(req.Header.Get("Sec-Websocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
 	r := "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n" +
@@ -53,13 +54,51 @@
 	if e.Subprotocol != "" && hasToken(req.Header, "Sec-Websocket-Protocol", e.Subprotocol) {
 		r += "Sec-WebSocket-Protocol: " + e.Subprotocol + "\r\n"
 	}
-	return []byte(r + "\r\n"), nil
+	return []byte(r + "\r\n"), admissionOf(req), nil
+}
+
+// maxKeptCredentials is the size in bytes up to which a request's credentials are kept with its connection.
+const maxKeptCredentials = 1 << 10
+
+// admissionOf returns the part of a request that Admits checks.
+func admissionOf(req *http.Request) *http.Request {
+	kept := &http.Request{URL: &url.URL{Path: req.URL.Path}, Header: http.Header{}}
+	for _, name := range []string{"Origin", "Authorization"} {
+		if value := req.Header.Get(name); value != "" && len(value) <= maxKeptCredentials {
+			kept.Header.Set(name, value)
+		}
+	}
+	return kept
+}
+
+// Admits checks who sent a request, and for which path. It returns 0, or the HTTP status with which an upgrade is refused.
+func (e Endpoint) Admits(req *http.Request) (status int) {
+	if refusal := e.checkClient(req); refusal != nil {
+		return refusal.status
+	}
+	return 0
+}
+
+// checkClient returns why the client of a request is not admitted; nil if it is.
+func (e Endpoint) checkClient(req *http.Request) *refusal {
+	origin := req.Header.Get("Origin")
+	switch {
+	case req.URL.Path != e.Path:
+		return &refusal{http.StatusNotFound, "path " + req.URL.Path}
+	case origin != "" && !slices.Contains(e.Origins, origin):
+		return &refusal{http.StatusForbidden, "origin " + origin}
+	}
+	if e.Allow != nil {
+		if status := e.Allow(req); status != 0 {
+			return &refusal{status, "not allowed"}
+		}
+	}
+	return nil
 }
 
 // check returns why a request is not upgraded; nil if it is.
 func (e Endpoint) check(req *http.Request) *refusal {
 	key, err := base64.StdEncoding.DecodeString(req.Header.Get("Sec-Websocket-Key"))
-	origin := req.Header.Get("Origin")
 	switch {
 	case req.URL.Path != e.Path:
 		return &refusal{http.StatusNotFound, "path " + req.URL.Path}
@@ -73,15 +112,8 @@
 		return &refusal{http.StatusUpgradeRequired, "version " + req.Header.Get("Sec-Websocket-Version")}
 	case err != nil || len(key) != 16:
 		return &refusal{http.StatusBadRequest, "Sec-WebSocket-Key"}
-	case origin != "" && !slices.Contains(e.Origins, origin):
-		return &refusal{http.StatusForbidden, "origin " + origin}
-	}
-	if e.Allow != nil {
-		if status := e.Allow(req); status != 0 {
-			return &refusal{status, "not allowed"}
-		}
 	}
-	return nil
+	return e.checkClient(req)
 }
 
 // hasToken reports whether a header's lists contain a token, ignoring case.
--- a/internal/front/ws/ws_test.go
+++ b/internal/front/ws/ws_test.go
@@ -121,7 +121,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			in := bufio.NewReaderSize(strings.NewReader(tc.in+"\r\nrest"), 1<<17)
-			response, err := e.Upgrade(ReadHead(in))
+			response, _, err := e.Upgrade(ReadHead(in))
 			status, detail, _ := strings.Cut(tc.want, " ")
 			assert.Contains(t, string(response), "HTTP/1.1 "+status+" ")
 			assert.Contains(t, string(response), detail)
