A set-up that has come or was read keeps its connection until it is passed on

Callers saw: a set-up is written on an open connection, which closes without an answer although the set-up came well before (more than the 50 ms of a crossing).

Cause: what forbids a close as idle (drain, upgrade, stop, change of settings, full limit) was "a message begun" or "a set-up open". Bytes in the socket that the reader had not come to, as it was paced or the processor busy, were neither; nor was a set-up between MessageRead and its entry in the table of calls.

Change: a message counts as begun until it is handled (MessageHandled), a fragmented one until its last fragment was; unread bytes of the socket count as use (SIOCINQ). A message of which nothing more has come for MessageTimeout does not, so that one that stopped half way holds up no drain.

Tests: TestUnreadSetUpKeepsConnection, TestReadSetUpKeepsConnection; both fail on the former code.

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -178,6 +178,7 @@
 		return err
 	}
 	defer f.forget(p)
+	p.MessageHandled()
 	f.MarkReady(p)
 	f.MarkStanding(p) // a client that has made the handshake places calls
 	err = f.readAll(&session{peer: p, pending: map[string]bool{}}, opts.maxMessageBytes)
@@ -221,6 +222,9 @@
 			f.handle(s, data)
 			s.peer.HoldBytes(0)
 		}
+		if !in.Unfinished() {
+			s.peer.MessageHandled()
+		}
 	}
 }
 
--- a/internal/front/connmgr/closed_linux.go
+++ b/internal/front/connmgr/closed_linux.go
@@ -42,3 +42,20 @@
 	}
 	return false
 }
+
+// unreadBytes returns how many bytes of a connection are in the system's buffer; 0 where that is not known.
+func unreadBytes(conn net.Conn) (bytes int) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil { // closed on this side
+		return 0
+	}
+	return bytes
+}
--- a/internal/front/connmgr/closed_other.go
+++ b/internal/front/connmgr/closed_other.go
@@ -6,3 +6,6 @@
 
 // closedByCaller is false: this system can't tell before what was sent is read.
 func closedByCaller(net.Conn) bool { return false }
+
+// unreadBytes is 0: what is in the system's buffer is seen only when it is read.
+func unreadBytes(net.Conn) int { return 0 }
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -151,16 +151,15 @@
 	m.connClosed.Broadcast()
 }
 
-// evictOne closes one connection without a call, and reports whether there was one. Connections that never
+// evictOne closes one connection without a call, and reports whether there was one. A connection with unread bytes is in
+// use. Connections that never
 // sent a complete message go first, then the one unused for the longest time: hundreds of connections that
 // only connect must not shut out callers with calls. A connection used within EvictAfter stays, as a message
 // may be on its way. So does one with a standing call, as it may be the only way to report the call's end.
 func (m *Manager) evictOne() bool {
-	var candidate *Peer
-	for p := range m.peers {
-		if p.calls == 0 && p.sinceUsed() >= m.EvictAfter && (candidate == nil || p.evictBefore(candidate)) {
-			candidate = p
-		}
+	candidate := m.evictable()
+	for ; candidate != nil && unreadBytes(candidate.conn) > 0; candidate = m.evictable() {
+		candidate.touch()
 	}
 	if candidate == nil {
 		return false
@@ -170,6 +169,16 @@
 	return true
 }
 
+// evictable returns the connection to evict first; nil if there is none.
+func (m *Manager) evictable() (candidate *Peer) {
+	for p := range m.peers {
+		if p.calls == 0 && p.sinceUsed() >= m.EvictAfter && (candidate == nil || p.evictBefore(candidate)) {
+			candidate = p
+		}
+	}
+	return candidate
+}
+
 // startClosing closes a connection on which no set-up is open. A set-up that crosses the close is not
 // accepted, so its caller may send it again elsewhere.
 func (m *Manager) startClosing(p *Peer, linger bool) {
@@ -177,12 +186,12 @@
 	p.startClosing(linger)
 }
 
-// BusyPeers returns how many connections have an unanswered set-up, or a partly received message.
+// BusyPeers returns how many connections have an unanswered set-up, or a message that is not handled yet.
 func (m *Manager) BusyPeers() (n int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for p := range m.peers {
-		if p.openSetUps > 0 || p.midMessage.Load() {
+		if p.openSetUps > 0 || p.inUse() {
 			n++
 		}
 	}
@@ -201,8 +210,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for p := range m.peers {
-		used := p.openSetUps > 0 || p.midMessage.Load() || p.sinceUsed() < exempt.Used || exempt.New && !p.gotMessage.Load() || exempt.Standing && p.calls > 0
-		if !used {
+		used := p.openSetUps > 0 || p.sinceUsed() < exempt.Used || exempt.New && !p.gotMessage.Load() || exempt.Standing && p.calls > 0
+		if !used && !p.inUse() {
 			m.startClosing(p, true)
 		}
 	}
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -49,7 +49,7 @@
 
 	opened      time.Time
 	gotMessage  atomic.Bool  // a complete message was received
-	midMessage  atomic.Bool  // a message is partly received
+	midMessage  atomic.Bool  // a message is partly received or not handled yet
 	lastUsed    atomic.Int64 // last use or receipt of bytes, in Unix nanoseconds
 	idleTimeout time.Duration
 
@@ -121,6 +121,12 @@
 // LocalAddr returns the address at which the caller has connected.
 func (p *Peer) LocalAddr() net.Addr { return p.conn.LocalAddr() }
 
+// inUse reports whether the caller has sent something that is not handled yet. A message of which nothing more has come for
+// MessageTimeout does not count.
+func (p *Peer) inUse() bool {
+	return p.midMessage.Load() && p.sinceUsed() < p.manager.MessageTimeout || unreadBytes(p.conn) > 0
+}
+
 // Send queues a message. A caller that is too slow to take its messages is disconnected.
 func (p *Peer) Send(message Message) bool {
 	if p.queue.Offer(message) {
@@ -186,11 +192,13 @@
 
 // MessageRead records that a complete message was read.
 func (p *Peer) MessageRead() {
-	p.midMessage.Store(false)
 	p.touch()
 	p.gotMessage.Store(true)
 }
 
+// MessageHandled records that the message that was read is handled: a set-up in it is open by now, or answered.
+func (p *Peer) MessageHandled() { p.midMessage.Store(p.In.Buffered() > 0) }
+
 // touch records that the connection was used now.
 func (p *Peer) touch() { p.lastUsed.Store(time.Now().UnixNano()) }
 
--- a/internal/front/connmgr/retire.go
+++ b/internal/front/connmgr/retire.go
@@ -9,7 +9,7 @@
 )
 
 // Retirement says how a connection is served until it is closed, which is at the first moment at which no set-up is open
-// on it and no message of its caller is partly read.
+// on it and no message of its caller is unread.
 type Retirement struct {
 	// RefuseFrom is when new set-ups begin to be refused, so that a caller that never pauses is closed too; zero: never.
 	RefuseFrom time.Time
@@ -108,7 +108,7 @@
 	for p := range m.peers {
 		switch {
 		case p.retirement == nil:
-		case p.openSetUps == 0 && (!p.midMessage.Load() || m.sendsOn(p, now)):
+		case p.openSetUps == 0 && (!p.inUse() || m.sendsOn(p, now)):
 			m.startClosing(p, true)
 		default:
 			left = true
--- a/internal/front/isupfront/front.go
+++ b/internal/front/isupfront/front.go
@@ -118,6 +118,7 @@
 		if err := f.handle(p, m); err != nil {
 			return fmt.Errorf("message of type %d, call %v: %w", m.Type, m.Call, err)
 		}
+		p.MessageHandled()
 	}
 }
 
--- a/internal/front/ws/frame.go
+++ b/internal/front/ws/frame.go
@@ -163,6 +163,9 @@
 	data []byte
 }
 
+// Unfinished reports whether a part of a fragmented message was read.
+func (r *Reader) Unfinished() bool { return r.op != 0 }
+
 // Next reads one frame. It returns a complete message, or a single ping or pong; otherwise ok is false and
 // the caller reads the next frame. A close frame is returned as a *CloseError.
 func (r *Reader) Next() (op Opcode, data []byte, ok bool, err error) {
