A set-up that crosses the close of an API connection does not reset it

Callers saw: answers that were queued or not read yet are lost with a reset when a further set-up comes right after the agent has begun to close the connection.

Cause: the manager refused the set-up as the connection was being closed; the API's front took that for a duplicate id and sent an error, the closed queue refused it, and Send took a closed queue for a full one and closed the socket at once, before the writer was done and with bytes unread.

Change: Send closes the socket only if the queue is full. connmgr.ErrClosing ends the reading quietly, as on the binary front; the rest is read and discarded for the time of lingering.

TestSetUpCrossingClose fails on the former code (the client's connection is reset) and passes now.

--- a/internal/front/callapi/callapi_test.go
+++ b/internal/front/callapi/callapi_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -310,6 +311,37 @@
 	assert.Equal(t, websocket.StatusGoingAway, websocket.CloseStatus(err))
 }
 
+// TestSetUpCrossingClose guards the answers that a client has not read yet against a set-up that crosses the close of its
+// connection: the set-up is not passed on, and the connection is closed, not reset.
+func TestSetUpCrossingClose(t *testing.T) {
+	f, core, url := startFront(t, connmgr.Config{LingerTimeout: standin.WaitTimeout})
+	conn, err := net.Dial("tcp", strings.TrimSuffix(strings.TrimPrefix(url, "ws://"), "/calls"))
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(standin.WaitTimeout))
+	fmt.Fprintf(conn, "GET /calls HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"+
+		"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n%s", maskedText(setUp))
+	f.Answered(standin.Next(t, core.Offered), nil)
+	closed := make(chan struct{})
+	go func() { f.Close(); close(closed) }()
+	got, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	assert.Contains(t, string(got), `"result"`)
+	for range 3 {
+		_, err = conn.Write(maskedText(strings.Replace(setUp, id, "0000000000000002", 1)))
+		require.NoError(t, err, "closed, not reset")
+		time.Sleep(10 * time.Millisecond)
+	}
+	conn.(*net.TCPConn).CloseWrite()
+	standin.Next(t, closed)
+	assert.Empty(t, core.Offered)
+}
+
+// maskedText returns a client's text frame with the mask 0.
+func maskedText(text string) []byte {
+	return append([]byte{0x81, 0x80 | 126, byte(len(text) >> 8), byte(len(text)), 0, 0, 0, 0}, text...)
+}
+
 // TestSilent checks that a connection that never requests an upgrade is closed soon, and that an upgraded one
 // may be idle.
 func TestSilent(t *testing.T) {
--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -219,7 +219,9 @@
 		case op == ws.Binary:
 			return &ws.CloseError{Code: ws.StatusUnsupported, Reason: "text messages only"}
 		default:
-			f.handle(s, data)
+			if err := f.handle(s, data); err != nil {
+				return err
+			}
 			s.peer.HoldBytes(0)
 		}
 		if !in.Unfinished() {
@@ -236,8 +238,9 @@
 	return nil
 }
 
-// handle answers one message. An invalid request gets an error, and the connection and its calls continue.
-func (f *Front) handle(s *session, text []byte) {
+// handle answers one message. An invalid request gets an error, and the connection and its calls continue. It fails if the
+// connection is being closed and the message was a set-up.
+func (f *Front) handle(s *session, text []byte) error {
 	r, rpcErr := parseRequest(text)
 	if rpcErr == nil && len(r.ID) > 0 && !s.addPending(r.ID) {
 		r.ID, rpcErr = nil, &callproto.Error{Code: callproto.CodeInvalid, Message: fmt.Sprintf("request id %s is in use", r.ID)}
@@ -246,27 +249,31 @@
 		s.peer.CountIdleMessage(len(text))
 		f.Log.Warn("bad request", "method", r.Method, "error", rpcErr)
 		s.send(encodeError(r.ID, rpcErr))
-		return
-	}
-	result, e := f.dispatch(s, r)
-	if result == nil && e == nil { // answered later
-		return
+		return nil
 	}
-	if len(r.ID) == 0 { // a notification
+	result, err := f.dispatch(s, r)
+	switch {
+	case errors.Is(err, connmgr.ErrClosing):
+		return err
+	case result == nil && err == nil: // answered later
+		return nil
+	case len(r.ID) == 0: // a notification
 		s.peer.CountIdleMessage(len(text))
-		return
+		return nil
 	}
 	s.removePending(r.ID)
-	if e != nil {
+	if errors.As(err, &rpcErr) {
 		s.peer.CountIdleMessage(len(text))
-		s.send(encodeError(r.ID, e))
-		return
+		s.send(encodeError(r.ID, rpcErr))
+		return nil
 	}
 	s.send(encodeResult(r.ID, result))
+	return nil
 }
 
-// dispatch runs a request's method. Without a result and an error, the request is answered later.
-func (f *Front) dispatch(s *session, r request) (any, *callproto.Error) {
+// dispatch runs a request's method. Its error is a *callproto.Error or connmgr.ErrClosing. Without a result and an error, the
+// request is answered later.
+func (f *Front) dispatch(s *session, r request) (result any, err error) {
 	switch r.Method {
 	case callproto.SetUp:
 		return nil, f.setUp(s, r)
@@ -277,7 +284,7 @@
 }
 
 // setUp passes a call to the core; the outcome answers the request later.
-func (f *Front) setUp(s *session, r request) *callproto.Error {
+func (f *Front) setUp(s *session, r request) error {
 	if len(r.ID) == 0 {
 		f.Log.Warn("set-up without a request id ignored: its outcome could not be reported")
 		return nil
@@ -286,15 +293,16 @@
 	if rpcErr != nil {
 		return rpcErr
 	}
-	if err := f.Offer(s.peer, c, pendingRequest{s, r.ID}); err != nil {
+	err := f.Offer(s.peer, c, pendingRequest{s, r.ID})
+	if errors.Is(err, agent.ErrDuplicate) {
 		return &callproto.Error{Code: callproto.CodeDuplicate, Message: err.Error(), Data: &callproto.ErrorData{ID: c.ID}}
 	}
-	return nil
+	return err
 }
 
 // withdraw handles both cancel and release, as an answer may cross either of them. If the set-up's own
 // request has no answer yet, it is answered too.
-func (f *Front) withdraw(r request) (any, *callproto.Error) {
+func (f *Front) withdraw(r request) (any, error) {
 	var p callproto.Name
 	if rpcErr := parseParams(r.Params, &p); rpcErr != nil {
 		return nil, rpcErr
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -95,9 +95,9 @@
 	return m
 }
 
-// errClosing reports a call on a connection that is being closed. The call is not passed on, so its caller
+// ErrClosing reports a call on a connection that is being closed. The call is not passed on, so its caller
 // may treat the end of the connection as the end of the call.
-var errClosing = errors.New("the connection is being ended")
+var ErrClosing = errors.New("the connection is being ended")
 
 // Serve accepts callers until the listener is closed.
 func (m *Manager) Serve(ln net.Listener) error {
@@ -238,8 +238,9 @@
 	m.goroutines.Wait()
 }
 
-// Offer records a call and passes it to the core, unless its caller has left. It fails if a call with this id is open at this front. If
-// the core is too busy to accept the call, or its connection has too many or accepts none any more, the front refuses it.
+// Offer records a call and passes it to the core, unless its caller has left. It fails with agent.ErrDuplicate if a call with
+// this id is open at this front, and with ErrClosing if the connection is being closed. If the core is too busy to accept
+// the call, or its connection has too many or accepts none any more, the front refuses it.
 func (m *Manager) Offer(p *Peer, c agent.Call, tag any) error {
 	if p.callerHasLeft() {
 		p.ignored.Add(c.ID)
@@ -260,7 +261,7 @@
 	m.mu.Unlock()
 	switch {
 	case !registered:
-		return errClosing
+		return ErrClosing
 	case duplicate:
 		return agent.ErrDuplicate
 	}
--- a/internal/front/connmgr/manager_test.go
+++ b/internal/front/connmgr/manager_test.go
@@ -57,7 +57,7 @@
 		if err := m.Offer(p, agent.Call{ID: "1"}, nil); tc.open {
 			assert.NoError(t, err, tc.name)
 		} else {
-			assert.ErrorIs(t, err, errClosing, tc.name)
+			assert.ErrorIs(t, err, ErrClosing, tc.name)
 		}
 	}
 }
@@ -89,7 +89,7 @@
 				}
 				return &retirement
 			})
-			assert.ErrorIs(t, m.Offer(pausing, agent.Call{ID: "2"}, nil), errClosing, tc.name)
+			assert.ErrorIs(t, m.Offer(pausing, agent.Call{ID: "2"}, nil), ErrClosing, tc.name)
 			require.NoError(t, m.Offer(busy, agent.Call{ID: "3"}, nil))
 			require.NoError(t, m.Offer(kept, agent.Call{ID: "4"}, nil))
 			assert.Equal(t, tc.refused, front.refused, tc.name)
@@ -102,7 +102,7 @@
 			m.SendFinal("1", noData)
 			time.Sleep(retireInterval)
 			synctest.Wait()
-			assert.ErrorIs(t, m.Offer(busy, agent.Call{ID: "5"}, nil), errClosing, tc.name)
+			assert.ErrorIs(t, m.Offer(busy, agent.Call{ID: "5"}, nil), ErrClosing, tc.name)
 			require.NoError(t, m.Offer(kept, agent.Call{ID: "6"}, nil), tc.name)
 		})
 	}
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -127,12 +127,15 @@
 	return p.midMessage.Load() && p.sinceUsed() < p.manager.MessageTimeout || unreadBytes(p.conn) > 0
 }
 
-// Send queues a message. A caller that is too slow to take its messages is disconnected.
+// Send queues a message. A caller that is too slow to take its messages is disconnected. It fails on a connection that is
+// being closed.
 func (p *Peer) Send(message Message) bool {
 	if p.queue.Offer(message) {
 		return true
 	}
-	p.conn.Close()
+	if !p.queue.Closed() {
+		p.conn.Close()
+	}
 	return false
 }
 
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -92,6 +92,13 @@
 	return q.waiting()
 }
 
+// Closed reports whether the queue refuses new items because it is closed.
+func (q *Queue[T]) Closed() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.closed
+}
+
 // Close makes the queue refuse new items.
 func (q *Queue[T]) Close() {
 	q.mu.Lock()
