A stop closes the connections of both fronts one by one, and loses no set-up between

Callers saw: after SIGTERM, with the call API on, a set-up on an open binary connection is sent to a server, and its connection closes without an answer.

Cause: Serve waited until no connection was busy, then closed the API's front (up to 0.1 s where a client does not close its end) and after that the other one, which accepted set-ups meanwhile; Manager.Close closes connections whatever is open on them. After the refusal of all calls at the end of the time, set-ups went to the core, whose refusals came after the close.

TestSetUpBetweenClosesAnswered fails on the former code (a server got the set-up, its connection ended without an answer) and passes now.

--- a/internal/daemon/apichange_test.go
+++ b/internal/daemon/apichange_test.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"io"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -210,3 +212,27 @@
 		}
 	}
 }
+
+// TestSetUpBetweenClosesAnswered guards a set-up that comes on an open connection of one front while a stop closes the connections
+// of the other: it is answered, or its connection is closed before the set-up is passed on.
+func TestSetUpBetweenClosesAnswered(t *testing.T) {
+	s := newTestSite(t)
+	silent, err := net.Dial("tcp", s.daemon.api.address().String()) // does not close its end
+	require.NoError(t, err)
+	defer silent.Close()
+	caller := standin.NewCaller(t, s.addr)
+	caller.Send(isup.Message{Type: isup.Test, Call: 9}.WithCause(0))
+	caller.Await(t, isup.TestResult, 9)
+	go s.answerAll(200 * time.Millisecond)
+	go s.stop()
+	silent.SetReadDeadline(time.Now().Add(standin.WaitTimeout))
+	_, err = silent.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF)
+	caller.Write(setUpBytes(t, 0x10)) // it fails if the connection is closed already
+	answer, err := caller.Next()
+	if err != nil {
+		assert.Zero(t, s.servers[0].Count(isup.SetUp, 0x10)+s.servers[1].Count(isup.SetUp, 0x10), "passed on, not answered: %v", err)
+		return
+	}
+	assert.Equal(t, isup.CallID(0x10), answer.Call)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,16 +26,6 @@
 	"woodrouter/spread"
 )
 
-// The times of a stop. The platform kills a process once the longest deadline (counted as maxKillDeadline if
-// it is longer) plus killGrace have passed since SIGTERM. By stopMargin before that, every call must have its
-// answer.
-const (
-	stopServePeriod = 800 * time.Millisecond // new calls are still served for this long after SIGTERM
-	maxKillDeadline = 3 * time.Second
-	killGrace       = 700 * time.Millisecond
-	stopMargin      = 400 * time.Millisecond
-)
-
 // The times of polling the bulletin. A change counts as told 2 s after the end of the wait that was
 // requested, so a short wait and a short grace leave time for another poll after a broken answer.
 const (
@@ -316,67 +306,3 @@
 	}
 	return nil
 }
-
-// stopTimeout returns how long after SIGTERM every call must have its answer.
-func (d *Daemon) stopTimeout() time.Duration {
-	return max(min(d.longestDeadline(), maxKillDeadline)+killGrace-stopMargin, stopServePeriod)
-}
-
-// longestDeadline returns the longest deadline of the settings' classes.
-func (d *Daemon) longestDeadline() (longest time.Duration) {
-	for _, p := range d.cfg.info.Profiles {
-		longest = max(longest, settings.Micros(p.Deadline))
-	}
-	return longest
-}
-
-// shutDown serves until the open calls, and those that still arrive, have their answers, or the stop times
-// out.
-func (d *Daemon) shutDown(ln net.Listener) {
-	d.log.Info("stopping: serving until all open calls are answered")
-	timeout := time.After(d.stopTimeout())
-	if d.cfg.Callers != "" {
-		ln.Close() // before ready returns false: later connections then go to the other process
-		d.stopping.Store(true)
-		d.api.stopListening()
-		d.handOver(timeout)
-		return
-	}
-	d.stopping.Store(true)
-	time.Sleep(stopServePeriod)
-	ticker := time.NewTicker(closeIdleInterval)
-	defer ticker.Stop()
-	for d.front.BusyPeers()+d.api.front.BusyPeers() > 0 { // also those with a partly read set-up
-		select {
-		case <-ticker.C:
-		case <-timeout:
-			d.refuseOpen()
-			return
-		}
-	}
-}
-
-func (d *Daemon) refuseOpen() {
-	d.log.Warn("stopping: refusing the calls that are still open")
-	d.core.RefuseNew(true) // refuses calls that arrive from now on
-	done := make(chan struct{})
-	d.core.RefuseAll(d.retryAfter)
-	d.core.NotifyIdle(func() { close(done) })
-	<-done
-}
-
-// handOver leaves the callers to the process that accepts from the same socket, which gets all new
-// connections. Existing connections are closed one by one, each once no call is open on it: a process that
-// exited earlier would reset connections in use.
-func (d *Daemon) handOver(timeout <-chan time.Time) {
-	started, ticker := time.Now(), time.NewTicker(closeIdleInterval)
-	defer ticker.Stop()
-	for d.closeIdle(time.Since(started), connmgr.Exempt{New: true}) > 0 {
-		select {
-		case <-ticker.C:
-		case <-timeout:
-			d.refuseOpen()
-			return
-		}
-	}
-}
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -81,6 +81,7 @@
 	calls       map[string]*callEntry
 	pendingEnds []pendingEnd
 	closed      bool
+	refusing    bool // all set-ups are refused
 	retiring    bool // closeRetired runs
 	goroutines  sync.WaitGroup
 	heldBytes   atomic.Int64 // of unfinished messages, as far as they are counted
@@ -238,6 +239,13 @@
 	m.goroutines.Wait()
 }
 
+// RefuseSetUps refuses the set-ups that are read from now on.
+func (m *Manager) RefuseSetUps() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refusing = true
+}
+
 // Offer records a call and passes it to the core, unless its caller has left. It fails with agent.ErrDuplicate if a call with
 // this id is open at this front, and with ErrClosing if the connection is being closed. If the core is too busy to accept
 // the call, or its connection has too many or accepts none any more, the front refuses it.
@@ -250,7 +258,7 @@
 	_, registered := m.peers[p]
 	duplicate := m.calls[c.ID] != nil
 	tooMany := m.MaxPeerCalls > 0 && p.calls >= m.MaxPeerCalls
-	refused := tooMany || p.retirement.refuses(time.Now())
+	refused := tooMany || m.refusing || p.retirement.refuses(time.Now())
 	if registered && !duplicate {
 		entry := &callEntry{peer: p, tag: tag}
 		c.CallerContext, entry.cancelCaller = context.WithCancel(context.Background())
