A silent API client keeps its connection until its set-ups are answered

Callers saw: a client of the call API with an open set-up that answers no ping loses its connection, and the answer, after twice idle_s (1 s at least; the classes' deadlines are 9 s).

Cause: the API's front closed a connection on the second idle time without a message whatever was open on it. The binary front asks for open set-ups first.

Change: the API's front asks, too, and pings again meanwhile. The deadlines of the set-ups bound the time.

--- a/internal/front/callapi/front.go
+++ b/internal/front/callapi/front.go
@@ -193,12 +193,12 @@
 }
 
 // readAll reads messages until the connection ends. A silent client is pinged, and its connection is closed
-// if it does not answer, as a client that has vanished does not close it.
+// if it does not answer, as a client that has vanished does not close it; but not before its set-ups have their answers.
 func (f *Front) readAll(s *session, maxMessageBytes int) error {
 	in, pinged := ws.Reader{In: s.peer.In, MaxMessageBytes: maxMessageBytes, Hold: s.hold}, false
 	for {
 		switch err := s.peer.AwaitMessage(); {
-		case errors.Is(err, connmgr.ErrIdle) && !pinged:
+		case errors.Is(err, connmgr.ErrIdle) && (!pinged || s.peer.Busy()):
 			pinged = true
 			s.peer.Send(connmgr.Message{Data: ws.AppendFrame(nil, ws.Ping, nil)})
 			continue
