Answers to set-ups are queued above the limit of a caller's queue

Callers saw: a caller with more than 1,024 set-ups open on a connection, all of which are answered at the same time (a stop refuses them, a server ends), loses the connection and the answers.

Cause: the limit of messages that wait for a slow caller counted answers like other messages, and a full queue closes the socket.

Change: answers go above the limit (sendOwed); the open calls bound their number. A connection whose queue is full is not read for further set-ups (AwaitRoom), so that a slow reader can't let answers pile up; a caller that takes nothing for WriteTimeout is disconnected as before, and so is one that overfills the queue with other messages (TestSlowReader).

TestAnswersAtOnce fails on the former code (4 of 12 answers are queued) and passes.

--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -250,6 +250,7 @@
 // this id is open at this front, and with ErrClosing if the connection is being closed. If the core is too busy to accept
 // the call, or its connection has too many or accepts none any more, the front refuses it.
 func (m *Manager) Offer(p *Peer, c agent.Call, tag any) error {
+	p.queue.AwaitRoom()
 	if p.callerHasLeft() {
 		p.ignored.Add(c.ID)
 		return nil
@@ -292,7 +293,7 @@
 		return true, false
 	}
 	if final != nil {
-		entry.peer.Send(Message{ID: id, Data: final(entry.tag)})
+		entry.peer.sendOwed(Message{ID: id, Data: final(entry.tag)})
 	}
 	return true, true
 }
@@ -370,7 +371,7 @@
 	}
 	entry.answered = true
 	m.mu.Unlock()
-	sent := entry.peer.Send(Message{ID: id, Kind: KindAnswer, Data: data(entry.tag)})
+	sent := entry.peer.sendOwed(Message{ID: id, Kind: KindAnswer, Data: data(entry.tag)})
 	m.settleAnswer(entry.peer)
 	if !sent {
 		m.releaseUndelivered(id)
@@ -400,7 +401,7 @@
 // SendFinal sends the final message of a call that did not come to stand.
 func (m *Manager) SendFinal(id string, data func(tag any) []byte) {
 	if entry := m.takeCall(id); entry != nil {
-		entry.peer.Send(Message{ID: id, Data: data(entry.tag)})
+		entry.peer.sendOwed(Message{ID: id, Data: data(entry.tag)})
 		m.settle(entry)
 	}
 }
--- a/internal/front/connmgr/manager_test.go
+++ b/internal/front/connmgr/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,6 +166,21 @@
 	}
 }
 
+// TestAnswersAtOnce guards a caller with more open set-ups than its queue has room for, all of which are answered at the same
+// time.
+func TestAnswersAtOnce(t *testing.T) {
+	m := New(Config{MaxQueued: 4}, nullCore{}, nil, nil)
+	p := addPeer(t, m)
+	ids := strings.Split("abcdefghijkl", "")
+	for _, id := range ids {
+		require.NoError(t, m.Offer(p, agent.Call{ID: id}, nil))
+	}
+	for _, id := range ids {
+		m.SendFinal(id, noData)
+	}
+	assert.Equal(t, len(ids), p.queue.Len())
+}
+
 // countingConn is a connection that returns one-byte messages, one or several per read, and counts the
 // deadlines that are set.
 type countingConn struct {
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -118,15 +118,6 @@
 	return n, err
 }
 
-// LocalAddr returns the address at which the caller has connected.
-func (p *Peer) LocalAddr() net.Addr { return p.conn.LocalAddr() }
-
-// inUse reports whether the caller has sent something that is not handled yet. A message of which nothing more has come for
-// MessageTimeout does not count.
-func (p *Peer) inUse() bool {
-	return p.midMessage.Load() && p.sinceUsed() < p.manager.MessageTimeout || unreadBytes(p.conn) > 0
-}
-
 // Send queues a message. A caller that is too slow to take its messages is disconnected. It fails on a connection that is
 // being closed.
 func (p *Peer) Send(message Message) bool {
@@ -139,6 +130,19 @@
 	return false
 }
 
+// sendOwed queues the answer to a set-up, also above the limit of the queue: that calls have their answers at the same time
+// must not cost their caller its connection. The open calls bound their number, and Offer waits while the queue is full.
+func (p *Peer) sendOwed(message Message) bool { return p.queue.Post(message) }
+
+// LocalAddr returns the address at which the caller has connected.
+func (p *Peer) LocalAddr() net.Addr { return p.conn.LocalAddr() }
+
+// inUse reports whether the caller has sent something that is not handled yet. A message of which nothing more has come for
+// MessageTimeout does not count.
+func (p *Peer) inUse() bool {
+	return p.midMessage.Load() && p.sinceUsed() < p.manager.MessageTimeout || unreadBytes(p.conn) > 0
+}
+
 // startClosing closes the connection once its queued messages are written. With linger, the bytes that the
 // caller has on the way are read first and discarded: closing with unread bytes resets the connection, and
 // the caller would lose the answers that it has not read yet.
--- a/internal/mailbox/mailbox.go
+++ b/internal/mailbox/mailbox.go
@@ -92,6 +92,15 @@
 	return q.waiting()
 }
 
+// AwaitRoom waits until fewer items than the limit are waiting, or the queue is closed.
+func (q *Queue[T]) AwaitRoom() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for q.waiting() >= q.limit && !q.closed {
+		q.changed.Wait()
+	}
+}
+
 // Closed reports whether the queue refuses new items because it is closed.
 func (q *Queue[T]) Closed() bool {
 	q.mu.Lock()
