Limits on messages close a connection only once its open set-ups are answered

Callers saw: a connection over the limit of messages without a call, or one whose next large message found the memory for unfinished messages used up by other clients, is closed with the set-ups open on it unanswered.

Cause: pace and HoldBytes ended the reading, and the end of reading gives up what is open on the connection.

Change: a connection over the limit of messages goes on being paced while set-ups are open on it, further ones are refused, and it is closed when none is (Retire).

--- a/internal/front/connmgr/pace.go
+++ b/internal/front/connmgr/pace.go
@@ -60,7 +60,7 @@
 	if !p.paced.Swap(true) {
 		p.pacedSince = time.Now()
 	}
-	if time.Since(p.pacedSince) > maxPaced {
+	if time.Since(p.pacedSince) > maxPaced && !p.manager.refuseUntilAnswered(p) {
 		return errTooManyMessages
 	}
 	time.Sleep(min(excess, maxPause))
--- a/internal/front/connmgr/retire.go
+++ b/internal/front/connmgr/retire.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// refuseUntilAnswered retires a connection on which set-ups are open, and refuses further ones on it. It reports false if none
+// is open.
+func (m *Manager) refuseUntilAnswered(p *Peer) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.openSetUps == 0 {
+		return false
+	}
+	if p.retirement == nil {
+		p.retirement = &Retirement{RefuseFrom: time.Now()}
+		m.startRetiringLocked()
+	}
+	return true
+}
+
 // peersByUse returns the connections, those with the fewest calls and among them the longest unused first. The caller holds
 // m.mu.
 func (m *Manager) peersByUse() []*Peer {
