Soak: clients of the call API whose settings change while their set-ups are open

The fault "settings changed" has three of them place calls, one without a pause, while a server hangs for 7 s, and changes the API's settings up to three times in a row. It is drawn apart from the other faults. New rules: no call stands that was placed by a client that may no longer connect, and such a connection ends in time; the rule of one final answer holds for API clients as for the others.

--- a/internal/lab/soaklab/soak_test.go
+++ b/internal/lab/soaklab/soak_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// TestSettingsChanges guards the answers of the call API's clients against changes of its settings, also several in a row, and
+// against clients that go on after they may no longer connect.
+func TestSettingsChanges(t *testing.T) {
+	for _, seed := range []uint64{1, 3, 4} {
+		playSeed(t, seed, []string{SettingsChanged})
+	}
+}
+
 func playSeed(t *testing.T, seed uint64, faults []string) {
 	t.Run("", func(t *testing.T) {
 		t.Parallel()
--- a/internal/lab/soaklab/soaklab.go
+++ b/internal/lab/soaklab/soaklab.go
@@ -139,7 +139,10 @@
 		t.currentLife[agent] = t.recorder.addLife(agent)
 	}
 	var err error
-	t.cluster, err = cluster.Start(ctx, cluster.Config{Bin: cfg.Bin, Dir: cfg.Dir, Deployment: t.Deployment, Agents: t.Agents, Servers: t.Servers, Seed: cfg.Seed})
+	t.cluster, err = cluster.Start(ctx, cluster.Config{Bin: cfg.Bin, Dir: cfg.Dir, Deployment: t.Deployment, Agents: t.Agents, Servers: t.Servers, Seed: cfg.Seed,
+		Env: func(_ *cluster.Cluster, agent int) ([]string, error) {
+			return []string{"WOODROUTER_STATE=" + t.statePath(agent)}, nil
+		}})
 	if err != nil {
 		return report, err
 	}
@@ -197,6 +200,9 @@
 	load.Go(func() {
 		t.injectFaults(loadCtx, reviewFaults, rand.New(rand.NewPCG(t.Seed, 0x726576)), reviewFaultGap)
 	})
+	load.Go(func() {
+		t.injectFaults(loadCtx, apiFaults, rand.New(rand.NewPCG(t.Seed, 0x617069)), apiFaultGap)
+	})
 	t.injectFaults(loadCtx, faults, t.rng, faultGap)
 	<-loadCtx.Done()
 	close(t.loadEnded)
