A time-out that passes while the process does not run costs no connection

Callers see: after the agent was suspended or had no processor for 2.5 s, a new connection whose set-up had come long before is closed without an answer; after 0.5 s between the setting of a write's deadline and the write, one that is owed an answer.

Cause: a deadline that has passed fails a read or a write at once, whatever is in the socket. The program's own absence counted as its caller's silence.

Change: a read whose deadline has passed is repeated if bytes are unread (SIOCINQ), a write if the caller has taken all before (SIOCOUTQ). A caller that is silent, or takes nothing, is disconnected as before (TestSilent, TestSlowReader).

TestLateProcessKeepsConnection fails on the former code for the read and for the write. On the way: the scan of calls whose retirement has them fail is made only where there is one; one function lists a connection's open calls.

--- a/internal/front/connmgr/closed_linux.go
+++ b/internal/front/connmgr/closed_linux.go
@@ -44,18 +44,29 @@
 }
 
 // unreadBytes returns how many bytes of a connection are in the system's buffer; 0 where that is not known.
-func unreadBytes(conn net.Conn) (bytes int) {
+func unreadBytes(conn net.Conn) int {
+	bytes, _ := queuedBytes(conn, unix.SIOCINQ)
+	return bytes
+}
+
+// allSent reports whether the other side has taken all that was written to a connection; false where that is not known.
+func allSent(conn net.Conn) bool {
+	bytes, known := queuedBytes(conn, unix.SIOCOUTQ)
+	return known && bytes == 0
+}
+
+// queuedBytes returns how many bytes are in one of the queues of a connection. known is false on a connection without such, or
+// one that is closed on this side.
+func queuedBytes(conn net.Conn, request uint) (bytes int, known bool) {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0
+		return 0, false
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0
-	}
-	raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
-	if err != nil { // closed on this side
-		return 0
+		return 0, false
 	}
-	return bytes
+	var requestErr error
+	err = raw.Control(func(fd uintptr) { bytes, requestErr = unix.IoctlGetInt(int(fd), request) })
+	return bytes, err == nil && requestErr == nil
 }
--- a/internal/front/connmgr/manager.go
+++ b/internal/front/connmgr/manager.go
@@ -346,14 +346,12 @@
 // withdrawUnanswered withdraws the unanswered calls of a connection whose caller has left.
 func (m *Manager) withdrawUnanswered(p *Peer) {
 	m.mu.Lock()
-	var unanswered []string
-	for id, entry := range m.calls {
-		if entry.peer == p && !entry.answered {
-			delete(m.calls, id)
-			entry.cancelCaller()
-			m.settleLocked(entry)
-			unanswered = append(unanswered, id)
-		}
+	unanswered := m.openCallsLocked(p)
+	for _, id := range unanswered {
+		entry := m.calls[id]
+		delete(m.calls, id)
+		entry.cancelCaller()
+		m.settleLocked(entry)
 	}
 	m.mu.Unlock()
 	for _, id := range unanswered {
--- a/internal/front/connmgr/peer.go
+++ b/internal/front/connmgr/peer.go
@@ -112,12 +112,20 @@
 		r.p.deadlineSet = true
 	}
 	n, err := r.p.conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && unreadBytes(r.p.conn) > 0 { // they came in time: this process was late
+		r.p.conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+		n, err = r.p.conn.Read(b)
+		r.p.deadlineSet = false
+	}
 	if n > 0 {
 		r.p.touch()
 	}
 	return n, err
 }
 
+// lateReadTimeout is the time for reading bytes that have come already.
+const lateReadTimeout = 100 * time.Millisecond
+
 // Send queues a message. A caller that is too slow to take its messages is disconnected. It fails on a connection that is
 // being closed.
 func (p *Peer) Send(message Message) bool {
@@ -260,8 +268,7 @@
 			p.handleUnsent(message)
 			continue
 		}
-		p.conn.SetWriteDeadline(time.Now().Add(p.manager.WriteTimeout))
-		if _, err := p.conn.Write(message.Data); err != nil {
+		if err := p.write(message.Data); err != nil {
 			p.conn.Close()
 			p.handleUnsent(message)
 			continue
@@ -272,6 +279,18 @@
 	}
 }
 
+// write writes a message within WriteTimeout. If the time is over although the caller has taken all before, this process did
+// not run meanwhile, and the message gets the time once more.
+func (p *Peer) write(data []byte) error {
+	p.conn.SetWriteDeadline(time.Now().Add(p.manager.WriteTimeout))
+	n, err := p.conn.Write(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && allSent(p.conn) {
+		p.conn.SetWriteDeadline(time.Now().Add(p.manager.WriteTimeout))
+		_, err = p.conn.Write(data)
+	}
+	return err
+}
+
 // handleUnsent releases the call of an answer that was not written, and sends the end of a call on another
 // connection.
 func (p *Peer) handleUnsent(message Message) {
--- a/internal/front/connmgr/retire.go
+++ b/internal/front/connmgr/retire.go
@@ -140,18 +140,31 @@
 
 // failRetired gives the set-ups their answers that are still open when their connection's retirement has them fail.
 func (m *Manager) failRetired() {
-	now := time.Now()
-	m.mu.Lock()
-	var overdue []string
-	for id, entry := range m.calls {
-		if !entry.answered && entry.peer.retirement.fails(now) {
-			overdue = append(overdue, id)
-		}
-	}
-	m.mu.Unlock()
-	for _, id := range overdue {
+	for _, id := range m.overdueCalls(time.Now()) {
 		m.Log.Warn("call failed: its connection may no longer be used", "call", id)
 		m.front.Failed(agent.Call{ID: id}, agent.ErrOverdue)
 		m.core.Withdraw(m.front, id)
 	}
 }
+
+// overdueCalls returns the open calls of connections whose retirement has them fail.
+func (m *Manager) overdueCalls(now time.Time) (ids []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for p := range m.peers {
+		if p.retirement.fails(now) && p.openSetUps > 0 {
+			ids = append(ids, m.openCallsLocked(p)...)
+		}
+	}
+	return ids
+}
+
+// openCallsLocked returns the calls of a connection that have no answer yet. The caller holds m.mu.
+func (m *Manager) openCallsLocked(p *Peer) (ids []string) {
+	for id, entry := range m.calls {
+		if entry.peer == p && !entry.answered {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- a/internal/front/connmgr/unhandled_test.go
+++ b/internal/front/connmgr/unhandled_test.go
@@ -1,6 +1,7 @@
 package connmgr
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -15,19 +16,11 @@
 // TestUnreadSetUpKeepsConnection guards a set-up that has come and is not read yet against a close of its connection as idle, at a
 // stop, a drain or a full limit of connections.
 func TestUnreadSetUpKeepsConnection(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	remote, err := net.Dial("tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer remote.Close()
-	local, err := ln.Accept()
-	require.NoError(t, err)
-	defer local.Close()
+	local, remote := tcpPair(t)
 	m := New(Config{MaxPeers: 1}, nullCore{}, nil, nil)
 	p := newPeer(m, local)
 	m.peers[p] = struct{}{}
-	_, err = remote.Write([]byte{1})
+	_, err := remote.Write([]byte{1})
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return unreadBytes(local) > 0 }, standin.WaitTimeout, time.Millisecond)
 	p.lastUsed.Store(0)
@@ -42,6 +35,57 @@
 	m.Close()
 }
 
+// tcpPair returns the two ends of a TCP connection.
+func tcpPair(t *testing.T) (local, remote net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	remote, err = net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	local, err = ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { local.Close(); remote.Close() })
+	return local, remote
+}
+
+// lateConn is a connection whose process does not run between the setting of a deadline and the next step.
+type lateConn struct {
+	*net.TCPConn
+	late time.Duration
+}
+
+func (c *lateConn) Read(b []byte) (int, error)  { c.wait(); return c.TCPConn.Read(b) }
+func (c *lateConn) Write(b []byte) (int, error) { c.wait(); return c.TCPConn.Write(b) }
+
+// wait waits once.
+func (c *lateConn) wait() {
+	time.Sleep(c.late)
+	c.late = 0
+}
+
+// TestLateProcessKeepsConnection guards messages against time-outs that pass while this process does not run: a set-up that has come
+// is read, and an answer that its caller would take is written.
+func TestLateProcessKeepsConnection(t *testing.T) {
+	const timeout, late = 50 * time.Millisecond, 200 * time.Millisecond
+	local, remote := tcpPair(t)
+	conn := &lateConn{TCPConn: local.(*net.TCPConn)}
+	p := newPeer(New(Config{FirstMessageTimeout: timeout, WriteTimeout: timeout}, nullCore{}, nil, nil), conn)
+	conn.late = late
+	_, err := remote.Write([]byte{1})
+	require.NoError(t, err)
+	require.NoError(t, p.AwaitMessage())
+	conn.late = late
+	require.NoError(t, p.write([]byte("answer")))
+	got := make([]byte, 6)
+	_, err = io.ReadFull(remote, got)
+	require.NoError(t, err)
+	assert.Equal(t, "answer", string(got))
+	p.In.ReadByte()
+	p.MessageRead()
+	p.idleTimeout = timeout
+	assert.ErrorIs(t, p.AwaitMessage(), ErrIdle, "nothing has come")
+}
+
 // TestReadSetUpKeepsConnection guards a set-up that was read against a close before it is passed on.
 func TestReadSetUpKeepsConnection(t *testing.T) {
 	local, remote := net.Pipe()
