A withdrawn token is seen although the API's path has changed, too

Cause: the client's upgrade request was checked against the new endpoint with the path first. Its former path made it "not found", which is a client that must connect elsewhere, and its token was not looked at.

Change: Endpoint.Admits checks origin and token alone; the path is compared apart.

TestSettingsChangeKeepsSetUps has the change "path changed, token withdrawn", which fails on the former code, and passes.

--- a/internal/daemon/apichange_test.go
+++ b/internal/daemon/apichange_test.go
@@ -86,6 +86,7 @@
 	{"disabled", []func(*plan.Front){disableAPI}, true},
 	{"twice", []func(*plan.Front){changeIdle, changeIdle}, false},
 	{"moved, then token withdrawn", []func(*plan.Front){moveAPI, withdrawToken}, true},
+	{"path changed, token withdrawn", []func(*plan.Front){func(f *plan.Front) { f.Path = "/other"; withdrawToken(f) }}, true},
 	{"token withdrawn, then idle time", []func(*plan.Front){withdrawToken, changeIdle}, true},
 	{"disabled and enabled", []func(*plan.Front){disableAPI, func(f *plan.Front) { f.Enabled = true }}, false},
 }
--- a/internal/front/callapi/retire.go
+++ b/internal/front/callapi/retire.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"time"
 
 	"woodrouter/internal/front/connmgr"
@@ -39,13 +38,11 @@
 		from := now.Add(delay)
 		return &connmgr.Retirement{RefuseFrom: from, FailAt: from.Add(change.Longest)}
 	}
-	if change.Address == nil || !upgraded {
+	endpoint := f.options.endpoint
+	switch {
+	case change.Address == nil || !upgraded || !endpoint.Admits(client):
 		return refuseAfter(0)
-	}
-	switch status := f.options.endpoint.Admits(client); {
-	case status != 0 && status != http.StatusNotFound:
-		return refuseAfter(0)
-	case status != 0 || elsewhere:
+	case elsewhere || client.URL.Path != endpoint.Path:
 		return refuseAfter(change.Grace)
 	}
 	return &connmgr.Retirement{}
--- a/internal/front/ws/upgrade.go
+++ b/internal/front/ws/upgrade.go
@@ -33,7 +33,8 @@
 }
 
 // Upgrade handles an upgrade request, given what ReadHead returned. It always returns the response to write, and an error
-// if the connection must be closed after it. Otherwise admitted is the part of the request that Admits checks.
+// if the connection must be closed after it. Otherwise admitted is the part of the request
+// that Admits checks, and the path.
 func (e Endpoint) Upgrade(head []byte, err error) (response []byte, admitted *http.Request, refused error) {
 	if errors.Is(err, errHeadTooLong) {
 		return respond(http.StatusRequestHeaderFieldsTooLarge), nil, fmt.Errorf("upgrade request: %w", err)
@@ -60,7 +61,7 @@
 // maxKeptCredentials is the size in bytes up to which a request's credentials are kept with its connection.
 const maxKeptCredentials = 1 << 10
 
-// admissionOf returns the part of a request that Admits checks.
+// admissionOf returns the part of a request that Admits checks, and the path.
 func admissionOf(req *http.Request) *http.Request {
 	kept := &http.Request{URL: &url.URL{Path: req.URL.Path}, Header: http.Header{}}
 	for _, name := range []string{"Origin", "Authorization"} {
@@ -71,21 +72,12 @@
 	return kept
 }
 
-// Admits checks who sent a request, and for which path. It returns 0, or the HTTP status with which an upgrade is refused.
-func (e Endpoint) Admits(req *http.Request) (status int) {
-	if refusal := e.checkClient(req); refusal != nil {
-		return refusal.status
-	}
-	return 0
-}
+// Admits reports whether the client of a request may be upgraded, at whatever path.
+func (e Endpoint) Admits(req *http.Request) bool { return e.checkClient(req) == nil }
 
 // checkClient returns why the client of a request is not admitted; nil if it is.
 func (e Endpoint) checkClient(req *http.Request) *refusal {
-	origin := req.Header.Get("Origin")
-	switch {
-	case req.URL.Path != e.Path:
-		return &refusal{http.StatusNotFound, "path " + req.URL.Path}
-	case origin != "" && !slices.Contains(e.Origins, origin):
+	if origin := req.Header.Get("Origin"); origin != "" && !slices.Contains(e.Origins, origin) {
 		return &refusal{http.StatusForbidden, "origin " + origin}
 	}
 	if e.Allow != nil {
