--- a/internal/daemon/apichange_test.go
+++ b/internal/daemon/apichange_test.go
@@ -134,17 +134,24 @@
 	}
 }
 
+// nextMessage returns the next message that either server receives; false if none comes.
+func (s *testSite) nextMessage() (standin.Received, bool) {
+	select {
+	case got := <-s.servers[0].Received:
+		return got, true
+	case got := <-s.servers[1].Received:
+		return got, true
+	case <-time.After(standin.WaitTimeout):
+		return standin.Received{}, false
+	}
+}
+
 // awaitSetUp returns the set-up of a call at either server.
 func (s *testSite) awaitSetUp(id isup.CallID) standin.Received {
 	s.t.Helper()
 	for {
-		var got standin.Received
-		select {
-		case got = <-s.servers[0].Received:
-		case got = <-s.servers[1].Received:
-		case <-time.After(standin.WaitTimeout):
-			require.Fail(s.t, "no set-up came", "%v", id)
-		}
+		got, ok := s.nextMessage()
+		require.True(s.t, ok, "no set-up of %v came", id)
 		if got.Type == isup.SetUp && got.Call == id {
 			return got
 		}
@@ -200,14 +207,7 @@
 
 // answerAll answers the set-ups at both servers after a while.
 func (s *testSite) answerAll(after time.Duration) {
-	for {
-		var got standin.Received
-		select {
-		case got = <-s.servers[0].Received:
-		case got = <-s.servers[1].Received:
-		case <-time.After(standin.WaitTimeout):
-			return
-		}
+	for got, ok := s.nextMessage(); ok; got, ok = s.nextMessage() {
 		if got.Type == isup.SetUp {
 			time.AfterFunc(after, func() { got.Answer("room") })
 		}
