Soak: half of the sessions at the call API end with a stop of their agent

A stop while set-ups of the API are open, after changes of its settings, was not played: the agent was kept from stops until the API was off.

--- a/internal/lab/soaklab/apiclients.go
+++ b/internal/lab/soaklab/apiclients.go
@@ -76,7 +76,7 @@
 }
 
 // changeSettings has clients of an agent's call API place calls, one of them without a pause, at servers of which one hangs, and
-// changes the API's settings up to three times meanwhile.
+// changes the API's settings up to three times meanwhile. In half of the sessions the agent is stopped after that.
 func (t *trial) changeSettings(rng *rand.Rand) string {
 	agent := t.takeAgent(rng)
 	if agent < 0 {
@@ -98,7 +98,6 @@
 	})
 	seed := rng.Uint64()
 	t.underWay.Go(func() {
-		defer t.setStopping(agent, false)
 		newAPISession(t, agent).play(changes, rand.New(rand.NewPCG(seed, 3)))
 	})
 	return what
@@ -139,7 +138,7 @@
 	s.trial.cluster.Procs[s.agent].HangUp()
 }
 
-// play opens the API, has clients place calls while its settings change, and closes it.
+// play opens the API, has clients place calls while its settings change, and closes it or stops the agent.
 func (s *apiSession) play(changes []apiChange, rng *rand.Rand) {
 	s.apply()
 	var clients sync.WaitGroup
@@ -165,9 +164,15 @@
 		s.apply()
 		s.expect(change)
 	}
+	if rng.IntN(2) == 0 {
+		s.trial.stopAgent(s.agent, rng) // others may take the agent after that
+		clients.Wait()
+		return
+	}
 	clients.Wait()
 	s.front.Enabled = false
 	s.apply()
+	s.trial.setStopping(s.agent, false)
 }
 
 // expect records what a change that has just been signalled means for the clients.
