--- a/internal/daemon/operators_test.go
+++ b/internal/daemon/operators_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"woodrouter/callrpc"
 	"woodrouter/internal/faultnet"
 	"woodrouter/internal/plan"
 	"woodrouter/internal/standin"
@@ -134,6 +135,34 @@
 	require.Eventually(t, func() bool { return next.api.address() != nil }, standin.WaitTimeout, time.Millisecond)
 }
 
+// TestAPISetUpOutlivesHandOver guards a set-up of the call API that is open while its process hands over to another: its answer
+// comes on its connection, which is closed after it.
+func TestAPISetUpOutlivesHandOver(t *testing.T) {
+	server, cfg, _, fds := oneServerConfig(t, 2)
+	cfg.State = filepath.Join(t.TempDir(), "state.json")
+	p, err := plan.Make(cfg.State, plan.Front{Enabled: true, Listen: freeAddress(t), Path: "/calls",
+		MaxConnections: 8, MaxMessage: 1 << 16, IdleS: 30})
+	require.NoError(t, err)
+	require.NoError(t, p.Apply())
+	cfg.Callers = fds[0]
+	first, stop, done := startDaemon(t, cfg)
+	require.Eventually(t, func() bool { return first.api.address() != nil }, standin.WaitTimeout, time.Millisecond)
+	client, err := callrpc.Dial(t.Context(), "ws://"+first.api.address().String()+"/calls", callrpc.Options{})
+	require.NoError(t, err)
+	defer client.Close()
+	open := make(chan apiOutcome, 1)
+	go func() { open <- placeAPI(client, 0x10, 5*time.Second) }()
+	call := server.Await(t, isup.SetUp)
+	cfg.Callers = fds[1]
+	startDaemon(t, cfg)
+	stop()
+	time.Sleep(closeAnyGapAfter + 200*time.Millisecond)
+	call.Answer("room")
+	assert.Equal(t, outcomeStands, <-open)
+	assert.NoError(t, <-done)
+	assert.Equal(t, outcomeLost, placeAPI(client, 0x20, time.Second))
+}
+
 // TestInheritedSocket checks that a PROXY_FD that is not a listening socket's descriptor is refused.
 func TestInheritedSocket(t *testing.T) {
 	for _, fd := range []string{"x", "-1", "1", "65000"} {
--- a/internal/lab/clientlab/clientlab_test.go
+++ b/internal/lab/clientlab/clientlab_test.go
@@ -35,6 +35,18 @@
 	}
 }
 
+// TestCallersBesideCrowds guards callers against hundreds of clients that send what costs much to read at full speed: every
+// call has its answer within its time.
+func TestCallersBesideCrowds(t *testing.T) {
+	for _, name := range []string{"objects of many short fields", "large set-ups of unknown classes"} {
+		t.Run(name, func(t *testing.T) {
+			report, err := PlayCrowd(t.Context(), testConfig(t, 300, 192), crowdNamed(t, name))
+			require.NoError(t, err)
+			requireAnsweredInTime(t, report)
+		})
+	}
+}
+
 // requireAnsweredInTime checks that every call of the gateways has its answer, within the time that they allow.
 func requireAnsweredInTime(t *testing.T, report Report) {
 	t.Helper()
