A paced connection that is being retired refuses set-ups, too

Cause, found by reading: a connection over the limit of messages without a call refuses further set-ups until the open ones are answered, but not if a change of the settings had begun to retire it without refusing any; placing set-ups without a pause, it could have gone on.

TestPacedConnectionRefusesSetUps plays this order; it fails on the former code (0 of 1 refused) and passes. A first form of the test called a reader's function from another goroutine, which the race detector told.

--- a/internal/front/connmgr/limits_test.go
+++ b/internal/front/connmgr/limits_test.go
@@ -60,3 +60,24 @@
 		assert.NoError(t, <-held)
 	})
 }
+
+// TestPacedConnectionRefusesSetUps guards against a connection over the limit of messages that goes on for ever by placing set-ups
+// without a pause: further ones are refused, also if a change of the settings has begun to retire it without refusing any.
+func TestPacedConnectionRefusesSetUps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		front := &countingFront{}
+		m := New(Config{}, nullCore{}, front, nil)
+		front.m = m
+		p := addPeer(t, m)
+		require.NoError(t, m.Offer(p, agent.Call{ID: "1"}, nil))
+		m.Retire(func(*Peer, bool) *Retirement { return &Retirement{} })
+		for began := time.Now(); time.Since(began) < 2*maxPaced; {
+			p.CountIdleMessage(0)
+			require.NoError(t, p.pace())
+		}
+		require.NoError(t, m.Offer(p, agent.Call{ID: "2"}, nil))
+		assert.Equal(t, 1, front.refused)
+		m.SendFinal("1", noData)
+		m.Close()
+	})
+}
--- a/internal/front/connmgr/retire.go
+++ b/internal/front/connmgr/retire.go
@@ -81,8 +81,13 @@
 	if p.openSetUps == 0 {
 		return false
 	}
-	if p.retirement == nil {
-		p.retirement = &Retirement{RefuseFrom: time.Now()}
+	now := time.Now()
+	if !p.retirement.refuses(now) {
+		next := Retirement{RefuseFrom: now}
+		if p.retirement != nil {
+			next.FailAt = p.retirement.FailAt
+		}
+		p.retirement = &next
 		m.startRetiringLocked()
 	}
 	return true
