--- a/internal/lab/soaklab/soak_test.go
+++ b/internal/lab/soaklab/soak_test.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// TestRestartBehindForgottenConnections guards the ends of calls at a server that restarts at its address while discovery is silent
+// and its idle connections are forgotten, so that no reset tells of the restart.
+func TestRestartBehindForgottenConnections(t *testing.T) {
+	playSeed(t, 13, []string{RestartUnseen, IdleEnded})
+}
+
 func playSeed(t *testing.T, seed uint64, faults []string) {
 	t.Run("", func(t *testing.T) {
 		t.Parallel()
